--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -42,6 +42,8 @@
   5: double long_wait_s = 0
   6: i32 running = 0
   7: i32 max_running = 0
+  // Identifies one start of the endpoint.
+  8: string boot_id = ""
 }
 
 // Work that a daemon has running on an endpoint.
@@ -160,6 +162,7 @@
 
 struct StateReply {
   1: objects.Snapshot snapshot
+  2: optional objects.Roster roster
 }
 
 // A leaving owner gives up its strict rights on endpoints.
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -86,6 +86,8 @@
   5: double reservation_ttl_s = 1
   // Time without platform and peers after which new work is refused. @unit seconds @min 0.5 @max 60
   6: double isolated_after_s = 3
+  // Addresses of daemons to ask when the platform does not answer, as "host:port, host:port".
+  7: string seeds = ""
 }
 
 // Length classes, queues and retries.
--- /dev/null
+++ b/src/auburnswitch/callers/answers.py
@@ -0,0 +1,85 @@
+"""Writes answers in the shape that model clients use."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from auburnswitch.callers.parse import Completion
+    from auburnswitch.platform.state import ConfigState
+    from auburnswitch.results import Refusal
+    from auburnswitch.routing.dispatcher import AnswerEnd
+
+
+def text_chunk(completion: Completion, text: str) -> bytes:
+    """Returns the stream chunk of a piece of the answer."""
+    if completion.chat:
+        choice = {"index": 0, "delta": {"content": text}}
+    else:
+        choice = {"index": 0, "text": text}
+    choice["finish_reason"] = None
+    return _event(_base(completion, chunk=True) | {"choices": [choice]})
+
+
+def end_chunk(completion: Completion, end: AnswerEnd) -> bytes:
+    """Returns the chunks that end a whole answer."""
+    choice: dict[str, Any] = {"index": 0, "finish_reason": end.finish_reason}
+    choice["delta" if completion.chat else "text"] = (
+        {} if completion.chat else ""
+    )
+    body = _base(completion, chunk=True) | {"choices": [choice]}
+    return _event(body | {"usage": end.usage}) + b"data: [DONE]\n\n"
+
+
+def error_chunk(refused: Refusal) -> bytes:
+    """Returns the event that ends a broken answer."""
+    return b"event: error\n" + _event(refused.to_json())
+
+
+def answer_object(
+    completion: Completion, text: str, end: AnswerEnd
+) -> dict[str, Any]:
+    """Returns a whole answer as one object."""
+    choice: dict[str, Any] = {"index": 0, "finish_reason": end.finish_reason}
+    if completion.chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    base = _base(completion, chunk=False)
+    return base | {"choices": [choice], "usage": end.usage}
+
+
+def model_list(state: ConfigState) -> dict[str, Any]:
+    """Returns the models that are served."""
+    models = sorted(
+        {service.model or name for name, service in state.services.items()}
+    )
+    data = [{"id": model, "object": "model"} for model in models]
+    return {"object": "list", "data": data}
+
+
+def _base(completion: Completion, *, chunk: bool) -> dict[str, Any]:
+    kind = "text_completion"
+    if completion.chat:
+        kind = "chat.completion.chunk" if chunk else "chat.completion"
+    return {
+        "id": completion.request.id,
+        "object": kind,
+        "model": completion.model,
+    }
+
+
+def _event(body: dict[str, Any]) -> bytes:
+    return (
+        b"data: " + json.dumps(body, separators=(",", ":")).encode() + b"\n\n"
+    )
+
+
+__all__ = [
+    "answer_object",
+    "end_chunk",
+    "error_chunk",
+    "model_list",
+    "text_chunk",
+]
--- /dev/null
+++ b/src/auburnswitch/callers/app.py
@@ -0,0 +1,259 @@
+"""The HTTP application for callers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from auburnswitch.callers.answers import (
+    answer_object,
+    end_chunk,
+    error_chunk,
+    model_list,
+    text_chunk,
+)
+from auburnswitch.observe.logs import log_event
+from auburnswitch.results import Refusal, RefusalError, refusal
+from auburnswitch.routing.dispatcher import (
+    AnswerEnd,
+    AnswerFailed,
+    AnswerPart,
+    AnswerText,
+)
+from auburnswitch.routing.plain import PlainAnswer, PlainCall
+from auburnswitch.schema.events import EventId
+from auburnswitch.schema.results import ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from starlette.requests import Request
+
+    from auburnswitch.callers.parse import Completion, RequestParser
+    from auburnswitch.observe.metrics import Metrics
+    from auburnswitch.routing.dispatcher import Dispatcher
+    from auburnswitch.routing.plain import PlainRouter
+
+METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
+
+
+class CallerApp:
+    """Serves completions and plain services.
+
+    Attributes:
+        parser: Checks requests.
+        dispatcher: Runs completions.
+        plain: Runs plain requests.
+        refuse_new: Returns why new work is refused, or None.
+        in_flight: Requests that have not been answered to their end.
+    """
+
+    __slots__ = (
+        "dispatcher",
+        "in_flight",
+        "metrics",
+        "parser",
+        "plain",
+        "refuse_new",
+    )
+
+    def __init__(
+        self,
+        *,
+        parser: RequestParser,
+        dispatcher: Dispatcher,
+        plain: PlainRouter,
+        metrics: Metrics,
+        refuse_new: Callable[[], Refusal | None],
+    ) -> None:
+        self.parser = parser
+        self.dispatcher = dispatcher
+        self.plain = plain
+        self.metrics = metrics
+        self.refuse_new = refuse_new
+        self.in_flight = 0
+
+    def build(self) -> Starlette:
+        """Returns the ASGI application."""
+        return Starlette(
+            routes=[
+                Route("/v1/completions", self._completions, methods=["POST"]),
+                Route(
+                    "/v1/chat/completions",
+                    self._chat_completions,
+                    methods=["POST"],
+                ),
+                Route("/v1/models", self._models),
+                Route(
+                    "/services/{service}/{path:path}",
+                    self._plain_service,
+                    methods=METHODS,
+                ),
+            ],
+            exception_handlers={
+                RefusalError: self._on_refusal,
+                404: self._on_unknown_path,
+                Exception: self._on_error,
+            },
+        )
+
+    async def _completions(self, request: Request) -> Response:
+        return await self._complete(request, chat=False)
+
+    async def _chat_completions(self, request: Request) -> Response:
+        return await self._complete(request, chat=True)
+
+    async def _models(self, request: Request) -> Response:
+        self.parser.caller(request.headers)
+        return JSONResponse(model_list(self.parser.state))
+
+    async def _complete(self, request: Request, *, chat: bool) -> Response:
+        self._check_open()
+        caller = self.parser.caller(request.headers)
+        raw = await self.parser.body(request)
+        completion = self.parser.completion(
+            caller, request.headers, raw, chat=chat
+        )
+        parts = self._counted(self.dispatcher.run(completion.request))
+        first = await anext(parts)
+        if isinstance(first, AnswerFailed):
+            await parts.aclose()
+            return self._refused(first.refusal, completion.request.id)
+        headers = {"X-Request-Id": completion.request.id}
+        if completion.stream:
+            return StreamingResponse(
+                self._stream(completion, first, parts),
+                media_type="text/event-stream",
+                headers=headers | {"Cache-Control": "no-cache"},
+            )
+        return await self._whole(completion, first, parts, headers)
+
+    async def _stream(
+        self,
+        completion: Completion,
+        first: AnswerPart,
+        parts: AsyncIterator[AnswerPart],
+    ) -> AsyncIterator[bytes]:
+        yield self._chunk(completion, first)
+        async for part in parts:
+            yield self._chunk(completion, part)
+
+    def _chunk(self, completion: Completion, part: AnswerPart) -> bytes:
+        match part:
+            case AnswerText(text=text):
+                return text_chunk(completion, text)
+            case AnswerEnd():
+                self._count(ResultCode.OK, completion.request.id)
+                return end_chunk(completion, part)
+            case AnswerFailed(refusal=refused):
+                self._count(refused.code, completion.request.id)
+                return error_chunk(refused)
+
+    async def _whole(
+        self,
+        completion: Completion,
+        first: AnswerPart,
+        parts: AsyncIterator[AnswerPart],
+        headers: dict[str, str],
+    ) -> Response:
+        text: list[str] = []
+        part: AnswerPart | None = first
+        while part is not None:
+            match part:
+                case AnswerText():
+                    text.append(part.text)
+                case AnswerEnd():
+                    self._count(ResultCode.OK, completion.request.id)
+                    body = answer_object(completion, "".join(text), part)
+                    return JSONResponse(body, headers=headers)
+                case AnswerFailed():
+                    return self._refused(part.refusal, completion.request.id)
+            part = await anext(parts, None)
+        raise RefusalError(refusal(ResultCode.INTERNAL))
+
+    async def _plain_service(self, request: Request) -> Response:
+        self._check_open()
+        caller = self.parser.caller(request.headers)
+        raw = await self.parser.body(request)
+        path = "/" + request.path_params["path"]
+        routed = self.parser.plain(
+            caller,
+            request.headers,
+            raw,
+            service_name=request.path_params["service"],
+            method=request.method,
+            path=path,
+        )
+        call = PlainCall(
+            method=request.method,
+            path=path + (f"?{request.url.query}" if request.url.query else ""),
+            body=raw,
+            headers=_passed_headers(request),
+            idempotency_key=self.parser.idempotency_key(request.headers),
+        )
+        self.in_flight += 1
+        try:
+            outcome = await self.plain.run(routed, call)
+        finally:
+            self.in_flight -= 1
+        match outcome:
+            case PlainAnswer(status=status, body=body, headers=headers):
+                self._count(ResultCode.OK, routed.id)
+                headers = headers | {"X-Request-Id": routed.id}
+                return Response(body, status_code=status, headers=headers)
+            case Refusal():
+                return self._refused(outcome, routed.id)
+
+    async def _counted(
+        self, parts: AsyncIterator[AnswerPart]
+    ) -> AsyncIterator[AnswerPart]:
+        self.in_flight += 1
+        try:
+            async for part in parts:
+                yield part
+        finally:
+            self.in_flight -= 1
+            await parts.aclose()
+
+    def _check_open(self) -> None:
+        refused = self.refuse_new()
+        if refused is not None:
+            raise RefusalError(refused)
+
+    def _refused(self, refused: Refusal, request_id: str = "") -> Response:
+        self._count(refused.code, request_id)
+        headers = refused.headers()
+        if request_id:
+            headers["X-Request-Id"] = request_id
+        return JSONResponse(
+            refused.to_json(), status_code=refused.http_status, headers=headers
+        )
+
+    def _count(self, code: ResultCode, request_id: str) -> None:
+        self.metrics.requests.add(1, {"code": code.name.lower()})
+        event = EventId.REQUEST_FAILED if code else EventId.REQUEST_FINISHED
+        log_event(event, request_id=request_id, code=int(code))
+
+    async def _on_refusal(self, _: Request, error: Exception) -> Response:
+        assert isinstance(error, RefusalError)
+        return self._refused(error.refusal)
+
+    async def _on_unknown_path(self, _: Request, __: Exception) -> Response:
+        return self._refused(refusal(ResultCode.UNKNOWN_SERVICE))
+
+    async def _on_error(self, _: Request, error: Exception) -> Response:
+        log_event(EventId.TASK_FAILED, task="request", error=repr(error))
+        return self._refused(refusal(ResultCode.INTERNAL))
+
+
+def _passed_headers(request: Request) -> dict[str, str]:
+    names = ("content-type", "accept", "idempotency-key")
+    return {
+        name: request.headers[name] for name in names if name in request.headers
+    }
+
+
+__all__ = ["CallerApp"]
--- /dev/null
+++ b/src/auburnswitch/callers/parse.py
@@ -0,0 +1,288 @@
+"""Checks callers' requests and turns them into routed requests."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import math
+import secrets
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.results import RefusalError, refusal
+from auburnswitch.routing.lengths import (
+    count_tokens,
+    default_deadline_s,
+    length_class,
+)
+from auburnswitch.routing.request import RoutedRequest, fingerprint
+from auburnswitch.schema.objects import ServiceKind
+from auburnswitch.schema.results import ResultCode
+
+if TYPE_CHECKING:
+    from starlette.datastructures import Headers
+    from starlette.requests import Request
+
+    from auburnswitch.platform.state import ConfigState
+    from auburnswitch.schema.objects import Service
+    from auburnswitch.schema.settings import Settings
+
+DEADLINE_HEADER: Final = "x-deadline-seconds"
+REQUEST_ID_HEADER: Final = "x-request-id"
+IDEMPOTENCY_HEADER: Final = "idempotency-key"
+MAX_NAME_LENGTH: Final = 128
+
+
+@dataclass(slots=True, kw_only=True)
+class Caller:
+    """Who sends a request."""
+
+    team: str
+    weight: float
+
+
+@dataclass(slots=True, kw_only=True)
+class Completion:
+    """A checked completion request.
+
+    Attributes:
+        request: What is routed.
+        stream: The caller wants the answer as a stream.
+        chat: The caller uses the chat form.
+        model: Model name the caller used.
+    """
+
+    request: RoutedRequest
+    stream: bool
+    chat: bool
+    model: str
+
+
+class RequestParser:
+    """Checks requests against settings and configuration."""
+
+    __slots__ = ("settings", "state")
+
+    def __init__(self, *, settings: Settings, state: ConfigState) -> None:
+        self.settings = settings
+        self.state = state
+
+    def caller(self, headers: Headers) -> Caller:
+        """Returns the team that a caller key belongs to.
+
+        Raises:
+            RefusalError: The key is missing or unknown.
+        """
+        scheme, _, key = headers.get("authorization", "").partition(" ")
+        digest = hashlib.sha256(key.strip().encode()).hexdigest()
+        name = self.state.team_of_digest.get(digest)
+        if scheme.lower() != "bearer" or not key or name is None:
+            raise RefusalError(refusal(ResultCode.BAD_CALLER_KEY))
+        return Caller(team=name, weight=self.state.teams[name].weight)
+
+    async def body(self, request: Request) -> bytes:
+        """Reads a body within the configured limit.
+
+        Raises:
+            RefusalError: The body is too large.
+        """
+        limit = self.settings.callers.max_body_bytes
+        too_large = refusal(
+            ResultCode.BODY_TOO_LARGE, f"a body may have {limit} bytes"
+        )
+        declared = request.headers.get("content-length", "0")
+        if declared.isdigit() and int(declared) > limit:
+            raise RefusalError(too_large)
+        chunks = []
+        size = 0
+        async for chunk in request.stream():
+            size += len(chunk)
+            if size > limit:
+                raise RefusalError(too_large)
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+    def completion(
+        self, caller: Caller, headers: Headers, raw: bytes, *, chat: bool
+    ) -> Completion:
+        """Checks a completion request.
+
+        Raises:
+            RefusalError: The request is not acceptable.
+        """
+        body = _json_object(raw)
+        model = _text_field(body, "model")
+        service_name = self._model_service(caller, model)
+        service = self.state.services[service_name]
+        tokens = self._prompt_tokens(body, chat)
+        answer_tokens = self._answer_tokens(body)
+        length = length_class(tokens, self.settings.routing)
+        deadline_s = self._deadline_s(headers, service, length)
+        request = RoutedRequest(
+            id=_request_id(headers),
+            team=caller.team,
+            team_weight=caller.weight,
+            service=service_name,
+            deadline_at=monotonic_s() + deadline_s,
+            prompt_tokens=tokens,
+            answer_tokens=answer_tokens,
+            length_class=length,
+            fingerprint=fingerprint(caller.team, raw),
+            path="/v1/chat/completions" if chat else "/v1/completions",
+            body=body,
+            max_attempts=max(1, service.max_attempts),
+            allow_continuation=service.allow_continuation,
+        )
+        stream = body.get("stream", False) is True
+        return Completion(
+            request=request, stream=stream, chat=chat, model=model
+        )
+
+    def plain(
+        self,
+        caller: Caller,
+        headers: Headers,
+        raw: bytes,
+        *,
+        service_name: str,
+        method: str,
+        path: str,
+    ) -> RoutedRequest:
+        """Checks a request to a plain service.
+
+        Raises:
+            RefusalError: The request is not acceptable.
+        """
+        service = self.state.services.get(service_name)
+        if service is None or service.kind != ServiceKind.PLAIN:
+            raise RefusalError(refusal(ResultCode.UNKNOWN_SERVICE))
+        self._check_team(caller, service)
+        tokens = max(1, math.ceil(len(raw) / 4))
+        length = length_class(tokens, self.settings.routing)
+        deadline_s = self._deadline_s(headers, service, length)
+        signed = f"{method} {path}\n".encode() + raw
+        idempotent = method in service.idempotent_methods or any(
+            path.startswith(prefix) for prefix in service.idempotent_paths
+        )
+        return RoutedRequest(
+            id=_request_id(headers),
+            team=caller.team,
+            team_weight=caller.weight,
+            service=service_name,
+            deadline_at=monotonic_s() + deadline_s,
+            prompt_tokens=tokens,
+            answer_tokens=0,
+            length_class=length,
+            fingerprint=fingerprint(caller.team, signed),
+            path=path,
+            idempotent=idempotent,
+            max_attempts=max(1, service.max_attempts) if idempotent else 1,
+        )
+
+    def idempotency_key(self, headers: Headers) -> str:
+        """Returns the checked idempotency key, empty if there is none.
+
+        Raises:
+            RefusalError: The key is not acceptable.
+        """
+        key = headers.get(IDEMPOTENCY_HEADER)
+        if key is None:
+            return ""
+        if not key or len(key) > MAX_NAME_LENGTH or not _printable(key):
+            raise RefusalError(refusal(ResultCode.BAD_IDEMPOTENCY_KEY))
+        return key
+
+    def _model_service(self, caller: Caller, model: str) -> str:
+        names = [
+            name
+            for name in self.state.services_for_model(model)
+            if self.state.services[name].kind == ServiceKind.MODEL
+        ]
+        if not names:
+            message = f"no service serves the model {model!r}"
+            raise RefusalError(refusal(ResultCode.UNKNOWN_MODEL, message))
+        self._check_team(caller, self.state.services[names[0]])
+        return names[0]
+
+    def _check_team(self, caller: Caller, service: Service) -> None:
+        if service.teams and caller.team not in service.teams:
+            raise RefusalError(refusal(ResultCode.TEAM_NOT_ALLOWED))
+
+    def _prompt_tokens(self, body: dict[str, Any], chat: bool) -> int:
+        if not chat:
+            prompt = _text_field(body, "prompt")
+            return count_tokens(prompt, self.settings.routing)
+        messages = body.get("messages")
+        if not isinstance(messages, list) or not messages:
+            raise _bad_field("messages", "must be a list of messages")
+        texts = [_message_text(message) for message in messages]
+        return count_tokens("\n".join(texts), self.settings.routing)
+
+    def _answer_tokens(self, body: dict[str, Any]) -> int:
+        tokens = body.get("max_tokens")
+        if tokens is None:
+            return self.settings.routing.default_answer_tokens
+        if isinstance(tokens, bool) or not isinstance(tokens, int):
+            raise _bad_field("max_tokens", "must be a whole number")
+        if not 1 <= tokens <= 1_000_000:
+            raise _bad_field("max_tokens", "must be from 1 to 1000000")
+        return tokens
+
+    def _deadline_s(self, headers: Headers, service: Service, length) -> float:  # noqa: ANN001
+        raw = headers.get(DEADLINE_HEADER)
+        limit_s = self.settings.callers.max_deadline_s
+        if raw is None:
+            return min(default_deadline_s(service, length), limit_s)
+        try:
+            seconds = float(raw)
+        except ValueError:
+            seconds = math.nan
+        if not 0 < seconds <= limit_s:
+            message = f"{DEADLINE_HEADER} must be above 0 and at most {limit_s}"
+            raise RefusalError(refusal(ResultCode.BAD_DEADLINE, message))
+        return seconds
+
+
+def _request_id(headers: Headers) -> str:
+    given = headers.get(REQUEST_ID_HEADER, "")
+    if given and len(given) <= MAX_NAME_LENGTH and _printable(given):
+        return f"{given}.{secrets.token_hex(4)}"
+    return secrets.token_hex(12)
+
+
+def _printable(text: str) -> bool:
+    return text.isascii() and text.isprintable() and "/" not in text
+
+
+def _json_object(raw: bytes) -> dict[str, Any]:
+    try:
+        body = json.loads(raw)
+    except (ValueError, RecursionError) as error:
+        raise RefusalError(refusal(ResultCode.BAD_JSON)) from error
+    if not isinstance(body, dict):
+        raise _bad_field("body", "must be an object")
+    return body
+
+
+def _text_field(body: dict[str, Any], name: str) -> str:
+    value = body.get(name)
+    if not isinstance(value, str) or not value:
+        raise _bad_field(name, "must be text that is not empty")
+    return value
+
+
+def _message_text(message: Any) -> str:
+    if not isinstance(message, dict):
+        raise _bad_field("messages", "must hold objects")
+    content = message.get("content")
+    if not isinstance(content, str):
+        raise _bad_field("messages", "must have text as content")
+    return content
+
+
+def _bad_field(name: str, reason: str) -> RefusalError:
+    return RefusalError(refusal(ResultCode.BAD_FIELD, f"{name} {reason}"))
+
+
+__all__ = ["Caller", "Completion", "RequestParser"]
--- /dev/null
+++ b/src/auburnswitch/daemon.py
@@ -0,0 +1,345 @@
+"""The daemon: wires the packages together and runs until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import secrets
+import signal
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final
+
+import aiohttp
+import fire
+from expression import Result
+
+from auburnswitch.callers.app import CallerApp
+from auburnswitch.callers.parse import RequestParser
+from auburnswitch.clock import WallClock, monotonic_s
+from auburnswitch.endpoints.client import EndpointClient
+from auburnswitch.endpoints.monitor import LoadMonitor
+from auburnswitch.endpoints.owner import OwnerTable
+from auburnswitch.endpoints.reservations import ReservationClient
+from auburnswitch.http_server import HttpServer, ListenError, open_http_server
+from auburnswitch.members.roster import ROSTER_KEY, RosterKeeper
+from auburnswitch.members.server import PeerServer
+from auburnswitch.members.service import Membership
+from auburnswitch.members.view import MemberView
+from auburnswitch.observe.invariants import Invariants
+from auburnswitch.observe.logs import configure_logs, log_event
+from auburnswitch.observe.metrics import Metrics
+from auburnswitch.observe.tasks import TaskSet, open_task_set
+from auburnswitch.operators.app import OperatorApp
+from auburnswitch.platform.claims import ClaimStore
+from auburnswitch.platform.state import ConfigState
+from auburnswitch.platform.store import ObjectStore
+from auburnswitch.platform.tickets import TICKETS_PREFIX, TicketStore
+from auburnswitch.platform.watcher import StoreWatcher
+from auburnswitch.results import Refusal, refusal
+from auburnswitch.routing.dispatcher import Dispatcher
+from auburnswitch.routing.placement import Placer
+from auburnswitch.routing.plain import PlainRouter
+from auburnswitch.schema.events import EventId
+from auburnswitch.schema.objects import Member
+from auburnswitch.schema.results import ResultCode
+from auburnswitch.settings.load import load_settings, read_secret
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from auburnswitch.schema.settings import Settings
+
+DRAIN_POLL_S: Final = 0.05
+EXIT_OK: Final = 0
+EXIT_BAD_SETTINGS: Final = 2
+EXIT_CANNOT_LISTEN: Final = 3
+_SEED_BITS: Final = 32
+
+
+class Daemon:
+    """All parts of one daemon.
+
+    Attributes:
+        settings: The checked settings.
+        member: This incarnation.
+        state: The configuration in force.
+        view: What is known of the other daemons.
+        owner_table: Ledgers of the owned endpoints.
+        reservations: Reservations held for callers.
+        invariants: Invariants checked so far.
+        callers: Listener for callers, once it is open.
+        operators: Listener for operators, once it is open.
+        stopping: The daemon refuses new work.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        session: aiohttp.ClientSession,
+        tasks: TaskSet,
+        invariants: Invariants,
+    ) -> None:
+        self.settings = settings
+        self.tasks = tasks
+        self.invariants = invariants
+        self.stopping = False
+        seed = settings.daemon.seed or secrets.randbits(_SEED_BITS)
+        self.clock = WallClock()
+        self.metrics = Metrics()
+        self.state = ConfigState()
+        self.member = Member(
+            id=f"{settings.daemon.instance}.{secrets.token_hex(4)}",
+            instance=settings.daemon.instance,
+            zone=settings.daemon.zone,
+            host=settings.peers.host,
+            port=settings.peers.port,
+        )
+        self.store = ObjectStore(settings=settings.platform, session=session)
+        self.tickets = TicketStore(store=self.store, state=self.state)
+        self.watcher = StoreWatcher(store=self.store, seed=seed)
+        self.view = MemberView(me=self.member, settings=settings.members)
+        self.roster = RosterKeeper(store=self.store, view=self.view)
+        self.watcher.handlers[TICKETS_PREFIX] = self.tickets.handle_object
+        self.watcher.handlers[ROSTER_KEY] = self.roster.handle_object
+        self._build_members()
+        self._build_endpoints(session)
+        self._build_routing(session, seed)
+        self._build_listeners()
+
+    def _build_members(self) -> None:
+        shared_key = read_secret(self.settings.peers.key_file)
+        self.peer_server = PeerServer(
+            settings=self.settings.peers,
+            member_id=self.member.id,
+            shared_key=shared_key,
+        )
+        self.membership = Membership(
+            settings=self.settings,
+            shared_key=shared_key,
+            view=self.view,
+            state=self.state,
+            tasks=self.tasks,
+            store_age_s=lambda: monotonic_s() - self.store.last_success_at,
+        )
+        self.membership.register(self.peer_server)
+
+    def _build_endpoints(self, session: aiohttp.ClientSession) -> None:
+        self.owner_table = OwnerTable(
+            settings=self.settings,
+            view=self.view,
+            state=self.state,
+            invariants=self.invariants,
+        )
+        self.reservations = ReservationClient(
+            owner_table=self.owner_table, membership=self.membership
+        )
+        self.reservations.register(self.peer_server)
+        self.membership.heartbeat_sources += [
+            self.owner_table.fill_heartbeat,
+            self.reservations.fill_heartbeat,
+        ]
+        self.membership.heartbeat_listeners.append(
+            self.owner_table.note_heartbeat
+        )
+        self.monitor = LoadMonitor(
+            settings=self.settings.endpoints,
+            owner_table=self.owner_table,
+            session=session,
+            tasks=self.tasks,
+        )
+
+    def _build_routing(self, session: aiohttp.ClientSession, seed: int) -> None:
+        client = EndpointClient(
+            session=session, settings=self.settings.endpoints
+        )
+        placer = Placer(
+            owner_table=self.owner_table,
+            reservations=self.reservations,
+            seed=seed,
+        )
+        self.dispatcher = Dispatcher(
+            placer=placer,
+            client=client,
+            metrics=self.metrics,
+            member_id=self.member.id,
+        )
+        claims = ClaimStore(
+            store=self.store,
+            settings=self.settings.platform,
+            clock=self.clock,
+            member_id=self.member.id,
+        )
+        self.plain = PlainRouter(
+            placer=placer,
+            client=client,
+            claims=claims,
+            member_id=self.member.id,
+        )
+
+    def _build_listeners(self) -> None:
+        parser = RequestParser(settings=self.settings, state=self.state)
+        self.caller_app = CallerApp(
+            parser=parser,
+            dispatcher=self.dispatcher,
+            plain=self.plain,
+            metrics=self.metrics,
+            refuse_new=self.refuse_new,
+        )
+        key_file = self.settings.operators.key_file
+        self.operator_app = OperatorApp(
+            key=read_secret(key_file) if key_file else b"",
+            tickets=self.tickets,
+            owner_table=self.owner_table,
+            metrics=self.metrics,
+            clock=self.clock,
+            refuse_new=self.refuse_new,
+            status=self.status,
+        )
+        self.callers: HttpServer | None = None
+        self.operators: HttpServer | None = None
+
+    def refuse_new(self) -> Refusal | None:
+        """Returns why new work is refused, or None."""
+        if self.stopping:
+            return refusal(ResultCode.SHUTTING_DOWN, retry_after_s=1)
+        if self.membership.is_isolated():
+            return refusal(ResultCode.ISOLATED, retry_after_s=5)
+        if not self.state.entries:
+            return refusal(ResultCode.NOT_READY, retry_after_s=1)
+        return None
+
+    def status(self) -> dict[str, Any]:
+        """Returns the daemon's status."""
+        refused = self.refuse_new()
+        return {
+            "member": self.member.id,
+            "instance": self.member.instance,
+            "zone": self.member.zone,
+            "ready": refused is None,
+            "reason": "" if refused is None else refused.code.name.lower(),
+            "state_digest": self.state.digest,
+            "roster_epoch": self.view.roster.epoch,
+            "roster": self.view.roster_ids(),
+            "live": self.view.live_ids(),
+            "owned_endpoints": self.owner_table.owned(),
+            "in_flight": self.caller_app.in_flight,
+            "store_available": self.watcher.available,
+            "store_calls": self.store.calls,
+            "violations": {
+                invariant.name.lower(): count
+                for invariant, count in self.invariants.violations.items()
+            },
+        }
+
+    def start(self) -> None:
+        """Starts the background tasks."""
+        self.tasks.start(self.watcher.run(), "watcher")
+        self.tasks.start(self.roster.run(), "roster")
+        self.tasks.start(self.membership.run(), "membership")
+        self.tasks.start(self.monitor.run(), "load monitor")
+
+    async def drain(self) -> None:
+        """Refuses new work, finishes what runs and leaves the roster."""
+        self.stopping = True
+        log_event(EventId.DAEMON_STOPPING, member=self.member.id)
+        while self.caller_app.in_flight:
+            await asyncio.sleep(DRAIN_POLL_S)
+        self.view.leaving = True
+        await asyncio.sleep(self.settings.members.heartbeat_interval_s)
+        await self.roster.leave()
+
+
+@contextlib.asynccontextmanager
+async def open_daemon(
+    settings: Settings,
+    *,
+    connector: Callable[[], aiohttp.BaseConnector] | None = None,
+    strict_invariants: bool = False,
+) -> AsyncIterator[Daemon]:
+    """Runs a daemon until the context ends; the end is not graceful.
+
+    Args:
+        settings: Checked settings.
+        connector: Makes the connector of outgoing HTTP connections.
+        strict_invariants: Raise when an invariant does not hold.
+
+    Yields:
+        The running daemon; call its ``drain`` for a graceful stop.
+
+    Raises:
+        ListenError: A listener's address cannot be bound.
+    """
+    session = aiohttp.ClientSession(
+        connector=connector() if connector else aiohttp.TCPConnector(limit=0)
+    )
+    async with session, open_task_set() as tasks:
+        daemon = Daemon(
+            settings=settings,
+            session=session,
+            tasks=tasks,
+            invariants=Invariants(strict=strict_invariants),
+        )
+        async with (
+            daemon.peer_server.open(),
+            open_http_server(
+                daemon.operator_app.build(),
+                host=settings.operators.host,
+                port=settings.operators.port,
+            ) as daemon.operators,
+            open_http_server(
+                daemon.caller_app.build(),
+                host=settings.callers.host,
+                port=settings.callers.port,
+                max_header_bytes=settings.callers.max_header_bytes,
+            ) as daemon.callers,
+        ):
+            daemon.member.port = daemon.peer_server.port
+            daemon.start()
+            log_event(EventId.DAEMON_STARTED, member=daemon.member.id)
+            try:
+                yield daemon
+            finally:
+                daemon.metrics.close()
+
+
+async def serve(settings: Settings) -> int:
+    """Runs a daemon until SIGTERM or SIGINT, then stops it gracefully."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    try:
+        async with open_daemon(settings) as daemon:
+            await stop.wait()
+            await daemon.drain()
+    except ListenError as error:
+        print(f"auburnswitchd: {error}", file=sys.stderr)
+        return EXIT_CANNOT_LISTEN
+    log_event(EventId.DAEMON_STOPPED)
+    return EXIT_OK
+
+
+def main(settings_file: str) -> int:
+    """Runs the daemon with a settings file and returns its exit code."""
+    match load_settings(Path(settings_file)):
+        case Result(tag="ok", ok=settings):
+            configure_logs(settings.log.level)
+            return asyncio.run(serve(settings))
+        case Result(error=problems):
+            for problem in problems:
+                print(f"auburnswitchd: {problem}", file=sys.stderr)
+    return EXIT_BAD_SETTINGS
+
+
+def run() -> None:
+    """Entry point of ``auburnswitchd SETTINGS_FILE``."""
+    sys.exit(fire.Fire(main, serialize=lambda _: None))
+
+
+if __name__ == "__main__":
+    run()
+
+
+__all__ = ["Daemon", "main", "open_daemon", "run", "serve"]
--- /dev/null
+++ b/src/auburnswitch/endpoints/client.py
@@ -0,0 +1,228 @@
+"""Sends requests to endpoints and reads their answers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final
+
+import aiohttp
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from auburnswitch.schema.objects import Endpoint
+    from auburnswitch.schema.settings import EndpointsSettings
+
+_DATA: Final = b"data: "
+_DONE: Final = b"[DONE]"
+READ_BYTES: Final = 65536
+
+
+@dataclass(slots=True, kw_only=True)
+class Frame:
+    """One frame of an engine's stream.
+
+    Attributes:
+        sequence: Number of the frame in its stream, from 0.
+        text: Text it adds to the answer.
+        finish_reason: Why the answer ended, empty before its end.
+        usage: Token counts, in the last frame.
+    """
+
+    sequence: int
+    text: str
+    finish_reason: str = ""
+    usage: dict[str, int] | None = None
+
+
+@dataclass(slots=True, kw_only=True)
+class ForeignFrame:
+    """A frame that belongs to another request or attempt."""
+
+    request_id: str
+    attempt: int
+
+
+@dataclass(slots=True, kw_only=True)
+class Attempt:
+    """One try to run a request on an endpoint."""
+
+    request_id: str
+    number: int
+    member_id: str
+
+    def headers(self) -> dict[str, str]:
+        """Returns the headers that name the attempt."""
+        return {
+            "X-Request-Id": self.request_id,
+            "X-Attempt": str(self.number),
+            "X-Member-Id": self.member_id,
+        }
+
+
+class EndpointFailureError(Exception):
+    """An endpoint did not give a whole answer.
+
+    Attributes:
+        sent: Some of the request may have reached the endpoint.
+        lost: The endpoint refused or dropped the connection.
+        status: HTTP status of the endpoint's refusal, 0 if there is none.
+    """
+
+    def __init__(
+        self, reason: str, *, sent: bool, lost: bool, status: int = 0
+    ) -> None:
+        super().__init__(reason)
+        self.sent = sent
+        self.lost = lost
+        self.status = status
+
+
+class EndpointClient:
+    """Calls endpoints over HTTP.
+
+    Attributes:
+        session: HTTP session the calls go through.
+        settings: Bounds of the calls.
+    """
+
+    __slots__ = ("session", "settings")
+
+    def __init__(
+        self, *, session: aiohttp.ClientSession, settings: EndpointsSettings
+    ) -> None:
+        self.session = session
+        self.settings = settings
+
+    @contextlib.asynccontextmanager
+    async def request(
+        self, spec: Endpoint, method: str, path: str, **options: Any
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Sends a request and yields the response.
+
+        Raises:
+            EndpointFailureError: The endpoint is lost or does not answer.
+        """
+        url = f"http://{spec.host}:{spec.port}{path}"
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=self.settings.connect_timeout_s,
+            sock_read=self.settings.stream_idle_timeout_s,
+        )
+        try:
+            async with self.session.request(
+                method, url, timeout=timeout, allow_redirects=False, **options
+            ) as response:
+                yield response
+        except aiohttp.ClientConnectorError as error:
+            raise EndpointFailureError(
+                str(error), sent=False, lost=True
+            ) from error
+        except aiohttp.ConnectionTimeoutError as error:
+            raise EndpointFailureError(
+                str(error), sent=False, lost=True
+            ) from error
+        except (aiohttp.ClientError, OSError) as error:
+            reason = str(error) or type(error).__name__
+            lost = not isinstance(error, TimeoutError)
+            raise EndpointFailureError(reason, sent=True, lost=lost) from error
+
+    async def stream(
+        self, spec: Endpoint, path: str, body: Any, attempt: Attempt
+    ) -> AsyncIterator[list[Frame | ForeignFrame]]:
+        """Runs a completion and yields its frames as they arrive.
+
+        Raises:
+            EndpointFailureError: The stream ended before its explicit end.
+        """
+        headers = attempt.headers()
+        async with self.request(
+            spec, "POST", path, json=body, headers=headers
+        ) as response:
+            await _check_status(response)
+            async for frames in _read_frames(response, attempt):
+                yield frames
+
+    async def cancel(self, spec: Endpoint, attempt: Attempt) -> None:
+        """Cancels an attempt, so that the endpoint frees its memory."""
+        path = f"/v1/streams/{attempt.request_id}/{attempt.number}"
+        with contextlib.suppress(EndpointFailureError, TimeoutError):
+            async with (
+                asyncio.timeout(self.settings.connect_timeout_s),
+                self.request(spec, "DELETE", path),
+            ):
+                pass
+
+
+async def _check_status(response: aiohttp.ClientResponse) -> None:
+    if response.status == 200:
+        return
+    text = (await response.content.read(500)).decode("utf-8", "replace")
+    raise EndpointFailureError(
+        f"HTTP status {response.status}: {text}",
+        sent=True,
+        lost=False,
+        status=response.status,
+    )
+
+
+async def _read_frames(
+    response: aiohttp.ClientResponse, attempt: Attempt
+) -> AsyncIterator[list[Frame | ForeignFrame]]:
+    rest = b""
+    while chunk := await response.content.readany():
+        lines = (rest + chunk).split(b"\n")
+        rest = lines.pop()
+        frames = []
+        for line in lines:
+            if not line.startswith(_DATA):
+                continue
+            payload = line[len(_DATA) :].strip()
+            if payload == _DONE:
+                if frames:
+                    yield frames
+                return
+            frames.append(_parse_frame(payload, attempt))
+        if frames:
+            yield frames
+    raise EndpointFailureError(
+        "the stream ended without its end mark", sent=True, lost=True
+    )
+
+
+def _parse_frame(payload: bytes, attempt: Attempt) -> Frame | ForeignFrame:
+    try:
+        data = json.loads(payload)
+        if (
+            data["id"] != attempt.request_id
+            or data["attempt"] != attempt.number
+        ):
+            return ForeignFrame(request_id=data["id"], attempt=data["attempt"])
+        choice = data["choices"][0]
+        text = choice.get("text")
+        if text is None:
+            text = (choice.get("delta") or {}).get("content") or ""
+        return Frame(
+            sequence=data["sequence"],
+            text=text,
+            finish_reason=choice.get("finish_reason") or "",
+            usage=data.get("usage"),
+        )
+    except (ValueError, LookupError, TypeError, AttributeError) as error:
+        raise EndpointFailureError(
+            "the endpoint sent a frame that cannot be read",
+            sent=True,
+            lost=False,
+        ) from error
+
+
+__all__ = [
+    "Attempt",
+    "EndpointClient",
+    "EndpointFailureError",
+    "ForeignFrame",
+    "Frame",
+]
--- /dev/null
+++ b/src/auburnswitch/experiments/__init__.py
@@ -0,0 +1,3 @@
+"""Fleets of daemons and stand-ins in one process, for demo and measurement."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/auburnswitch/experiments/demo.py
@@ -0,0 +1,113 @@
+"""The demo: a small fleet in one process and a few requests through it."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.experiments.fleet import (
+    CALLER_KEY,
+    MODEL,
+    PLAIN_SERVICE,
+    ZONES,
+    Fleet,
+    FleetOptions,
+    open_fleet,
+)
+from auburnswitch.standins.engine_model import EngineOptions
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SHORT_PROMPT = "Is there a free slot for a cut this afternoon? " * 90
+LONG_PROMPT = "Season review, week by week. " * 14_000
+AUTHORIZATION = {"Authorization": f"Bearer {CALLER_KEY}"}
+
+WARM_AFTER = 2  # so that a few requests warm both engines
+
+
+async def run_demo(show: Callable[[str], None] = print) -> None:
+    """Starts a fleet, sends requests through it and shows the answers."""
+    show("Starting a platform, two engines, a booking service, three daemons")
+    options = FleetOptions(
+        engine=EngineOptions(warm_after=WARM_AFTER),
+        endpoint={"warm_after": WARM_AFTER},
+    )
+    async with open_fleet(options) as fleet:
+        for _ in range(2 * options.engines * WARM_AFTER):
+            await show_completion(fleet, "a short prompt", SHORT_PROMPT, show)
+        await show_completion(fleet, "a long prompt", LONG_PROMPT, show)
+        await show_booking(fleet, show)
+        await show_zone_move(fleet, show)
+    show("Done")
+
+
+async def show_completion(
+    fleet: Fleet, label: str, prompt: str, show: Callable[[str], None]
+) -> None:
+    """Streams one completion and shows its times."""
+    body = {"model": MODEL, "prompt": prompt, "max_tokens": 16, "stream": True}
+    started_at = monotonic_s()
+    first_at = 0.0
+    texts: list[str] = []
+    usage: dict[str, Any] = {}
+    async with fleet.session.post(
+        fleet.caller_url("entry-0") + "/v1/completions",
+        json=body,
+        headers=AUTHORIZATION,
+    ) as response:
+        async for line in response.content:
+            if not line.startswith(b"data: {"):
+                continue
+            frame = json.loads(line[len(b"data: ") :])
+            if "error" in frame:
+                show(f"{label}: {frame['error']}")
+                return
+            first_at = first_at or monotonic_s()
+            texts.append(frame["choices"][0].get("text") or "")
+            usage = frame.get("usage") or usage
+    show(
+        f"{label}: HTTP {response.status}, first token after"
+        f" {first_at - started_at:.2f} s, {usage}, answer"
+        f" {''.join(texts)[:40]!r}"
+    )
+
+
+async def show_booking(fleet: Fleet, show: Callable[[str], None]) -> None:
+    """Sends a booking twice with one key, to two daemons."""
+    for instance in ("entry-1", "entry-2"):
+        url = fleet.caller_url(instance)
+        async with fleet.session.post(
+            f"{url}/services/{PLAIN_SERVICE}/bookings",
+            json={"customer": "walk-in", "slot": "15:30"},
+            headers=AUTHORIZATION | {"Idempotency-Key": "counter-7-0001"},
+        ) as response:
+            body = (await response.text()).strip()
+        replay = response.headers.get("X-Idempotent-Replay", "false")
+        show(
+            f"booking through {instance}: HTTP {response.status}, {body},"
+            f" repeated answer: {replay}"
+        )
+    runs = sum(len(standin.bookings) for standin in fleet.plain.values())
+    show(f"the booking service ran {runs} booking")
+
+
+async def show_zone_move(fleet: Fleet, show: Callable[[str], None]) -> None:
+    """Takes a zone out, sends a request and brings the zone back."""
+    zone = ZONES[0]
+    for out in (True, False):
+        note = "out of service" if out else "back in service"
+        ticket = fleet.ticket([fleet.zone_change(zone, out=out)], note)
+        started_at = monotonic_s()
+        await fleet.apply(ticket)
+        await fleet.wait_in_force()
+        took_s = monotonic_s() - started_at
+        show(
+            f"zone {zone} {note}: ticket {ticket.number} in force in"
+            f" {len(fleet.daemons)} daemons after {took_s:.2f} s"
+        )
+        await show_completion(fleet, "a short prompt", SHORT_PROMPT, show)
+
+
+__all__ = ["run_demo"]
--- /dev/null
+++ b/src/auburnswitch/members/frames.py
@@ -0,0 +1,184 @@
+"""Authenticated thrift frames between daemons.
+
+A frame is a length (4 bytes), a sequence number (8 bytes), a message
+authentication code (16 bytes) and an envelope in thrift's binary protocol. The
+key of a connection comes from the shared key and a nonce of each side, and the
+sequence number must rise by one with each frame, so neither a changed nor a
+replayed frame is accepted.
+"""
+
+from __future__ import annotations
+
+import hmac
+import struct
+from typing import TYPE_CHECKING, Any, Final
+
+from thriftpy2.protocol import TBinaryProtocolFactory
+from thriftpy2.thrift import TDecodeException, TException
+from thriftpy2.utils import deserialize, serialize
+
+from auburnswitch.schema.peers import (
+    Done,
+    Envelope,
+    HandoverRequest,
+    Heartbeat,
+    HeartbeatAck,
+    Hello,
+    ProgressRequest,
+    ReleaseRequest,
+    ReserveReply,
+    ReserveRequest,
+    StateReply,
+    StateRequest,
+)
+from auburnswitch.schema.results import ResultCode
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from auburnswitch.schema.base import Struct
+
+_HEADER: Final = struct.Struct(">IQ16s")
+_SEQUENCE: Final = struct.Struct(">Q")
+_MAC_BYTES: Final = 16
+_PROTOCOL: Final = TBinaryProtocolFactory()
+_FIELDS: Final[dict[type[Struct], str]] = {
+    Heartbeat: "heartbeat",
+    HeartbeatAck: "heartbeat_ack",
+    ReserveRequest: "reserve",
+    ReserveReply: "reserve_reply",
+    ReleaseRequest: "release",
+    ProgressRequest: "progress",
+    StateRequest: "state_request",
+    StateReply: "state_reply",
+    HandoverRequest: "handover",
+    Done: "done",
+    Hello: "hello",
+}
+
+
+class FrameError(Exception):
+    """A peer's frame is not acceptable.
+
+    Attributes:
+        code: Result code that says why.
+    """
+
+    def __init__(self, code: ResultCode, reason: str) -> None:
+        super().__init__(reason)
+        self.code = code
+
+
+def envelope_of(
+    body: Struct, *, call_id: int = 0, is_reply: bool = False
+) -> Envelope:
+    """Wraps a message in an envelope."""
+    envelope = Envelope(call_id=call_id, is_reply=is_reply)
+    setattr(envelope, _FIELDS[type(body)], body)
+    return envelope
+
+
+def body_of(envelope: Envelope) -> Struct:
+    """Returns the one message of an envelope.
+
+    Raises:
+        FrameError: There is none, or more than one.
+    """
+    bodies = [
+        body
+        for name in _FIELDS.values()
+        if (body := getattr(envelope, name)) is not None
+    ]
+    if len(bodies) != 1:
+        raise FrameError(ResultCode.BAD_FRAME, "not exactly one message")
+    return bodies[0]
+
+
+def session_key(shared_key: bytes, *nonces: str) -> bytes:
+    """Derives the key of one direction of a connection."""
+    text = "\0".join(nonces).encode()
+    return hmac.digest(shared_key, text, "sha256")
+
+
+class FrameWriter:
+    """Signs and encodes the frames of one direction.
+
+    Attributes:
+        key: Key of this direction.
+        sequence: Number of the next frame.
+    """
+
+    __slots__ = ("key", "sequence")
+
+    def __init__(self, *, key: bytes) -> None:
+        self.key = key
+        self.sequence = 0
+
+    def encode(self, envelope: Envelope) -> bytes:
+        """Returns the next frame."""
+        payload = serialize(envelope, _PROTOCOL)
+        mac = _mac(self.key, self.sequence, payload)
+        frame = _HEADER.pack(len(payload), self.sequence, mac) + payload
+        self.sequence += 1
+        return frame
+
+
+class FrameReader:
+    """Reads and checks the frames of one direction.
+
+    Attributes:
+        key: Key of this direction.
+        sequence: Number that the next frame must have.
+        max_bytes: Largest payload accepted.
+    """
+
+    __slots__ = ("key", "max_bytes", "sequence")
+
+    def __init__(self, *, key: bytes, max_bytes: int) -> None:
+        self.key = key
+        self.sequence = 0
+        self.max_bytes = max_bytes
+
+    async def read(self, stream: asyncio.StreamReader) -> Envelope:
+        """Reads the next frame.
+
+        Raises:
+            FrameError: The frame is too long, wrongly signed, out of
+                sequence or cannot be decoded.
+            asyncio.IncompleteReadError: The connection ended.
+        """
+        header = await stream.readexactly(_HEADER.size)
+        length, sequence, mac = _HEADER.unpack(header)
+        if length > self.max_bytes:
+            raise FrameError(
+                ResultCode.BAD_FRAME, f"{length} bytes are too many"
+            )
+        payload = await stream.readexactly(length)
+        expected = _mac(self.key, sequence, payload)
+        if sequence != self.sequence or not hmac.compare_digest(mac, expected):
+            raise FrameError(ResultCode.BAD_SIGNATURE, "wrong signature")
+        self.sequence += 1
+        return _decode(payload)
+
+
+def _mac(key: bytes, sequence: int, payload: bytes) -> bytes:
+    signed = _SEQUENCE.pack(sequence) + payload
+    return hmac.digest(key, signed, "sha256")[:_MAC_BYTES]
+
+
+def _decode(payload: bytes) -> Envelope:
+    try:
+        envelope: Any = deserialize(Envelope(), payload, _PROTOCOL)
+    except (TDecodeException, TException, EOFError, ValueError) as error:
+        raise FrameError(ResultCode.BAD_FRAME, "cannot be decoded") from error
+    return envelope
+
+
+__all__ = [
+    "FrameError",
+    "FrameReader",
+    "FrameWriter",
+    "body_of",
+    "envelope_of",
+    "session_key",
+]
--- /dev/null
+++ b/src/auburnswitch/members/link.py
@@ -0,0 +1,109 @@
+"""Keeps a connection open to one peer."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING, Final
+
+from auburnswitch.members.connection import connect_peer
+from auburnswitch.members.frames import FrameError
+from auburnswitch.observe.logs import log_event
+from auburnswitch.schema.events import EventId
+
+if TYPE_CHECKING:
+    from auburnswitch.members.connection import PeerConnection
+    from auburnswitch.schema.base import Struct
+    from auburnswitch.schema.objects import Member
+    from auburnswitch.schema.settings import PeersSettings
+
+FIRST_DELAY_S: Final = 0.1
+LONGEST_DELAY_S: Final = 2.0
+
+
+class PeerLink:
+    """Reconnects to one peer for ever and carries calls to it.
+
+    Attributes:
+        member: The peer.
+        connection: The open connection, if there is one.
+    """
+
+    __slots__ = (
+        "connection",
+        "member",
+        "member_id",
+        "random",
+        "settings",
+        "shared_key",
+    )
+
+    def __init__(
+        self,
+        *,
+        member: Member,
+        member_id: str,
+        settings: PeersSettings,
+        shared_key: bytes,
+        seed: int,
+    ) -> None:
+        self.member = member
+        self.member_id = member_id
+        self.settings = settings
+        self.shared_key = shared_key
+        self.random = random.Random(f"{seed}{member.id}")
+        self.connection: PeerConnection | None = None
+
+    async def run(self) -> None:
+        """Connects, reads replies, and reconnects after a delay."""
+        delay_s = FIRST_DELAY_S
+        while True:
+            try:
+                async with connect_peer(
+                    self.member.host,
+                    self.member.port,
+                    member_id=self.member_id,
+                    shared_key=self.shared_key,
+                    max_frame_bytes=self.settings.max_frame_bytes,
+                    timeout_s=self.settings.call_timeout_s,
+                ) as connection:
+                    delay_s = FIRST_DELAY_S
+                    await self._use(connection)
+            except FrameError as error:
+                log_event(
+                    EventId.PEER_FRAME_REJECTED,
+                    peer=self.member.id,
+                    code=int(error.code),
+                    reason=str(error),
+                )
+            except (OSError, EOFError, TimeoutError):
+                pass  # the peer is away; try again
+            await asyncio.sleep(delay_s * self.random.uniform(0.5, 1.0))
+            delay_s = min(2 * delay_s, LONGEST_DELAY_S)
+
+    async def _use(self, connection: PeerConnection) -> None:
+        log_event(EventId.PEER_CONNECTED, peer=self.member.id)
+        self.connection = connection
+        try:
+            while True:
+                await connection.receive()
+        finally:
+            self.connection = None
+            log_event(EventId.PEER_DISCONNECTED, peer=self.member.id)
+
+    async def call(
+        self, body: Struct, timeout_s: float | None = None
+    ) -> Struct:
+        """Calls the peer.
+
+        Raises:
+            ConnectionError: There is no connection, or it ended.
+            TimeoutError: No reply came in time.
+        """
+        if self.connection is None:
+            raise ConnectionRefusedError(f"no connection to {self.member.id}")
+        timeout_s = timeout_s or self.settings.call_timeout_s
+        return await self.connection.call(body, timeout_s)
+
+
+__all__ = ["PeerLink"]
--- /dev/null
+++ b/src/auburnswitch/members/server.py
@@ -0,0 +1,119 @@
+"""Accepts peer connections and answers their calls."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+from auburnswitch.members.connection import accept_peer
+from auburnswitch.members.frames import FrameError, body_of
+from auburnswitch.observe.logs import log_event
+from auburnswitch.observe.tasks import open_task_set
+from auburnswitch.schema.events import EventId
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+    from auburnswitch.members.connection import PeerConnection
+    from auburnswitch.observe.tasks import TaskSet
+    from auburnswitch.schema.base import Struct
+    from auburnswitch.schema.peers import Envelope
+    from auburnswitch.schema.settings import PeersSettings
+
+    Handler = Callable[[Struct, str], Awaitable[Struct | None]]
+
+
+class PeerServer:
+    """Passes each call of a peer to the handler of its message class.
+
+    Attributes:
+        settings: Address and bounds of the listener.
+        member_id: This daemon's incarnation.
+        shared_key: Key that all daemons know.
+        handlers: Handler by message class; it gets the message and the peer's
+            member id and returns the reply, if there is one.
+        port: TCP port that is listened on.
+    """
+
+    __slots__ = (
+        "connections",
+        "handlers",
+        "member_id",
+        "port",
+        "settings",
+        "shared_key",
+    )
+
+    def __init__(
+        self, *, settings: PeersSettings, member_id: str, shared_key: bytes
+    ) -> None:
+        self.settings = settings
+        self.member_id = member_id
+        self.shared_key = shared_key
+        self.handlers: dict[type[Struct], Handler] = {}
+        self.port = settings.port
+        self.connections: set[asyncio.StreamWriter] = set()
+
+    @contextlib.asynccontextmanager
+    async def open(self) -> AsyncIterator[None]:
+        """Listens until the context ends."""
+        server = await asyncio.start_server(
+            self._serve, self.settings.host, self.settings.port
+        )
+        if not self.port:
+            self.port = server.sockets[0].getsockname()[1]
+        try:
+            yield
+        finally:
+            server.close()
+            for writer in list(self.connections):
+                writer.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections.add(writer)
+        try:
+            connection = await accept_peer(
+                reader,
+                writer,
+                member_id=self.member_id,
+                shared_key=self.shared_key,
+                max_frame_bytes=self.settings.max_frame_bytes,
+                timeout_s=self.settings.call_timeout_s,
+            )
+            async with open_task_set() as tasks:
+                await self._answer_calls(connection, tasks)
+        except FrameError as error:
+            log_event(
+                EventId.PEER_FRAME_REJECTED,
+                code=int(error.code),
+                reason=str(error),
+            )
+        except (OSError, EOFError, TimeoutError):
+            pass  # the peer went away
+        finally:
+            self.connections.discard(writer)
+            writer.close()
+
+    async def _answer_calls(
+        self, connection: PeerConnection, tasks: TaskSet
+    ) -> None:
+        while True:
+            envelope = await connection.receive()
+            tasks.start(self._answer(connection, envelope), "peer call")
+
+    async def _answer(
+        self, connection: PeerConnection, envelope: Envelope
+    ) -> None:
+        body = body_of(envelope)
+        handler = self.handlers.get(type(body))
+        if handler is None:
+            return
+        reply = await handler(body, connection.peer_id)
+        if reply is not None and envelope.call_id:
+            connection.reply(envelope, reply)
+
+
+__all__ = ["PeerServer"]
--- /dev/null
+++ b/src/auburnswitch/members/service.py
@@ -0,0 +1,212 @@
+"""Exchanges heartbeats with the other daemons."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.members.frames import FrameError
+from auburnswitch.members.link import PeerLink
+from auburnswitch.schema.objects import Member
+from auburnswitch.schema.peers import (
+    Heartbeat,
+    HeartbeatAck,
+    StateReply,
+    StateRequest,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from auburnswitch.members.server import PeerServer
+    from auburnswitch.members.view import MemberView
+    from auburnswitch.observe.tasks import TaskSet
+    from auburnswitch.platform.state import ConfigState
+    from auburnswitch.schema.settings import Settings
+
+SEED_ID_PREFIX = "seed:"
+
+
+class Membership:
+    """Sends a heartbeat to every known peer and answers theirs.
+
+    Attributes:
+        view: What is known of the peers.
+        links: Connection to each peer, by member id.
+        heartbeat_sources: Called to fill a heartbeat for one peer.
+        heartbeat_listeners: Called with each heartbeat received.
+        store_age_s: Tells the age of the last answer of the store.
+    """
+
+    __slots__ = (
+        "heartbeat_listeners",
+        "heartbeat_sources",
+        "link_tasks",
+        "links",
+        "settings",
+        "shared_key",
+        "state",
+        "store_age_s",
+        "tasks",
+        "view",
+    )
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        shared_key: bytes,
+        view: MemberView,
+        state: ConfigState,
+        tasks: TaskSet,
+        store_age_s: Callable[[], float],
+    ) -> None:
+        self.settings = settings
+        self.shared_key = shared_key
+        self.view = view
+        self.state = state
+        self.tasks = tasks
+        self.store_age_s = store_age_s
+        self.links: dict[str, PeerLink] = {}
+        self.link_tasks: dict[str, list[asyncio.Task[Any]]] = {}
+        self.heartbeat_sources: list[Callable[[Heartbeat, str], None]] = []
+        self.heartbeat_listeners: list[Callable[[Heartbeat], None]] = []
+
+    def register(self, server: PeerServer) -> None:
+        """Registers the handlers of this service's messages."""
+        server.handlers[Heartbeat] = self._on_heartbeat
+        server.handlers[StateRequest] = self._on_state_request
+
+    async def run(self) -> None:
+        """Opens links to new peers and drops links to forgotten ones."""
+        self._open_seed_links()
+        while True:
+            self._update_links()
+            await asyncio.sleep(self.settings.members.heartbeat_interval_s)
+
+    def is_isolated(self) -> bool:
+        """Tells whether neither the store nor any peer was heard lately."""
+        limit_s = self.settings.members.isolated_after_s
+        if self.store_age_s() < limit_s:
+            return False
+        oldest = monotonic_s() - limit_s
+        return not any(
+            status.heard_at >= oldest for status in self.view.peers.values()
+        )
+
+    def _open_seed_links(self) -> None:
+        for address in self.settings.members.seeds.split(","):
+            host, _, port = address.strip().rpartition(":")
+            if not host:
+                continue
+            seed = Member(
+                id=SEED_ID_PREFIX + address.strip(), host=host, port=int(port)
+            )
+            self._open_link(seed)
+
+    def _update_links(self) -> None:
+        for peer_id, status in list(self.view.peers.items()):
+            if peer_id not in self.links:
+                self._open_link(status.member)
+        known = self.view.peers.keys()
+        for peer_id in self.links.keys() - known:
+            if not peer_id.startswith(SEED_ID_PREFIX):
+                self._close_link(peer_id)
+
+    def _open_link(self, member: Member) -> None:
+        link = PeerLink(
+            member=member,
+            member_id=self.view.me.id,
+            settings=self.settings.peers,
+            shared_key=self.shared_key,
+            seed=self.settings.daemon.seed,
+        )
+        self.links[member.id] = link
+        self.link_tasks[member.id] = [
+            self.tasks.start(link.run(), f"link {member.id}"),
+            self.tasks.start(self._send_heartbeats(link), f"beat {member.id}"),
+        ]
+
+    def _close_link(self, peer_id: str) -> None:
+        del self.links[peer_id]
+        for task in self.link_tasks.pop(peer_id):
+            task.cancel()
+
+    async def _send_heartbeats(self, link: PeerLink) -> None:
+        interval_s = self.settings.members.heartbeat_interval_s
+        while True:
+            if link.connection is not None:
+                await self._send_heartbeat(link)
+            await asyncio.sleep(interval_s)
+
+    async def _send_heartbeat(self, link: PeerLink) -> None:
+        heartbeat = Heartbeat(
+            sender=self.view.me,
+            epoch=self.view.roster.epoch,
+            sent_at=monotonic_s(),
+            state_digest=self.state.digest,
+            leaving=self.view.leaving,
+            heard=self.view.live_ids(),
+            store_age_s=min(self.store_age_s(), 1e9),
+        )
+        for source in self.heartbeat_sources:
+            source(heartbeat, link.member.id)
+        try:
+            ack = await link.call(heartbeat)
+        except (OSError, TimeoutError, FrameError):
+            return
+        if isinstance(ack, HeartbeatAck):
+            self._note_ack(ack)
+            await self._fetch_state(link, ack.epoch, ack.state_digest)
+
+    def _note_ack(self, ack: HeartbeatAck) -> None:
+        status = self.view.peers.get(ack.member_id)
+        if status is None:
+            return
+        status.heard_at = monotonic_s()
+        status.leaving = ack.leaving
+        status.state_digest = ack.state_digest
+        status.acked_at = ack.sent_at
+        status.acked_epoch = ack.epoch
+
+    async def _fetch_state(
+        self, link: PeerLink, epoch: int, digest: str
+    ) -> None:
+        if digest == self.state.digest and epoch <= self.view.roster.epoch:
+            return
+        try:
+            reply = await link.call(
+                StateRequest(state_digest=self.state.digest)
+            )
+        except (OSError, TimeoutError, FrameError):
+            return
+        if not isinstance(reply, StateReply):
+            return
+        self.state.join_snapshot(reply.snapshot)
+        if reply.roster is not None:
+            self.view.note_roster(reply.roster)
+
+    async def _on_heartbeat(self, heartbeat: Any, _: str) -> HeartbeatAck:
+        status = self.view.note_member(heartbeat.sender)
+        if status is not None:
+            status.heard_at = monotonic_s()
+            status.leaving = heartbeat.leaving
+            status.state_digest = heartbeat.state_digest
+        for listener in self.heartbeat_listeners:
+            listener(heartbeat)
+        return HeartbeatAck(
+            member_id=self.view.me.id,
+            epoch=self.view.roster.epoch,
+            sent_at=heartbeat.sent_at,
+            state_digest=self.state.digest,
+            leaving=self.view.leaving,
+        )
+
+    async def _on_state_request(self, _: Any, __: str) -> StateReply:
+        return StateReply(
+            snapshot=self.state.snapshot(), roster=self.view.roster
+        )
+
+
+__all__ = ["Membership"]
--- /dev/null
+++ b/src/auburnswitch/observe/invariants.py
@@ -0,0 +1,63 @@
+"""Invariants asserted inside the daemon."""
+
+from __future__ import annotations
+
+import enum
+from typing import Any
+
+from auburnswitch.observe.logs import log_event
+from auburnswitch.schema.events import EventId
+
+
+class Invariant(enum.Enum):
+    """Names of the invariants."""
+
+    COLD_BOUND = "a cold endpoint receives no more than its bound"
+    ZONE_OUT = "a zone taken out of service receives no new work"
+    LEAVING = "a leaving endpoint receives no new work"
+    WHOLE_ANSWER = "an answer is complete and belongs to its request"
+    NOT_RUN = "a request refused as not run was not dispatched"
+    AT_MOST_ONCE = "a non-idempotent request is dispatched at most once"
+    STATE_MONOTONIC = "the configuration in force never reverts"
+    DEADLINE = "an admitted request ends within its deadline"
+    MEMORY_FREED = "a finished request holds no reservation"
+    GRACEFUL_STOP = "a planned stop cuts off no request"
+
+
+class InvariantError(AssertionError):
+    """An invariant does not hold."""
+
+
+class Invariants:
+    """Checks invariants: raises in tests, counts and logs in production.
+
+    Attributes:
+        strict: Raise on a violation.
+        violations: Count of violations by invariant.
+    """
+
+    __slots__ = ("strict", "violations")
+
+    def __init__(self, *, strict: bool = False) -> None:
+        self.strict = strict
+        self.violations: dict[Invariant, int] = {}
+
+    def check(self, holds: bool, invariant: Invariant, **details: Any) -> None:
+        """Records a violation unless the condition holds.
+
+        Raises:
+            InvariantError: The condition does not hold and ``strict`` is set.
+        """
+        if holds:
+            return
+        self.violations[invariant] = self.violations.get(invariant, 0) + 1
+        log_event(
+            EventId.INVARIANT_VIOLATED,
+            invariant=invariant.name.lower(),
+            details=details,
+        )
+        if self.strict:
+            raise InvariantError(f"{invariant.value}: {details}")
+
+
+__all__ = ["Invariant", "InvariantError", "Invariants"]
--- /dev/null
+++ b/src/auburnswitch/observe/metrics.py
@@ -0,0 +1,99 @@
+"""Metrics by OpenTelemetry, exported in Prometheus form."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.view import (
+    ExplicitBucketHistogramAggregation,
+    View,
+)
+from prometheus_client import CollectorRegistry, generate_latest
+
+if TYPE_CHECKING:
+    from opentelemetry.metrics import CallbackT
+
+FIRST_TOKEN_BOUNDS_S: Final = (
+    0.05,
+    0.1,
+    0.2,
+    0.3,
+    0.4,
+    0.5,
+    0.75,
+    1,
+    2,
+    5,
+    10,
+    30,
+    60,
+    300,
+)
+FIRST_TOKEN: Final = "auburnswitch_first_token"
+
+
+class Metrics:
+    """The instruments of one daemon.
+
+    Attributes:
+        first_token: Time to first token by length class, in seconds.
+        requests: Finished requests by result code.
+        retries: Attempts after the first.
+        late_frames: Frames of another attempt that were dropped.
+        reservations: Reservation decisions at the owner by result code.
+        store_calls: Calls to the platform's store by kind.
+    """
+
+    __slots__ = (
+        "first_token",
+        "late_frames",
+        "meter",
+        "provider",
+        "registry",
+        "requests",
+        "reservations",
+        "retries",
+        "store_calls",
+    )
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        reader = PrometheusMetricReader(
+            disable_target_info=True,
+            scope_info_enabled=False,
+            registry=self.registry,
+        )
+        bounds = ExplicitBucketHistogramAggregation(FIRST_TOKEN_BOUNDS_S)
+        view = View(instrument_name=FIRST_TOKEN, aggregation=bounds)
+        self.provider = MeterProvider(
+            metric_readers=[reader], views=[view], shutdown_on_exit=False
+        )
+        self.meter = self.provider.get_meter("auburnswitch")
+        self.first_token = self.meter.create_histogram(FIRST_TOKEN, unit="s")
+        self.requests = self._counter("requests")
+        self.retries = self._counter("retries")
+        self.late_frames = self._counter("late_frames")
+        self.reservations = self._counter("reservations")
+        self.store_calls = self._counter("store_calls")
+
+    def _counter(self, name: str):  # noqa: ANN202
+        return self.meter.create_counter(f"auburnswitch_{name}")
+
+    def observe_gauge(self, name: str, callback: CallbackT) -> None:
+        """Registers a gauge that is read when metrics are collected."""
+        self.meter.create_observable_gauge(
+            f"auburnswitch_{name}", callbacks=[callback]
+        )
+
+    def export(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        return generate_latest(self.registry)
+
+    def close(self) -> None:
+        """Stops collecting."""
+        self.provider.shutdown()
+
+
+__all__ = ["Metrics"]
--- /dev/null
+++ b/src/auburnswitch/operators/app.py
@@ -0,0 +1,176 @@
+"""The HTTP application for operators."""
+
+from __future__ import annotations
+
+import hmac
+from typing import TYPE_CHECKING, Any
+
+from expression import Result
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse, PlainTextResponse, Response
+from starlette.routing import Route
+
+from auburnswitch.observe.logs import log_event
+from auburnswitch.operators.check import check_ticket
+from auburnswitch.results import Refusal, RefusalError, refusal
+from auburnswitch.schema.base import SchemaError, from_json, to_json
+from auburnswitch.schema.events import EventId
+from auburnswitch.schema.objects import Ticket
+from auburnswitch.schema.results import ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from starlette.requests import Request
+
+    from auburnswitch.clock import WallClock
+    from auburnswitch.endpoints.owner import OwnerTable
+    from auburnswitch.observe.metrics import Metrics
+    from auburnswitch.platform.tickets import TicketStore
+
+
+class OperatorApp:
+    """Serves tickets, status, health and metrics.
+
+    Attributes:
+        key: Operator key; empty refuses every call that needs it.
+        tickets: Accepts and reads tickets.
+        owner_table: What is known of the endpoints.
+        refuse_new: Returns why new work is refused, or None.
+        status: Returns the daemon's status as JSON.
+    """
+
+    __slots__ = (
+        "clock",
+        "key",
+        "metrics",
+        "owner_table",
+        "refuse_new",
+        "status",
+        "tickets",
+    )
+
+    def __init__(
+        self,
+        *,
+        key: bytes,
+        tickets: TicketStore,
+        owner_table: OwnerTable,
+        metrics: Metrics,
+        clock: WallClock,
+        refuse_new: Callable[[], Refusal | None],
+        status: Callable[[], dict[str, Any]],
+    ) -> None:
+        self.key = key
+        self.tickets = tickets
+        self.owner_table = owner_table
+        self.metrics = metrics
+        self.clock = clock
+        self.refuse_new = refuse_new
+        self.status = status
+
+    def build(self) -> Starlette:
+        """Returns the ASGI application."""
+        return Starlette(
+            routes=[
+                Route("/healthz", self._healthz),
+                Route("/readyz", self._readyz),
+                Route("/metrics", self._metrics),
+                Route("/status", self._status),
+                Route("/endpoints", self._endpoints),
+                Route("/tickets", self._list_tickets),
+                Route("/tickets", self._apply_ticket, methods=["POST"]),
+                Route("/tickets/{number:int}", self._show_ticket),
+            ],
+            exception_handlers={RefusalError: self._on_refusal},
+        )
+
+    async def _healthz(self, _: Request) -> Response:
+        return PlainTextResponse("ok\n")
+
+    async def _readyz(self, _: Request) -> Response:
+        refused = self.refuse_new()
+        if refused is None:
+            return PlainTextResponse("ready\n")
+        return _refused(refused)
+
+    async def _metrics(self, _: Request) -> Response:
+        return Response(
+            self.metrics.export(), media_type="text/plain; version=0.0.4"
+        )
+
+    async def _status(self, request: Request) -> Response:
+        self._check_key(request)
+        return JSONResponse(self.status())
+
+    async def _endpoints(self, request: Request) -> Response:
+        self._check_key(request)
+        table = self.owner_table
+        rows = []
+        for name, spec in sorted(table.state.endpoints.items()):
+            hint = to_json(table.best_hint(name))
+            row = {"service": spec.service, "zone": spec.zone, **hint}
+            rows.append(row | {"owner": table.owner_of(name)})
+        return JSONResponse({"endpoints": rows})
+
+    async def _apply_ticket(self, request: Request) -> Response:
+        self._check_key(request)
+        try:
+            ticket = from_json(Ticket, await request.json())
+        except (ValueError, SchemaError) as error:
+            return self._invalid([str(error)])
+        report = check_ticket(ticket, self.tickets.state)
+        if report.errors:
+            return self._invalid(report.errors)
+        ticket.accepted_at = self.clock.now_s()
+        match await self.tickets.accept(ticket):
+            case Result(tag="ok", ok=stored):
+                body = {"ticket": to_json(stored), "warnings": report.warnings}
+                return JSONResponse(body)
+            case Result(error=refused):
+                return _refused(refused)
+
+    async def _list_tickets(self, request: Request) -> Response:
+        self._check_key(request)
+        match await self.tickets.list():
+            case Result(tag="ok", ok=tickets):
+                body = [to_json(ticket) for ticket in tickets]
+                return JSONResponse({"tickets": body})
+            case Result(error=refused):
+                return _refused(refused)
+
+    async def _show_ticket(self, request: Request) -> Response:
+        self._check_key(request)
+        match await self.tickets.read(request.path_params["number"]):
+            case Result(tag="ok", ok=ticket):
+                return JSONResponse({"ticket": to_json(ticket)})
+            case Result(error=refused):
+                return _refused(refused)
+
+    def _invalid(self, errors: list[str]) -> Response:
+        log_event(EventId.TICKET_REFUSED, reason="; ".join(errors))
+        message = "; ".join(errors)
+        return _refused(refusal(ResultCode.TICKET_INVALID, message))
+
+    def _check_key(self, request: Request) -> None:
+        scheme, _, given = request.headers.get("authorization", "").partition(
+            " "
+        )
+        matches = hmac.compare_digest(given.strip().encode(), self.key)
+        if scheme.lower() != "bearer" or not self.key or not matches:
+            raise RefusalError(refusal(ResultCode.BAD_OPERATOR_KEY))
+
+    async def _on_refusal(self, _: Request, error: Exception) -> Response:
+        assert isinstance(error, RefusalError)
+        return _refused(error.refusal)
+
+
+def _refused(refused: Refusal) -> Response:
+    return JSONResponse(
+        refused.to_json(),
+        status_code=refused.http_status,
+        headers=refused.headers(),
+    )
+
+
+__all__ = ["OperatorApp"]
--- /dev/null
+++ b/src/auburnswitch/platform/state.py
@@ -0,0 +1,154 @@
+"""The configuration in force: the join of all accepted tickets."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from typing import TYPE_CHECKING
+
+from auburnswitch.schema.base import to_json
+from auburnswitch.schema.objects import (
+    AvailabilityZone,
+    Change,
+    Endpoint,
+    ObjectKind,
+    Service,
+    Snapshot,
+    Team,
+    Ticket,
+    VersionedChange,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+ObjectKey = tuple[ObjectKind, str]
+
+
+class ConfigState:
+    """Keeps, for each object, the change of the highest-numbered ticket.
+
+    Joining tickets in any order, any number of times, gives the same state.
+
+    Attributes:
+        entries: The newest change of each object, deletions included.
+        teams: Teams in force, by name.
+        zones: Availability zones in force, by name.
+        services: Services in force, by name.
+        endpoints: Endpoints in force, by name.
+        team_of_digest: Team name by caller-key digest.
+        digest: Digest of the state; equal states have equal digests.
+        listeners: Called after each change of the state.
+    """
+
+    __slots__ = (
+        "_by_service",
+        "digest",
+        "endpoints",
+        "entries",
+        "listeners",
+        "services",
+        "team_of_digest",
+        "teams",
+        "zones",
+    )
+
+    def __init__(self) -> None:
+        self.entries: dict[ObjectKey, VersionedChange] = {}
+        self.listeners: list[Callable[[], None]] = []
+        self._rebuild()
+
+    def join_ticket(self, ticket: Ticket) -> bool:
+        """Joins a ticket; returns whether the state changed."""
+        changed = [
+            self._join(ticket.number, change) for change in ticket.changes
+        ]
+        return self._finish(any(changed))
+
+    def join_snapshot(self, snapshot: Snapshot) -> bool:
+        """Joins a snapshot; returns whether the state changed."""
+        changed = [
+            self._join(entry.number, entry.change) for entry in snapshot.entries
+        ]
+        return self._finish(any(changed))
+
+    def snapshot(self) -> Snapshot:
+        """Returns the whole state."""
+        entries = [self.entries[key] for key in sorted(self.entries)]
+        return Snapshot(entries=entries)
+
+    def services_for_model(self, model: str) -> list[str]:
+        """Returns the names of the services that serve a model."""
+        return [
+            name
+            for name, service in self.services.items()
+            if (service.model or name) == model
+        ]
+
+    def endpoints_of(self, service: str) -> list[str]:
+        """Returns the names of a service's endpoints, in order."""
+        return self._by_service.get(service, [])
+
+    def _join(self, number: int, change: Change) -> bool:
+        key = (ObjectKind(change.kind), change.name)
+        known = self.entries.get(key)
+        if known is not None and known.number >= number:
+            return False
+        self.entries[key] = VersionedChange(number=number, change=change)
+        return True
+
+    def _finish(self, changed: bool) -> bool:
+        if changed:
+            self._rebuild()
+            for listener in self.listeners:
+                listener()
+        return changed
+
+    def _rebuild(self) -> None:
+        self.teams: dict[str, Team] = {}
+        self.zones: dict[str, AvailabilityZone] = {}
+        self.services: dict[str, Service] = {}
+        self.endpoints: dict[str, Endpoint] = {}
+        for entry in self.entries.values():
+            self._apply(entry.change)
+        self.team_of_digest = {
+            digest: name
+            for name, team in self.teams.items()
+            for digest in team.key_digests
+        }
+        self._by_service: dict[str, list[str]] = {}
+        for name in sorted(self.endpoints):
+            service = self.endpoints[name].service
+            self._by_service.setdefault(service, []).append(name)
+        self.digest = self._compute_digest()
+
+    def _apply(self, change: Change) -> None:
+        if change.deleted:
+            return
+        match change:
+            case Change(kind=ObjectKind.TEAM, team=Team() as team):
+                self.teams[change.name] = team
+            case Change(zone=AvailabilityZone() as zone):
+                self.zones[change.name] = zone
+            case Change(service=Service() as service):
+                self.services[change.name] = service
+            case Change(endpoint=Endpoint() as endpoint):
+                self.endpoints[change.name] = endpoint
+
+    def _compute_digest(self) -> str:
+        numbers = [
+            [kind, name, self.entries[kind, name].number]
+            for kind, name in sorted(self.entries)
+        ]
+        return hashlib.sha256(json.dumps(numbers).encode()).hexdigest()[:16]
+
+
+def ticket_digest(ticket: Ticket) -> str:
+    """Returns a digest of a ticket's content, without its acceptance time."""
+    body = to_json(ticket)
+    body.pop("accepted_at", None)
+    text = json.dumps(body, sort_keys=True)
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+__all__ = ["ConfigState", "ObjectKey", "ticket_digest"]
--- /dev/null
+++ b/src/auburnswitch/platform/watcher.py
@@ -0,0 +1,115 @@
+"""Follows the configuration objects in the platform's store."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING, Final
+
+from expression import Result
+
+from auburnswitch.observe.logs import log_event
+from auburnswitch.platform.store import (
+    RevisionExpired,
+    StoredObject,
+    StoreUnavailable,
+)
+from auburnswitch.schema.events import EventId
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from auburnswitch.platform.store import ObjectStore
+
+CONFIG_PREFIX: Final = "config/"
+FIRST_DELAY_S: Final = 0.2
+LONGEST_DELAY_S: Final = 3.0
+
+
+class StoreWatcher:
+    """Passes every object under ``config/`` to its handler, with one watch.
+
+    Attributes:
+        store: The platform's store.
+        handlers: Handler of the objects under each key prefix.
+        revision: Store revision that the handlers have seen.
+        synced: Set once the objects have been listed.
+        available: The store answered the last call.
+    """
+
+    __slots__ = (
+        "available",
+        "handlers",
+        "random",
+        "revision",
+        "store",
+        "synced",
+    )
+
+    def __init__(self, *, store: ObjectStore, seed: int) -> None:
+        self.store = store
+        self.handlers: dict[str, Callable[[StoredObject], None]] = {}
+        self.random = random.Random(seed)
+        self.revision: int | None = None
+        self.synced = asyncio.Event()
+        self.available = True
+
+    async def run(self) -> None:
+        """Lists, then watches for ever; backs off while the store is down."""
+        delay_s = FIRST_DELAY_S
+        while True:
+            if await self._step():
+                delay_s = FIRST_DELAY_S
+                continue
+            await asyncio.sleep(delay_s * self.random.uniform(0.5, 1.0))
+            delay_s = min(2 * delay_s, LONGEST_DELAY_S)
+
+    async def _step(self) -> bool:
+        if self.revision is None:
+            return await self._list()
+        return await self._watch(self.revision)
+
+    async def _list(self) -> bool:
+        match await self.store.list(CONFIG_PREFIX):
+            case Result(tag="ok", ok=listing):
+                self._handle(listing.items)
+                self.revision = listing.revision
+                self.synced.set()
+                self._note_available()
+                return True
+            case Result(error=error):
+                self._note_unavailable(error)
+        return False
+
+    async def _watch(self, revision: int) -> bool:
+        match await self.store.watch(CONFIG_PREFIX, revision):
+            case Result(tag="ok", ok=batch):
+                self._handle([e.object for e in batch.events if not e.deleted])
+                self.revision = batch.revision
+                self._note_available()
+                return True
+            case Result(error=RevisionExpired()):
+                self.revision = None
+                return True
+            case Result(error=StoreUnavailable() as error):
+                self._note_unavailable(error)
+        return False
+
+    def _handle(self, items: list[StoredObject]) -> None:
+        for item in items:
+            for prefix, handler in self.handlers.items():
+                if item.key.startswith(prefix):
+                    handler(item)
+
+    def _note_available(self) -> None:
+        if not self.available:
+            log_event(EventId.STORE_RECOVERED)
+        self.available = True
+
+    def _note_unavailable(self, error: StoreUnavailable) -> None:
+        if self.available:
+            log_event(EventId.STORE_UNAVAILABLE, reason=error.reason)
+        self.available = False
+
+
+__all__ = ["CONFIG_PREFIX", "StoreWatcher"]
--- a/src/auburnswitch/schema/peers.py
+++ b/src/auburnswitch/schema/peers.py
@@ -103,6 +103,7 @@
     long_wait_s: float = 0.0
     running: int = 0
     max_running: int = 0
+    boot_id: str = ""
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "endpoint", False),
@@ -112,6 +113,7 @@
         5: (TType.DOUBLE, "long_wait_s", False),
         6: (TType.I32, "running", False),
         7: (TType.I32, "max_running", False),
+        8: (TType.STRING, "boot_id", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("endpoint", None),
@@ -121,6 +123,7 @@
         ("long_wait_s", None),
         ("running", None),
         ("max_running", None),
+        ("boot_id", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {
         "phase": EndpointPhase
@@ -138,6 +141,9 @@
         ),
         "running": Description(text="", options={}),
         "max_running": Description(text="", options={}),
+        "boot_id": Description(
+            text="Identifies one start of the endpoint.", options={}
+        ),
     }
 
 
@@ -571,14 +577,20 @@
     """Generated from the schema."""
 
     snapshot: Snapshot = field(default_factory=Snapshot)
+    roster: Roster | None = None
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
-        1: (TType.STRUCT, "snapshot", Snapshot, False)
+        1: (TType.STRUCT, "snapshot", Snapshot, False),
+        2: (TType.STRUCT, "roster", Roster, False),
     }
-    default_spec: ClassVar[list[tuple[str, Any]]] = [("snapshot", None)]
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("snapshot", None),
+        ("roster", None),
+    ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
         "snapshot": Description(text="", options={}),
+        "roster": Description(text="", options={}),
     }
 
 
--- a/src/auburnswitch/schema/settings.py
+++ b/src/auburnswitch/schema/settings.py
@@ -264,6 +264,7 @@
     strict_lease_s: float = 3.0
     reservation_ttl_s: float = 1.0
     isolated_after_s: float = 3.0
+    seeds: str = ""
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.DOUBLE, "heartbeat_interval_s", False),
@@ -272,6 +273,7 @@
         4: (TType.DOUBLE, "strict_lease_s", False),
         5: (TType.DOUBLE, "reservation_ttl_s", False),
         6: (TType.DOUBLE, "isolated_after_s", False),
+        7: (TType.STRING, "seeds", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("heartbeat_interval_s", None),
@@ -280,6 +282,7 @@
         ("strict_lease_s", None),
         ("reservation_ttl_s", None),
         ("isolated_after_s", None),
+        ("seeds", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -307,6 +310,10 @@
             text="Time without platform and peers after which new work is refused.",
             options={"unit": "seconds", "min": "0.5", "max": "60"},
         ),
+        "seeds": Description(
+            text='Addresses of daemons to ask when the platform does not answer, as "host:port, host:port".',
+            options={},
+        ),
     }
 
 
--- /dev/null
+++ b/src/auburnswitch/settings/load.py
@@ -0,0 +1,169 @@
+"""Reads and checks the settings file as a whole."""
+
+from __future__ import annotations
+
+import configparser
+import dataclasses
+import ipaddress
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final, get_type_hints
+
+from expression import Error, Ok, Result
+
+from auburnswitch.schema.settings import Settings
+
+if TYPE_CHECKING:
+    from auburnswitch.schema.base import Description, Struct
+
+_BOOLEANS: Final = {"true": True, "yes": True, "false": False, "no": False}
+
+
+@dataclass(slots=True, kw_only=True)
+class Problem:
+    """One fault of a settings file.
+
+    Attributes:
+        section: Section of the file, empty for the whole file.
+        key: Key in the section, empty for the whole section.
+        reason: What is wrong.
+    """
+
+    section: str
+    key: str
+    reason: str
+
+    def __str__(self) -> str:
+        place = f"[{self.section}] {self.key}".strip() if self.section else ""
+        return f"{place}: {self.reason}" if place else self.reason
+
+
+def load_settings(path: Path) -> Result[Settings, list[Problem]]:
+    """Reads a settings file and reports all of its faults together.
+
+    Args:
+        path: The INI file.
+
+    Returns:
+        The settings, or every fault found.
+    """
+    try:
+        text = path.read_text("utf-8")
+    except OSError as error:
+        return Error(
+            [_problem("", "", f"cannot read {path}: {error.strerror}")]
+        )
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> Result[Settings, list[Problem]]:
+    """Reads settings from the text of an INI file."""
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        return Error([_problem("", "", str(error).replace("\n", " "))])
+    settings = Settings()
+    problems: list[Problem] = []
+    known = {field.name for field in dataclasses.fields(settings)}
+    for section in parser.sections():
+        if section not in known:
+            problems.append(_problem(section, "", "unknown section"))
+    for name in known:
+        values = dict(parser[name]) if parser.has_section(name) else {}
+        section = getattr(settings, name)
+        problems += _read_section(name, section, values)
+    if not problems:
+        problems += _check_whole(settings)
+    return Error(sorted(problems, key=str)) if problems else Ok(settings)
+
+
+def _problem(section: str, key: str, reason: str) -> Problem:
+    return Problem(section=section, key=key, reason=reason)
+
+
+def _read_section(
+    name: str, section: Struct, values: dict[str, str]
+) -> list[Problem]:
+    problems = []
+    types = get_type_hints(type(section))
+    descriptions: dict[str, Description] = section.descriptions
+    for key in values.keys() - descriptions.keys():
+        problems.append(_problem(name, key, "unknown key"))
+    for key, description in descriptions.items():
+        if key not in values:
+            if "required" in description.options:
+                problems.append(_problem(name, key, "is required"))
+            continue
+        try:
+            value = _convert(values[key].strip(), types[key])
+            _check_bounds(value, description.options)
+        except ValueError as error:
+            problems.append(_problem(name, key, str(error)))
+            continue
+        setattr(section, key, value)
+    return problems
+
+
+def _convert(text: str, kind: type) -> Any:
+    if kind is bool:
+        if text.lower() not in _BOOLEANS:
+            raise ValueError("must be true or false")
+        return _BOOLEANS[text.lower()]
+    if kind is int:
+        try:
+            return int(text)
+        except ValueError:
+            raise ValueError("must be a whole number") from None
+    if kind is float:
+        try:
+            return float(text)
+        except ValueError:
+            raise ValueError("must be a number") from None
+    return text
+
+
+def _check_bounds(value: Any, options: Any) -> None:
+    unit = f" {options['unit']}" if "unit" in options else ""
+    if isinstance(value, float) and value != value:  # not a number
+        raise ValueError("must be a number")
+    if "min" in options and value < float(options["min"]):
+        raise ValueError(f"must be at least {options['min']}{unit}")
+    if "max" in options and value > float(options["max"]):
+        raise ValueError(f"must be at most {options['max']}{unit}")
+    if "choices" in options:
+        choices = options["choices"].split(",")
+        if value not in choices:
+            raise ValueError(f"must be one of {', '.join(choices)}")
+    if "required" in options and not value:
+        raise ValueError("must not be empty")
+    if "secret-file" in options and value and not Path(value).is_file():
+        raise ValueError("must name a file that can be read")
+
+
+def _check_whole(settings: Settings) -> list[Problem]:
+    problems = []
+    seen: dict[tuple[str, int], str] = {}
+    for name in ("callers", "operators", "peers"):
+        section = getattr(settings, name)
+        try:
+            ipaddress.ip_address(section.host)
+        except ValueError:
+            problems.append(_problem(name, "host", "must be an IP address"))
+        address = (section.host, section.port)
+        if section.port and address in seen:
+            reason = f"same address as [{seen[address]}]"
+            problems.append(_problem(name, "port", reason))
+        seen[address] = name
+    if settings.routing.short_max_tokens >= settings.routing.medium_max_tokens:
+        reason = "must be less than medium_max_tokens"
+        problems.append(_problem("routing", "short_max_tokens", reason))
+    return problems
+
+
+def read_secret(path: str) -> bytes:
+    """Returns the key in a secret file, without surrounding white space."""
+    return Path(path).read_bytes().strip()
+
+
+__all__ = ["Problem", "load_settings", "parse_settings", "read_secret"]
