Add stand-ins of the outside systems

The daemon meets a platform, model engines, plain services and a weight store, none of which can run in a test. Each gets a stand-in of its HTTP protocol, with switches for its faults, that runs on the ordinary event loop and on the virtual-time one, or as a process of its own.

A crash closes the listener and aborts each transport, so that callers see a broken connection and then a refused one; answering 503 instead was ruled out, since a daemon must tell the two apart. Answer tokens follow from a digest that can be continued segment by segment, so that a checker can verify the answer to a prompt that spans several engines.

--- /dev/null
+++ b/src/auburnswitch/standins/__main__.py
@@ -0,0 +1,123 @@
+"""Runs one stand-in as a process of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import signal
+import sys
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import fire
+
+from auburnswitch.http_server import ListenError
+from auburnswitch.standins.engine import open_engine
+from auburnswitch.standins.engine_model import EngineOptions
+from auburnswitch.standins.plain_service import open_plain_service
+from auburnswitch.standins.platform import open_platform
+from auburnswitch.standins.weights import open_weight_store
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+
+class Commands:
+    """Serves one stand-in until SIGTERM or SIGINT."""
+
+    def platform(
+        self, host: str = "127.0.0.1", port: int = 0, **options: Any
+    ) -> None:
+        """Serves the platform's object API and instance list.
+
+        Args:
+            host: IP address to listen on.
+            port: TCP port to listen on; 0 takes a free one.
+            **options: Options of `PlatformStandIn`.
+        """
+        _run(open_platform(host=host, port=port, **options))
+
+    def engine(
+        self,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        name: str = "engine",
+        **options: Any,
+    ) -> None:
+        """Serves a model engine.
+
+        Args:
+            host: IP address to listen on.
+            port: TCP port to listen on; 0 takes a free one.
+            name: Name of the engine.
+            **options: Fields of `EngineOptions`.
+        """
+        _run(_open_engine(host, port, name, EngineOptions(**options)))
+
+    def plain(
+        self,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        name: str = "plain",
+        **options: Any,
+    ) -> None:
+        """Serves a plain service.
+
+        Args:
+            host: IP address to listen on.
+            port: TCP port to listen on; 0 takes a free one.
+            name: Name of the service.
+            **options: Options of `PlainServiceStandIn`.
+        """
+        _run(open_plain_service(host=host, port=port, name=name, **options))
+
+    def weights(
+        self, host: str = "127.0.0.1", port: int = 0, **options: Any
+    ) -> None:
+        """Serves the weight store.
+
+        Args:
+            host: IP address to listen on.
+            port: TCP port to listen on; 0 takes a free one.
+            **options: Options of `WeightStoreStandIn`.
+        """
+        _run(open_weight_store(host=host, port=port, **options))
+
+
+@contextlib.asynccontextmanager
+async def _open_engine(
+    host: str, port: int, name: str, options: EngineOptions
+) -> AsyncIterator[Any]:
+    async with (
+        aiohttp.ClientSession() as session,
+        open_engine(
+            host=host, port=port, name=name, options=options, session=session
+        ) as engine,
+    ):
+        yield engine
+
+
+def _run(opening: contextlib.AbstractAsyncContextManager[Any]) -> None:
+    logging.basicConfig(level=logging.WARNING)
+    try:
+        asyncio.run(_serve(opening))
+    except ListenError as error:
+        sys.exit(str(error))
+
+
+async def _serve(opening: contextlib.AbstractAsyncContextManager[Any]) -> None:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    async with opening as standin:
+        print(standin.url, flush=True)
+        await stopped.wait()
+
+
+if __name__ == "__main__":
+    fire.Fire(Commands, name="auburnswitch.standins")
+
+
+__all__ = ["Commands"]
--- /dev/null
+++ b/src/auburnswitch/standins/engine_api.py
@@ -0,0 +1,298 @@
+"""The HTTP API of an engine stand-in."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from auburnswitch.standins.answers import (
+    EMPTY_DIGEST,
+    count_tokens,
+    prompt_digest,
+)
+from auburnswitch.standins.control import control_routes
+from auburnswitch.standins.engine_cache import block_names
+from auburnswitch.standins.engine_frames import FrameResponse, whole_answer
+from auburnswitch.standins.engine_job import (
+    CRASH_MARKER,
+    Completion,
+    Job,
+    Segment,
+)
+from auburnswitch.standins.engine_orders import parse_order
+from auburnswitch.standins.engine_requests import (
+    Caller,
+    EngineRequest,
+    KvLink,
+    parse_request,
+    read_caller,
+    read_object,
+    read_prefill_caller,
+)
+
+if TYPE_CHECKING:
+    from starlette.requests import Request
+
+    from auburnswitch.standins.engine import EngineStandIn
+
+
+class EngineApi:
+    """Translates between HTTP and the engine.
+
+    Attributes:
+        engine: The engine.
+    """
+
+    __slots__ = ("engine",)
+
+    def __init__(self, *, engine: EngineStandIn) -> None:
+        self.engine = engine
+
+    def routes(self) -> list[Route]:
+        """Returns the routes of the API."""
+        stream = "/v1/streams/{request_id}/{attempt:int}"
+        kv = "/v1/kv/{kv_id}"
+        return [
+            Route("/v1/completions", self.complete, methods=["POST"]),
+            Route("/v1/chat/completions", self.chat, methods=["POST"]),
+            Route("/v1/streams", self.list_streams, methods=["GET"]),
+            Route(stream, self.resume_stream, methods=["GET"]),
+            Route(stream, self.cancel_stream, methods=["DELETE"]),
+            Route("/v1/prefill", self.prefill, methods=["POST"]),
+            Route("/v1/kv", self.list_kv, methods=["GET"]),
+            Route(kv, self.free_kv, methods=["DELETE"]),
+            Route("/load", self.load, methods=["GET"]),
+            Route("/v1/cache/events", self.cache_events, methods=["GET"]),
+            Route("/v1/orders", self.take_order, methods=["POST"]),
+            Route("/v1/orders", self.show_orders, methods=["GET"]),
+        ]
+
+    async def complete(self, request: Request) -> Response:
+        """Answers a completion."""
+        return await self._complete(request, chat=False)
+
+    async def chat(self, request: Request) -> Response:
+        """Answers a chat completion."""
+        return await self._complete(request, chat=True)
+
+    async def _complete(self, request: Request, *, chat: bool) -> Response:
+        try:
+            body = await read_object(request)
+            parsed = parse_request(body, chat=chat)
+            caller = read_caller(request, self._default_id())
+        except ValueError as error:
+            return _error(400, str(error))
+        continued = count_tokens(parsed.continue_text)
+        work = Completion(
+            max_tokens=parsed.max_tokens, first_token=continued, chat=chat
+        )
+        refusal = await self._refusal(parsed, work.max_tokens + continued)
+        if refusal is None and self._is_known(caller):
+            refusal = _error(409, "this attempt has been sent already")
+        if refusal is not None:
+            return refusal
+        job = self._make_job(parsed, caller, work)
+        self.engine.submit(job)
+        if parsed.stream:
+            return self._stream(job, work, first=0)
+        await job.wait_until_ended()
+        return JSONResponse(whole_answer(job, work))
+
+    def _default_id(self) -> str:
+        return f"{self.engine.boot_id}-{self.engine.next_order()}"
+
+    def _is_known(self, caller: Caller) -> bool:
+        self.engine.live_streams()  # drops those that have expired
+        return (caller.request_id, caller.attempt) in self.engine.streams
+
+    async def _refusal(
+        self, parsed: EngineRequest, further_tokens: int
+    ) -> Response | None:
+        loaded = self.engine.orders.model
+        if loaded and parsed.model and parsed.model != loaded:
+            return _error(404, f"model {parsed.model} is not loaded")
+        needed = count_tokens(parsed.prompt) + further_tokens
+        if needed > self.engine.options.memory_tokens:
+            return _error(400, "the request is larger than the memory")
+        for link in parsed.kv_chain:
+            if not await self._has_kv(link):
+                return _error(409, f"KV cache {link.kv_id} does not exist")
+        return None
+
+    async def _has_kv(self, link: KvLink) -> bool:
+        if self.engine.session is None:
+            return True
+        url = f"{link.url}/v1/kv"
+        try:
+            async with self.engine.session.get(url) as response:
+                caches = (await response.json())["caches"]
+        except aiohttp.ClientError:
+            return False
+        return any(cache["kv_id"] == link.kv_id for cache in caches)
+
+    def _make_job(
+        self,
+        parsed: EngineRequest,
+        caller: Caller,
+        work: Completion | Segment,
+    ) -> Job:
+        text = parsed.prompt + parsed.continue_text
+        continued = count_tokens(parsed.continue_text)
+        return Job(
+            request_id=caller.request_id,
+            attempt=caller.attempt,
+            member_id=caller.member_id,
+            priority=parsed.priority,
+            order=self.engine.next_order(),
+            work=work,
+            prompt_tokens=count_tokens(parsed.prompt) + continued,
+            digest=prompt_digest(parsed.prompt, _chain_digest(parsed)),
+            blocks=[] if parsed.kv_chain else block_names(text),
+            crashes=CRASH_MARKER in parsed.prompt,
+        )
+
+    def _stream(self, job: Job, work: Completion, first: int) -> Response:
+        return FrameResponse(
+            job=job,
+            work=work,
+            first=first,
+            history=self.engine.history,
+            actor=self.engine.name,
+        )
+
+    async def list_streams(self, request: Request) -> Response:
+        """Lists the streams that run or can be resumed."""
+        streams = [
+            {
+                "request_id": job.request_id,
+                "attempt": job.attempt,
+                "member_id": job.member_id,
+                "tokens": job.memory_tokens if job.live else 0,
+                "finished": not job.live,
+            }
+            for job in self.engine.live_streams()
+        ]
+        return JSONResponse({"streams": streams})
+
+    def _find_stream(self, request: Request) -> Job | None:
+        self.engine.live_streams()  # drops those that have expired
+        params = request.path_params
+        key = (params["request_id"], params["attempt"])
+        return self.engine.streams.get(key)
+
+    async def resume_stream(self, request: Request) -> Response:
+        """Streams an answer again from a sequence number on."""
+        job = self._find_stream(request)
+        if job is None:
+            return _error(404, "no such stream")
+        try:
+            first = int(request.query_params.get("from", "0"))
+        except ValueError as error:
+            return _error(400, str(error))
+        match job.work:
+            case Completion() as work if first >= 0:
+                return self._stream(job, work, first)
+        return _error(400, "cannot resume there")
+
+    async def cancel_stream(self, request: Request) -> Response:
+        """Cancels a stream."""
+        job = self._find_stream(request)
+        if job is None:
+            return _error(404, "no such stream")
+        self.engine.cancel(job)
+        return JSONResponse({})
+
+    async def prefill(self, request: Request) -> Response:
+        """Prefills one segment and keeps its KV cache."""
+        try:
+            body = await read_object(request)
+            parsed = parse_request(body, chat=False)
+            caller = read_prefill_caller(request, body, self._default_id())
+        except ValueError as error:
+            return _error(400, str(error))
+        refusal = await self._refusal(parsed, 0)
+        if refusal is not None:
+            return refusal
+        tokens = count_tokens(parsed.prompt)
+        digest = prompt_digest(parsed.prompt, _chain_digest(parsed))
+        kv_id = self.engine.next_kv_id(tokens, digest)
+        job = self._make_job(parsed, caller, Segment(kv_id=kv_id))
+        self.engine.submit(job)
+        await job.wait_until_ended()
+        if not job.held:
+            return _error(409, "the KV cache was freed")
+        return JSONResponse({"kv_id": kv_id, "tokens": tokens})
+
+    async def list_kv(self, request: Request) -> Response:
+        """Lists the KV caches, also those that are being made."""
+        caches = [
+            {
+                "kv_id": kv_id,
+                "request_id": job.request_id,
+                "attempt": job.attempt,
+                "member_id": job.member_id,
+                "tokens": job.memory_tokens,
+            }
+            for kv_id, job in self.engine.kv_caches.items()
+        ]
+        return JSONResponse({"caches": caches})
+
+    async def free_kv(self, request: Request) -> Response:
+        """Frees a KV cache."""
+        job = self.engine.kv_caches.get(request.path_params["kv_id"])
+        if job is None:
+            return _error(404, "no such KV cache")
+        self.engine.cancel(job)
+        return JSONResponse({})
+
+    async def load(self, request: Request) -> Response:
+        """Reports the load of a short time ago."""
+        return JSONResponse(self.engine.load_report().to_json())
+
+    async def cache_events(self, request: Request) -> Response:
+        """Lists cache events from a sequence number on."""
+        try:
+            since = int(request.query_params.get("since", "0"))
+        except ValueError as error:
+            return _error(400, str(error))
+        events, following = self.engine.cache.feed.read(since)
+        content = [event.to_json() for event in events]
+        return JSONResponse({"events": content, "next": following})
+
+    async def take_order(self, request: Request) -> Response:
+        """Carries out an order."""
+        try:
+            order = parse_order(await read_object(request))
+        except ValueError as error:
+            return _error(400, str(error))
+        if not self.engine.take_order(order):
+            number = self.engine.orders.fencing_number
+            return JSONResponse({"fencing_number": number}, 409)
+        return JSONResponse({})
+
+    async def show_orders(self, request: Request) -> Response:
+        """Shows what orders have set."""
+        return JSONResponse(self.engine.orders.to_json())
+
+
+def _chain_digest(parsed: EngineRequest) -> str:
+    if not parsed.kv_chain:
+        return EMPTY_DIGEST
+    return parsed.kv_chain[-1].digest
+
+
+def _error(status: int, text: str) -> Response:
+    return JSONResponse({"error": text}, status)
+
+
+def engine_app(engine: EngineStandIn) -> Starlette:
+    """Returns an engine's API as an application."""
+    api = EngineApi(engine=engine)
+    return Starlette(routes=[*control_routes(engine), *api.routes()])
+
+
+__all__ = ["EngineApi", "engine_app"]
--- /dev/null
+++ b/src/auburnswitch/standins/engine_batch.py
@@ -0,0 +1,235 @@
+"""Continuous batching: admission to memory, prefill by chunk and decoding."""
+
+from __future__ import annotations
+
+import asyncio
+import bisect
+import contextlib
+from typing import TYPE_CHECKING, Protocol
+
+from auburnswitch.standins.engine_job import (
+    Completion,
+    Job,
+    JobState,
+    Segment,
+)
+from auburnswitch.standins.engine_model import (
+    EngineOptions,
+    decode_time_s,
+    prefill_time_s,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from auburnswitch.standins.listener import Pause
+
+
+class BatchObserver(Protocol):
+    """Is told what happens to the jobs of a batch."""
+
+    def on_admitted(self, job: Job) -> None:
+        """The job has taken its memory."""
+
+    def on_prefill_started(self, job: Job) -> None:
+        """The first chunk of the job is about to run."""
+
+    def on_prefilled(self, job: Job) -> None:
+        """The last chunk of the job has run."""
+
+    def on_held(self, job: Job) -> None:
+        """The job's KV cache is complete and is kept."""
+
+    def on_released(self, job: Job) -> None:
+        """The job has freed its memory."""
+
+    def on_ended(self, job: Job) -> None:
+        """The job has finished or was cancelled."""
+
+    def on_changed(self) -> None:
+        """The load has changed."""
+
+
+class Batch:
+    """The jobs of an engine and the tasks that advance them.
+
+    Attributes:
+        options: Limits and service times.
+        observer: Is told what happens.
+        pause: Nothing advances while it lasts.
+        waiting: Jobs that do not fit yet, in order of service.
+        prefilling: Jobs in prefill.
+        decoding: Jobs that decode.
+        memory_used: Tokens of memory in use, KV caches included.
+    """
+
+    __slots__ = (
+        "_decode_wanted",
+        "_prefill_wanted",
+        "decoding",
+        "memory_used",
+        "observer",
+        "options",
+        "pause",
+        "prefilling",
+        "waiting",
+    )
+
+    def __init__(
+        self, *, options: EngineOptions, observer: BatchObserver, pause: Pause
+    ) -> None:
+        self.options = options
+        self.observer = observer
+        self.pause = pause
+        self.waiting: list[Job] = []
+        self.prefilling: list[Job] = []
+        self.decoding: list[Job] = []
+        self.memory_used = 0
+        self._prefill_wanted = asyncio.Event()
+        self._decode_wanted = asyncio.Event()
+
+    @property
+    def running_count(self) -> int:
+        """Jobs that have memory and are not yet done."""
+        return len(self.prefilling) + len(self.decoding)
+
+    def jobs(self) -> list[Job]:
+        """Returns all jobs that wait or run."""
+        return [*self.waiting, *self.prefilling, *self.decoding]
+
+    def submit(self, job: Job) -> None:
+        """Queues a job; it runs once it fits in memory."""
+        bisect.insort(self.waiting, job, key=Job.sort_key)
+        self._admit()
+        self.observer.on_changed()
+
+    def cancel(self, job: Job) -> None:
+        """Ends a job that waits, runs or is held, and frees its memory."""
+        if job.state is JobState.WAITING:
+            self.waiting.remove(job)
+        elif job.live or job.state is JobState.HELD:
+            self._release(job)
+        self._end(job, JobState.CANCELLED)
+
+    def lose_all(self) -> None:
+        """Forgets every job, as a crash does."""
+        lost = self.jobs()
+        self.waiting.clear()
+        self.prefilling.clear()
+        self.decoding.clear()
+        self.memory_used = 0
+        for job in lost:
+            job.state = JobState.LOST
+            job.wake()
+
+    def _admit(self) -> None:
+        options = self.options
+        while self.waiting and self.running_count < options.max_running:
+            job = self.waiting[0]
+            if self.memory_used + job.memory_tokens > options.memory_tokens:
+                return  # later jobs must not starve the first one
+            self.waiting.pop(0)
+            self.memory_used += job.memory_tokens
+            job.state = JobState.PREFILL
+            self.prefilling.append(job)
+            self._prefill_wanted.set()
+            self.observer.on_admitted(job)
+
+    def _release(self, job: Job) -> None:
+        if job.state is JobState.PREFILL:
+            self.prefilling.remove(job)
+        elif job.state is JobState.DECODE:
+            self.decoding.remove(job)
+        self.memory_used -= job.memory_tokens
+        self.observer.on_released(job)
+
+    def _end(self, job: Job, state: JobState) -> None:
+        job.state = state
+        job.ended_at_s = asyncio.get_running_loop().time()
+        job.wake()
+        self.observer.on_ended(job)
+        self._admit()
+        self.observer.on_changed()
+
+    async def run_prefill(self) -> None:
+        """Prefills chunk by chunk, the first job in order of service first."""
+        while True:
+            if not self.prefilling:
+                self._prefill_wanted.clear()
+                await self._prefill_wanted.wait()
+            await self.pause.wait()
+            if self.prefilling:
+                await self._run_chunk(min(self.prefilling, key=Job.sort_key))
+
+    async def _run_chunk(self, job: Job) -> None:
+        if job.prefill_left == job.prompt_tokens:
+            self.observer.on_prefill_started(job)
+        chunk = min(job.prefill_left, self.options.prefill_chunk_tokens)
+        await asyncio.sleep(prefill_time_s(self.options, chunk))
+        await self.pause.wait()
+        if job.state is not JobState.PREFILL:
+            return  # cancelled or lost meanwhile
+        job.prefill_left -= chunk
+        if job.prefill_left == 0:
+            self._finish_prefill(job)
+        self.observer.on_changed()
+
+    def _finish_prefill(self, job: Job) -> None:
+        self.observer.on_prefilled(job)
+        if job.state is not JobState.PREFILL:
+            return  # the job has crashed the engine
+        self.prefilling.remove(job)
+        match job.work:
+            case Completion():
+                job.state = JobState.DECODE
+                self.decoding.append(job)
+                self._decode_wanted.set()
+            case Segment():
+                job.state = JobState.HELD
+                job.wake()
+                self.observer.on_held(job)
+                self._admit()
+
+    async def run_decode(self) -> None:
+        """Gives every decoding job one token in each step."""
+        loop = asyncio.get_running_loop()
+        step_ends_s = 0.0
+        while True:
+            if not self.decoding:
+                self._decode_wanted.clear()
+                await self._decode_wanted.wait()
+                step_ends_s = loop.time()
+            step_ends_s += decode_time_s(self.options, len(self.decoding))
+            step_ends_s = max(step_ends_s, loop.time())  # no catching up
+            await asyncio.sleep(step_ends_s - loop.time())
+            await self.pause.wait()
+            self._decode_step()
+
+    def _decode_step(self) -> None:
+        ended = []
+        for job in self.decoding:
+            job.produced += 1
+            if job.produced == job.answer_tokens:
+                ended.append(job)
+            else:
+                job.wake()
+        for job in ended:
+            self._release(job)
+            self._end(job, JobState.FINISHED)
+
+    @contextlib.asynccontextmanager
+    async def run(self) -> AsyncIterator[None]:
+        """Advances the jobs until the context ends."""
+        tasks = [
+            asyncio.create_task(self.run_prefill()),
+            asyncio.create_task(self.run_decode()),
+        ]
+        try:
+            yield
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+
+__all__ = ["Batch", "BatchObserver"]
--- /dev/null
+++ b/src/auburnswitch/standins/engine_cache.py
@@ -0,0 +1,198 @@
+"""Cached prefix blocks of an engine and the feed of their changes."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import enum
+import hashlib
+from typing import TYPE_CHECKING, Any, Final
+
+from auburnswitch.standins.answers import BYTES_PER_TOKEN
+
+if TYPE_CHECKING:
+    import random
+
+BLOCK_TOKENS: Final = 256
+BLOCK_BYTES: Final = BLOCK_TOKENS * BYTES_PER_TOKEN
+BLOCK_NAME_DIGITS: Final = 16
+MAX_KEPT_EVENTS: Final = 20_000
+
+
+def block_names(prompt: str) -> list[str]:
+    """Returns the names of a prompt's whole blocks, first to last."""
+    data = memoryview(prompt.encode())
+    digest = hashlib.sha256()
+    names = []
+    for end in range(BLOCK_BYTES, len(data) + 1, BLOCK_BYTES):
+        digest.update(data[end - BLOCK_BYTES : end])
+        names.append(digest.copy().hexdigest()[:BLOCK_NAME_DIGITS])
+    return names
+
+
+class CacheEventKind(enum.StrEnum):
+    """What happened to a block."""
+
+    STORED = "stored"
+    REMOVED = "removed"
+
+
+class CacheEvent:
+    """One change of the cache and the time from which it can be read."""
+
+    __slots__ = ("block", "kind", "sequence", "visible_at_s")
+
+    def __init__(
+        self,
+        *,
+        sequence: int,
+        kind: CacheEventKind,
+        block: str,
+        visible_at_s: float,
+    ) -> None:
+        self.sequence = sequence
+        self.kind = kind
+        self.block = block
+        self.visible_at_s = visible_at_s
+
+    def to_json(self) -> dict[str, Any]:
+        """Returns the event as the API shows it."""
+        return {
+            "sequence": self.sequence,
+            "kind": self.kind,
+            "block": self.block,
+        }
+
+
+class CacheEventFeed:
+    """Publishes cache events late and leaves some out.
+
+    A lost event uses up its sequence number, so that readers see a gap.
+
+    Attributes:
+        delay_s: Shortest age of a published event.
+        jitter_s: Random addition to that age.
+        loss: Share of events that are never published.
+    """
+
+    __slots__ = (
+        "_events",
+        "_last_visible_s",
+        "_random",
+        "_sequence",
+        "delay_s",
+        "jitter_s",
+        "loss",
+    )
+
+    def __init__(
+        self,
+        *,
+        delay_s: float,
+        jitter_s: float,
+        loss: float,
+        random_source: random.Random,
+    ) -> None:
+        self.delay_s = delay_s
+        self.jitter_s = jitter_s
+        self.loss = loss
+        self._random = random_source
+        self._events: collections.deque[CacheEvent] = collections.deque(
+            maxlen=MAX_KEPT_EVENTS
+        )
+        self._sequence = 0
+        self._last_visible_s = 0.0
+
+    def add(self, kind: CacheEventKind, block: str) -> None:
+        """Adds an event, which readers see later if at all."""
+        sequence = self._sequence
+        self._sequence += 1
+        jitter_s = self._random.random() * self.jitter_s
+        if self._random.random() < self.loss:
+            return
+        visible_at_s = asyncio.get_running_loop().time() + self.delay_s
+        visible_at_s = max(visible_at_s + jitter_s, self._last_visible_s)
+        self._last_visible_s = visible_at_s  # events stay in order
+        self._events.append(
+            CacheEvent(
+                sequence=sequence,
+                kind=kind,
+                block=block,
+                visible_at_s=visible_at_s,
+            )
+        )
+
+    def read(self, since: int) -> tuple[list[CacheEvent], int]:
+        """Returns the visible events from a number on, and the next number."""
+        now_s = asyncio.get_running_loop().time()
+        found = []
+        next_sequence = 0
+        for event in self._events:
+            if event.visible_at_s > now_s:
+                break
+            next_sequence = event.sequence + 1
+            if event.sequence >= since:
+                found.append(event)
+        return found, next_sequence
+
+    def clear(self) -> None:
+        """Starts again from sequence number 0, as a restart does."""
+        self._events.clear()
+        self._sequence = 0
+
+
+class PrefixCache:
+    """Prefix blocks, of which the least recently used is removed first.
+
+    Attributes:
+        max_blocks: Blocks that fit.
+        feed: Where changes are published.
+    """
+
+    __slots__ = ("_blocks", "feed", "max_blocks")
+
+    def __init__(self, *, max_tokens: int, feed: CacheEventFeed) -> None:
+        self.max_blocks = max_tokens // BLOCK_TOKENS
+        self.feed = feed
+        self._blocks: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+
+    def match(self, names: list[str]) -> int:
+        """Returns how many tokens of a prompt are cached, and uses them."""
+        count = 0
+        for name in names:
+            if name not in self._blocks:
+                break
+            self._blocks.move_to_end(name)
+            count += 1
+        return count * BLOCK_TOKENS
+
+    def store(self, names: list[str]) -> None:
+        """Caches the blocks of a prompt, as many of the first as fit."""
+        for name in names[: self.max_blocks]:
+            if name in self._blocks:
+                self._blocks.move_to_end(name)
+                continue
+            if len(self._blocks) >= self.max_blocks:
+                oldest, _ = self._blocks.popitem(last=False)
+                self.feed.add(CacheEventKind.REMOVED, oldest)
+            self._blocks[name] = None
+            self.feed.add(CacheEventKind.STORED, name)
+
+    def clear(self, *, publish: bool) -> None:
+        """Removes every block, with or without events."""
+        if publish:
+            for name in self._blocks:
+                self.feed.add(CacheEventKind.REMOVED, name)
+        self._blocks.clear()
+
+
+__all__ = [
+    "BLOCK_TOKENS",
+    "CacheEvent",
+    "CacheEventFeed",
+    "CacheEventKind",
+    "PrefixCache",
+    "block_names",
+]
--- /dev/null
+++ b/src/auburnswitch/standins/engine_frames.py
@@ -0,0 +1,202 @@
+"""Answers of an engine: SSE frames and whole objects."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING, Any, Final
+
+from starlette.responses import Response
+
+from auburnswitch.standins.answers import answer_text, answer_token
+from auburnswitch.standins.engine_job import Completion, Job, JobState
+from auburnswitch.standins.history import HistoryKind
+from auburnswitch.standins.listener import wait_disconnected
+
+if TYPE_CHECKING:
+    from starlette.types import Receive, Scope, Send
+
+    from auburnswitch.standins.history import History
+
+DONE_FRAME: Final = "data: [DONE]\n\n"
+FINISHED_REASON: Final = "length"
+CANCELLED_REASON: Final = "cancelled"
+
+
+def finish_reason(job: Job) -> str | None:
+    """Returns why a job ended, or None while it runs."""
+    match job.state:
+        case JobState.FINISHED:
+            return FINISHED_REASON
+        case JobState.CANCELLED:
+            return CANCELLED_REASON
+    return None
+
+
+def usage(job: Job) -> dict[str, int]:
+    """Returns the token counts of a job."""
+    return {
+        "prompt_tokens": job.prompt_tokens,
+        "completion_tokens": job.produced,
+        "cached_tokens": job.cached_tokens,
+    }
+
+
+def whole_answer(job: Job, work: Completion) -> dict[str, Any]:
+    """Returns the answer to a request that is not streamed."""
+    text = answer_text(job.digest, job.produced, work.first_token)
+    choice: dict[str, Any] = {"index": 0, "finish_reason": finish_reason(job)}
+    if work.chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return {
+        "id": job.request_id,
+        "attempt": job.attempt,
+        "choices": [choice],
+        "usage": usage(job),
+    }
+
+
+class FrameWriter:
+    """Builds the frames of one stream.
+
+    Attributes:
+        job: The job that makes the tokens.
+    """
+
+    __slots__ = ("_first_token", "_head", "_tail", "_text", "job")
+
+    def __init__(self, *, job: Job, work: Completion) -> None:
+        self.job = job
+        request_id = json.dumps(job.request_id)
+        self._first_token = work.first_token
+        self._head = (
+            f'data: {{"id":{request_id},"attempt":{job.attempt},"sequence":'
+        )
+        self._text = ',"choices":[{"index":0,"text":"'
+        self._tail = '"'
+        if work.chat:
+            self._text = ',"choices":[{"index":0,"delta":{"content":"'
+            self._tail = '"}'
+
+    def frames(self, first: int, end: int) -> str:
+        """Returns the frames of the tokens from `first` up to `end`."""
+        job = self.job
+        last = -1
+        if job.state is JobState.FINISHED:
+            last = job.produced - 1
+        return "".join(
+            self._token_frame(number, finished=number == last)
+            for number in range(first, end)
+        )
+
+    def cancelled_frame(self, number: int) -> str:
+        """Returns the last frame of a cancelled stream, without a token."""
+        return self._frame(number, "", finished=True)
+
+    def _token_frame(self, number: int, *, finished: bool) -> str:
+        token = answer_token(self.job.digest, self._first_token + number)
+        return self._frame(number, token, finished=finished)
+
+    def _frame(self, number: int, token: str, *, finished: bool) -> str:
+        start = f"{self._head}{number}{self._text}{token}{self._tail}"
+        if not finished:
+            return start + ',"finish_reason":null}]}\n\n'
+        reason = finish_reason(self.job)
+        counts = json.dumps(usage(self.job))
+        return f'{start},"finish_reason":"{reason}"}}],"usage":{counts}}}\n\n'
+
+
+class FrameResponse(Response):
+    """Streams a job's frames until it ends or the caller goes.
+
+    The job goes on when the caller has gone.
+    """
+
+    media_type = "text/event-stream"
+
+    def __init__(
+        self,
+        *,
+        job: Job,
+        work: Completion,
+        first: int,
+        history: History,
+        actor: str,
+    ) -> None:
+        self.status_code = 200
+        self.background = None
+        self.init_headers({"cache-control": "no-store"})
+        del self.headers["content-length"]
+        self.job = job
+        self.writer = FrameWriter(job=job, work=work)
+        self.next = first
+        self.history = history
+        self.actor = actor
+        self.caller_gone = False
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Writes the stream."""
+        watcher = asyncio.create_task(self._watch_caller(receive))
+        try:
+            await send(
+                {
+                    "type": "http.response.start",
+                    "status": self.status_code,
+                    "headers": self.raw_headers,
+                }
+            )
+            await self._send_frames(send)
+        finally:
+            watcher.cancel()
+
+    async def _watch_caller(self, receive: Receive) -> None:
+        await wait_disconnected(receive)
+        self.caller_gone = True
+        self.job.wake()
+
+    async def _send_frames(self, send: Send) -> None:
+        job = self.job
+        while not self.caller_gone:
+            if self.next < job.produced:
+                await self._send_produced(send)
+            elif job.live:
+                await job.wait_for_change()
+            else:
+                await self._send_end(send)
+                return
+
+    async def _send_produced(self, send: Send) -> None:
+        first, end = self.next, self.job.produced
+        self.next = end
+        self.history.add(
+            self.actor,
+            HistoryKind.FRAMES_SENT,
+            request_id=self.job.request_id,
+            attempt=self.job.attempt,
+            first=first,
+            count=end - first,
+        )
+        await _send_text(send, self.writer.frames(first, end), more=True)
+
+    async def _send_end(self, send: Send) -> None:
+        text = DONE_FRAME
+        if self.job.state is JobState.CANCELLED:
+            text = self.writer.cancelled_frame(self.next) + text
+        await _send_text(send, text, more=False)
+
+
+async def _send_text(send: Send, text: str, *, more: bool) -> None:
+    await send(
+        {
+            "type": "http.response.body",
+            "body": text.encode("ascii"),
+            "more_body": more,
+        }
+    )
+
+
+__all__ = ["FrameResponse", "FrameWriter", "usage", "whole_answer"]
--- /dev/null
+++ b/src/auburnswitch/standins/engine_load.py
@@ -0,0 +1,38 @@
+"""Load reports of an engine."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class LoadReport:
+    """The load of an engine at one time.
+
+    Attributes:
+        boot_id: Changes with every start of the engine.
+        running: Requests in the batch.
+        waiting: Requests that do not fit yet.
+        memory_tokens: Size of the memory.
+        memory_used_tokens: Memory in use.
+        prefill_queued_tokens: Prompt tokens still to prefill.
+        model: Model that is loaded.
+        leaving: Whether the engine is leaving.
+    """
+
+    boot_id: str
+    running: int
+    waiting: int
+    memory_tokens: int
+    memory_used_tokens: int
+    prefill_queued_tokens: int
+    model: str
+    leaving: bool
+
+    def to_json(self) -> dict[str, Any]:
+        """Returns the report as the API shows it."""
+        return dataclasses.asdict(self)
+
+
+__all__ = ["LoadReport"]
--- /dev/null
+++ b/src/auburnswitch/standins/engine_requests.py
@@ -0,0 +1,200 @@
+"""Requests as engines read them, checked."""
+
+from __future__ import annotations
+
+import json
+import re
+from typing import TYPE_CHECKING, Any, Final
+
+from auburnswitch.standins.answers import chat_prompt
+
+if TYPE_CHECKING:
+    from starlette.requests import Request
+
+DEFAULT_MAX_TOKENS: Final = 256
+DIGEST_PATTERN: Final = re.compile("[0-9a-f]{16}")
+
+
+class KvLink:
+    """A KV cache of an earlier segment, at the engine that holds it.
+
+    Attributes:
+        url: Base URL of that engine.
+        kv_id: Id of the cache, which ends with a digest.
+        digest: Digest of the prompt up to the segment's end.
+    """
+
+    __slots__ = ("digest", "kv_id", "url")
+
+    def __init__(self, *, url: str, kv_id: str) -> None:
+        self.url = url
+        self.kv_id = kv_id
+        self.digest = kv_id.rpartition(".")[2]
+        if not DIGEST_PATTERN.fullmatch(self.digest):
+            raise ValueError(f"not the id of a KV cache: {kv_id}")
+
+
+class Caller:
+    """Who sent a request: the ids in its headers."""
+
+    __slots__ = ("attempt", "member_id", "request_id")
+
+    def __init__(
+        self, *, request_id: str, attempt: int, member_id: str
+    ) -> None:
+        self.request_id = request_id
+        self.attempt = attempt
+        self.member_id = member_id
+
+
+class EngineRequest:
+    """The body of a completion or prefill request.
+
+    Attributes:
+        model: Model name, perhaps empty.
+        prompt: The prompt, made from the messages of a chat.
+        max_tokens: Tokens of the answer.
+        stream: Whether the answer is streamed.
+        priority: A lower number runs first.
+        kv_chain: KV caches of the prompt's earlier segments.
+        continue_text: Part of the answer that is already delivered.
+        chat: Whether the answer has the shape of a chat.
+    """
+
+    __slots__ = (
+        "chat",
+        "continue_text",
+        "kv_chain",
+        "max_tokens",
+        "model",
+        "priority",
+        "prompt",
+        "stream",
+    )
+
+    def __init__(
+        self,
+        *,
+        model: str,
+        prompt: str,
+        max_tokens: int,
+        stream: bool,
+        priority: int,
+        kv_chain: list[KvLink],
+        continue_text: str,
+        chat: bool,
+    ) -> None:
+        self.model = model
+        self.prompt = prompt
+        self.max_tokens = max_tokens
+        self.stream = stream
+        self.priority = priority
+        self.kv_chain = kv_chain
+        self.continue_text = continue_text
+        self.chat = chat
+
+
+async def read_object(request: Request) -> dict[str, Any]:
+    """Reads a body that must be a JSON object.
+
+    Raises:
+        ValueError: It is not.
+    """
+    body = json.loads(await request.body())
+    if not isinstance(body, dict):
+        raise ValueError("body must be an object")
+    return body
+
+
+def read_caller(request: Request, default_id: str) -> Caller:
+    """Reads the ids from a request's headers.
+
+    Raises:
+        ValueError: The attempt is not a number.
+    """
+    headers = request.headers
+    return Caller(
+        request_id=headers.get("x-request-id") or default_id,
+        attempt=int(headers.get("x-attempt", "0")),
+        member_id=headers.get("x-member-id", ""),
+    )
+
+
+def read_prefill_caller(
+    request: Request, body: dict[str, Any], default_id: str
+) -> Caller:
+    """Reads the ids of a prefill, which may stand in its body.
+
+    Raises:
+        ValueError: An id has a wrong type.
+    """
+    caller = read_caller(request, default_id)
+    caller.request_id = _field(body, "request_id", str, caller.request_id)
+    caller.attempt = _field(body, "attempt", int, caller.attempt)
+    return caller
+
+
+def parse_request(body: dict[str, Any], *, chat: bool) -> EngineRequest:
+    """Builds a request from its body.
+
+    Raises:
+        ValueError: A field has a wrong type or value.
+    """
+    if chat:
+        prompt = chat_prompt(_messages(body))
+    else:
+        prompt = _field(body, "prompt", str, "")
+    if not prompt:
+        raise ValueError("prompt must not be empty")
+    max_tokens = _field(body, "max_tokens", int, DEFAULT_MAX_TOKENS)
+    if max_tokens < 1:
+        raise ValueError("max_tokens must be positive")
+    return EngineRequest(
+        model=_field(body, "model", str, ""),
+        prompt=prompt,
+        max_tokens=max_tokens,
+        stream=_field(body, "stream", bool, False),
+        priority=_field(body, "priority", int, 0),
+        kv_chain=_kv_chain(body),
+        continue_text=_field(body, "continue_text", str, ""),
+        chat=chat,
+    )
+
+
+def _field(body: dict[str, Any], name: str, kind: type, default: Any) -> Any:
+    value = body.get(name)
+    if value is None:
+        return default
+    if type(value) is not kind:
+        raise ValueError(f"{name} must be of type {kind.__name__}")
+    return value
+
+
+def _messages(body: dict[str, Any]) -> list[dict[str, Any]]:
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise ValueError("messages must be a list")
+    if not all(isinstance(message, dict) for message in messages):
+        raise ValueError("messages must be objects")
+    return messages
+
+
+def _kv_chain(body: dict[str, Any]) -> list[KvLink]:
+    links = []
+    for item in _field(body, "kv_chain", list, []):
+        if not isinstance(item, dict):
+            raise ValueError("kv_chain must hold objects")
+        url = _field(item, "url", str, "")
+        links.append(KvLink(url=url, kv_id=_field(item, "kv_id", str, "")))
+    return links
+
+
+__all__ = [
+    "Caller",
+    "EngineRequest",
+    "KvLink",
+    "parse_request",
+    "read_caller",
+    "read_object",
+    "read_prefill_caller",
+]
--- /dev/null
+++ b/src/auburnswitch/standins/weights.py
@@ -0,0 +1,129 @@
+"""A stand-in of the rate-limited weight store."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING, Any, Final
+
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from auburnswitch.standins.control import control_routes, set_switches
+from auburnswitch.standins.history import History, HistoryKind
+from auburnswitch.standins.listener import Listener, open_listener
+from auburnswitch.standins.token_bucket import TokenBucket, retry_after
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from starlette.requests import Request
+
+DEFAULT_LOADS_PER_SECOND: Final = 0.5
+DEFAULT_BURST_LOADS: Final = 2.0
+DEFAULT_WEIGHT_BYTES: Final = 16_000_000_000
+SWITCHES: Final = frozenset({"outage"})
+
+
+class WeightStoreStandIn:
+    """Says when a model's weights may be loaded.
+
+    Attributes:
+        name: Actor in the history.
+        history: Where it records the loads that it grants.
+        loads: Rate limit of loads.
+        sizes_bytes: Sizes of weights by name; others have a default size.
+        refused: Count of loads that were refused by the rate limit.
+        outage: Every call is answered 503.
+    """
+
+    __slots__ = (
+        "_listener",
+        "history",
+        "loads",
+        "name",
+        "outage",
+        "refused",
+        "sizes_bytes",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str = "weights",
+        history: History | None = None,
+        loads_per_second: float = DEFAULT_LOADS_PER_SECOND,
+        burst_loads: float = DEFAULT_BURST_LOADS,
+    ) -> None:
+        self.name = name
+        self.history = history if history is not None else History()
+        self.loads = TokenBucket(rate=loads_per_second, burst=burst_loads)
+        self.sizes_bytes: dict[str, int] = {}
+        self.refused = 0
+        self.outage = False
+        self._listener: Listener | None = None
+
+    @property
+    def url(self) -> str:
+        """Base URL of the store."""
+        assert self._listener is not None
+        return self._listener.url
+
+    def apply_control(self, switches: dict[str, Any]) -> None:
+        """Sets switches by name."""
+        set_switches(self, switches, SWITCHES)
+
+    def app(self) -> Starlette:
+        """Returns the API as an application."""
+        path = "/weights/{name}/{version}"
+        route = Route(path, self._start_load, methods=["GET"])
+        return Starlette(routes=[*control_routes(self), route])
+
+    async def _start_load(self, request: Request) -> Response:
+        if self.outage:
+            return JSONResponse({"error": "outage"}, 503)
+        wait_s = self.loads.take()
+        if wait_s:
+            self.refused += 1
+            return JSONResponse({}, 429, retry_after(wait_s))
+        name = request.path_params["name"]
+        version = request.path_params["version"]
+        self.history.add(
+            self.name, HistoryKind.LOAD_GRANTED, model=name, version=version
+        )
+        size = self.sizes_bytes.get(name, DEFAULT_WEIGHT_BYTES)
+        return JSONResponse({"name": name, "version": version, "bytes": size})
+
+    @contextlib.asynccontextmanager
+    async def serve(self, *, host: str, port: int) -> AsyncIterator[None]:
+        """Listens until the context ends."""
+        async with open_listener(self.app(), host=host, port=port) as listener:
+            self._listener = listener
+            yield
+
+
+@contextlib.asynccontextmanager
+async def open_weight_store(
+    *,
+    host: str = "127.0.0.1",
+    port: int = 0,
+    history: History | None = None,
+    **options: Any,
+) -> AsyncIterator[WeightStoreStandIn]:
+    """Serves a weight store stand-in until the context ends.
+
+    Args:
+        host: IP address to listen on.
+        port: TCP port to listen on; 0 takes a free one.
+        history: Where it records the loads that it grants.
+        **options: Further options of `WeightStoreStandIn`.
+
+    Yields:
+        The stand-in.
+    """
+    store = WeightStoreStandIn(history=history, **options)
+    async with store.serve(host=host, port=port):
+        yield store
+
+
+__all__ = ["WeightStoreStandIn", "open_weight_store"]
--- /dev/null
+++ b/tests/standins/test_engine_faults.py
@@ -0,0 +1,135 @@
+"""Tests of the engine stand-in's faults."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import aiohttp
+
+from auburnswitch.standins.history import HistoryKind
+from tests.standins.engine_client import open_client
+from tests.virtual_time import run_virtual
+
+
+class ColdTest(unittest.TestCase):
+    def test_overload_crashes_a_cold_engine(self):
+        async def run():
+            async with open_client(
+                starts_warm=False, cold_max_running=2, restart_s=5
+            ) as client:
+                engine = client.engine
+                boot_id = engine.boot_id
+                results = await asyncio.gather(
+                    *(client.complete("x", 50, f"r{i}") for i in range(3)),
+                    return_exceptions=True,
+                )
+                with self.assertRaises(aiohttp.ClientConnectorError):
+                    await client.call("GET", "/load")
+                await asyncio.sleep(5.5)
+                _, load = await client.call("GET", "/load")
+                status, _ = await client.complete("x", 2)
+                crash = next(engine.history.select(HistoryKind.CRASHED))
+                return results, boot_id, load, status, crash
+
+        results, boot_id, load, status, crash = run_virtual(run)
+        for result in results:
+            self.assertIsInstance(result, aiohttp.ServerDisconnectedError)
+        self.assertNotEqual(load["boot_id"], boot_id)
+        self.assertEqual(load["memory_used_tokens"], 0)
+        self.assertEqual(status, 200)
+        self.assertEqual(len(crash.fields["in_flight"]), 3)
+
+    def test_successes_warm_it_and_it_turns_cold_unannounced(self):
+        async def run():
+            async with open_client(
+                starts_warm=False, warm_after=2, cold_max_running=1
+            ) as client:
+                await client.complete("x", 2, "r1")
+                await client.complete("x", 2, "r2")
+                both = await asyncio.gather(
+                    client.complete("x", 2, "r3"), client.complete("x", 2, "r4")
+                )
+                client.engine.turn_cold()
+                crowd = await asyncio.gather(
+                    client.complete("x", 2, "r5"),
+                    client.complete("x", 2, "r6"),
+                    return_exceptions=True,
+                )
+                return [status for status, _ in both], crowd
+
+        both, crowd = run_virtual(run)
+        self.assertEqual(both, [200, 200])
+        self.assertTrue(all(isinstance(c, Exception) for c in crowd))
+
+    def test_prompt_tokens_count(self):
+        async def run():
+            async with open_client(
+                starts_warm=False, cold_max_tokens=100
+            ) as client:
+                self.assertEqual((await client.complete("x" * 400))[0], 200)
+                with self.assertRaises(aiohttp.ClientError):
+                    await client.complete("x" * 404, request_id="r2")
+
+        run_virtual(run)
+
+
+class CrashTest(unittest.TestCase):
+    def test_marker_crashes_when_its_prefill_ends(self):
+        async def run():
+            async with open_client() as client:
+                loop = asyncio.get_running_loop()
+                started_s = loop.time()
+                prompt = "x" * 40_000 + "crash-the-engine"
+                with self.assertRaises(aiohttp.ClientError):
+                    await client.complete(prompt, stream=True)
+                return loop.time() - started_s
+
+        self.assertAlmostEqual(run_virtual(run), 0.5, delta=0.01)
+
+    def test_crash_loses_everything(self):
+        async def run():
+            async with open_client(restart_s=1) as client:
+                await client.complete("x" * 4_000, 2)
+                await client.call("POST", "/v1/prefill", {"prompt": "hello"})
+                client.engine.crash()
+                await asyncio.sleep(1.5)
+                _, kv = await client.call("GET", "/v1/kv")
+                _, streams = await client.call("GET", "/v1/streams")
+                _, answer = await client.complete("x" * 4_000, 2)
+                return kv, streams, answer["usage"]["cached_tokens"]
+
+        self.assertEqual(run_virtual(run), ({"caches": []}, {"streams": []}, 0))
+
+    def test_silent_restart_leaves_callers_without_answer(self):
+        async def run():
+            async with open_client(restart_s=5, restart_silent=True) as client:
+                client.engine.crash()
+                with self.assertRaises(TimeoutError):
+                    await asyncio.wait_for(client.call("GET", "/load"), 2)
+                with self.assertRaises(aiohttp.ClientError):
+                    await client.call("GET", "/load")
+                return await client.call("GET", "/load")
+
+        self.assertEqual(run_virtual(run)[0], 200)
+
+    def test_freeze_delays_and_loses_nothing(self):
+        async def run():
+            async with open_client() as client:
+                loop = asyncio.get_running_loop()
+                started_s = loop.time()
+                task = asyncio.create_task(
+                    client.complete("x", 40, stream=True)
+                )
+                await asyncio.sleep(0.5)
+                client.engine.freeze(10)
+                _, frames = await task
+                return len(frames), loop.time() - started_s
+
+        count, took_s = run_virtual(run)
+        self.assertEqual(count, 40)
+        self.assertTrue(10.5 < took_s < 12)
+
+
+if __name__ == "__main__":
+    unittest.main()
