--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -297,7 +297,13 @@
         ):
             daemon.member.port = daemon.peer_server.port
             daemon.start()
-            log_event(EventId.DAEMON_STARTED, member=daemon.member.id)
+            log_event(
+                EventId.DAEMON_STARTED,
+                member=daemon.member.id,
+                callers=daemon.callers.url,
+                operators=daemon.operators.url,
+                peers=f"{daemon.member.host}:{daemon.member.port}",
+            )
             try:
                 yield daemon
             finally:
