--- a/src/auburnswitch/endpoints/ledger.py
+++ b/src/auburnswitch/endpoints/ledger.py
@@ -118,22 +118,6 @@
         """Prompt tokens granted and not yet prefilled."""
         return sum(r.prefill_tokens for r in self.reservations.values())
 
-    def has_room(self, request: ReserveRequest) -> bool:
-        """Tells whether a request fits now."""
-        if len(self.reservations) >= self.max_running:
-            return False
-        tokens = request.prompt_tokens + request.answer_tokens
-        if self.is_cold:
-            used = sum(r.prefill_tokens for r in self.reservations.values())
-            limit = self.spec.cold_max_tokens
-            return used + request.prompt_tokens <= limit
-        return self.reserved_tokens + tokens <= self.spec.memory_tokens
-
-    def can_ever_hold(self, request: ReserveRequest) -> bool:
-        """Tells whether the request would fit when nothing else runs."""
-        tokens = request.prompt_tokens + request.answer_tokens
-        return tokens <= self.spec.memory_tokens
-
     def grant(
         self, request: ReserveRequest, member_id: str, reservation_id: str
     ) -> Reservation:
@@ -162,10 +146,5 @@
         self.successes = 0
         self.phase = EndpointPhase.COLD
 
-    def predicted_wait_s(self) -> float:
-        """Returns the time to prefill what is granted, in seconds."""
-        rate = max(1, self.spec.prefill_tokens_per_second)
-        return self.prefill_tokens / rate
-
 
 __all__ = ["CLOSED_PHASES", "EndpointLedger", "Reservation"]
--- a/src/auburnswitch/endpoints/owner.py
+++ b/src/auburnswitch/endpoints/owner.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Final
 
 from auburnswitch.clock import monotonic_s
+from auburnswitch.endpoints.admission import (
+    can_ever_hold,
+    has_room,
+    predicted_wait_s,
+)
 from auburnswitch.endpoints.ledger import CLOSED_PHASES, EndpointLedger
+from auburnswitch.endpoints.queue import ReservationQueue
 from auburnswitch.members.rendezvous import rendezvous_first
 from auburnswitch.observe.invariants import Invariant, Invariants
 from auburnswitch.observe.logs import log_event
@@ -27,7 +32,6 @@
     from auburnswitch.platform.state import ConfigState
     from auburnswitch.schema.settings import Settings
 
-QUEUE_POLL_S: Final = 1.0
 UNREPORTED_INTERVALS: Final = 4
 
 
@@ -40,12 +44,12 @@
     """
 
     __slots__ = (
-        "changed",
         "hints",
         "invariants",
         "ledgers",
         "next_id",
         "owned_since",
+        "queues",
         "settings",
         "state",
         "view",
@@ -66,7 +70,7 @@
         self.ledgers: dict[str, EndpointLedger] = {}
         self.owned_since: dict[str, float] = {}
         self.hints: dict[str, tuple[float, EndpointHint]] = {}
-        self.changed: dict[str, asyncio.Event] = {}
+        self.queues: dict[str, ReservationQueue] = {}
         self.next_id = 0
 
     def owner_of(self, endpoint: str) -> str:
@@ -92,7 +96,9 @@
             ledger = EndpointLedger(name=endpoint, spec=spec)
             self._adopt_hint(ledger)
             self.ledgers[endpoint] = ledger
-            self.changed[endpoint] = asyncio.Event()
+            self.queues[endpoint] = ReservationQueue(
+                try_reserve=self._try_reserve
+            )
         ledger.spec = spec
         return ledger
 
@@ -108,15 +114,12 @@
         self, request: ReserveRequest, member_id: str
     ) -> ReserveReply:
         """Grants a reservation, waiting for room as long as asked."""
-        give_up_at = monotonic_s() + request.max_wait_s
-        while True:
-            reply = self._try_reserve(request, member_id)
-            if reply is not None:
-                return reply
-            left_s = give_up_at - monotonic_s()
-            if left_s <= 0:
-                return self._full(request)
-            await self._wait_for_change(request.endpoint, left_s)
+        ledger = self.ledger(request.endpoint)
+        if ledger is None:
+            return ReserveReply(code=ResultCode.NOT_OWNER)
+        retry_after_s = max(1.0, predicted_wait_s(ledger))
+        queue = self.queues[request.endpoint]
+        return await queue.reserve(request, member_id, retry_after_s)
 
     def release(self, request: ReleaseRequest) -> ResultCode:
         """Ends a reservation and learns from its outcome."""
@@ -189,8 +192,8 @@
             endpoint=endpoint,
             phase=phase,
             free_tokens=free,
-            short_wait_s=ledger.predicted_wait_s(),
-            long_wait_s=ledger.predicted_wait_s(),
+            short_wait_s=predicted_wait_s(ledger),
+            long_wait_s=predicted_wait_s(ledger),
             running=len(ledger.reservations),
             max_running=ledger.max_running,
             boot_id=ledger.boot_id,
@@ -212,9 +215,9 @@
             return ReserveReply(code=ResultCode.NOT_OWNER)
         if self.is_closed(request.endpoint) or ledger.phase in CLOSED_PHASES:
             return ReserveReply(code=ResultCode.NO_ENDPOINT)
-        if not ledger.can_ever_hold(request):
+        if not can_ever_hold(ledger, request):
             return ReserveReply(code=ResultCode.PROMPT_TOO_LONG)
-        if not ledger.has_room(request):
+        if not has_room(ledger, request):
             return None
         self.next_id += 1
         reservation_id = f"{self.view.me.id}/{self.next_id}"
@@ -231,26 +234,10 @@
         )
         self.invariants.check(holds, Invariant.COLD_BOUND, endpoint=ledger.name)
 
-    def _full(self, request: ReserveRequest) -> ReserveReply:
-        ledger = self.ledgers[request.endpoint]
-        return ReserveReply(
-            code=ResultCode.QUEUE_FULL,
-            retry_after_s=max(1.0, ledger.predicted_wait_s()),
-        )
-
-    async def _wait_for_change(self, endpoint: str, left_s: float) -> None:
-        event = self.changed[endpoint]
-        try:
-            async with asyncio.timeout(min(left_s, QUEUE_POLL_S)):
-                await event.wait()
-        except TimeoutError:
-            return
-
     def _wake(self, endpoint: str) -> None:
-        event = self.changed.get(endpoint)
-        if event is not None:
-            event.set()
-            self.changed[endpoint] = asyncio.Event()
+        queue = self.queues.get(endpoint)
+        if queue is not None:
+            queue.pump()
 
     def _adopt_hint(self, ledger: EndpointLedger) -> None:
         _, hint = self.hints.get(ledger.name, (0.0, None))
--- a/src/auburnswitch/experiments/demo.py
+++ b/src/auburnswitch/experiments/demo.py
@@ -20,6 +20,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    import aiohttp
+
 SHORT_PROMPT = "Is there a free slot for a cut this afternoon? " * 90
 LONG_PROMPT = "Season review, week by week. " * 14_000
 AUTHORIZATION = {"Authorization": f"Bearer {CALLER_KEY}"}
@@ -27,12 +29,22 @@
 WARM_AFTER = 2  # so that a few requests warm both engines
 
 
-async def run_demo(show: Callable[[str], None] = print) -> None:
-    """Starts a fleet, sends requests through it and shows the answers."""
+async def run_demo(
+    show: Callable[[str], None] = print,
+    *,
+    connector: Callable[[], aiohttp.BaseConnector] | None = None,
+) -> None:
+    """Starts a fleet, sends requests through it and shows the answers.
+
+    Args:
+        show: Shows one line.
+        connector: Makes the connectors of HTTP clients.
+    """
     show("Starting a platform, two engines, a booking service, three daemons")
     options = FleetOptions(
         engine=EngineOptions(warm_after=WARM_AFTER),
         endpoint={"warm_after": WARM_AFTER},
+        connector=connector,
     )
     async with open_fleet(options) as fleet:
         for _ in range(2 * options.engines * WARM_AFTER):
