Grow the command line: tickets, status, endpoints, audit, settings

Cause: the tool had only the demo. Ruled out: connection flags on the class, since fire then hides the list of commands.

--- /dev/null
+++ b/src/auburnswitch/cli/client.py
@@ -0,0 +1,92 @@
+"""Calls the operators' listener of a daemon."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import Any, Final
+
+import aiohttp
+
+from auburnswitch.cli.errors import (
+    EXIT_REFUSED,
+    EXIT_UNREACHABLE,
+    EXIT_USAGE,
+    CommandError,
+)
+
+URL_VARIABLE: Final = "AUBURNSWITCH_URL"
+KEY_FILE_VARIABLE: Final = "AUBURNSWITCH_KEY_FILE"
+DEFAULT_URL: Final = "http://127.0.0.1:8081"
+CALL_TIMEOUT_S: Final = 30.0
+
+
+class OperatorClient:
+    """Sends operator calls to one daemon.
+
+    Attributes:
+        url: Base URL of the operators' listener.
+        key: Operator key.
+    """
+
+    __slots__ = ("key", "url")
+
+    def __init__(self, *, url: str = "", key_file: str = "") -> None:
+        url = url or os.environ.get(URL_VARIABLE, DEFAULT_URL)
+        key_file = key_file or os.environ.get(KEY_FILE_VARIABLE, "")
+        self.url = url.rstrip("/")
+        self.key = _read_key(key_file) if key_file else ""
+
+    async def get(self, path: str, **query: str) -> Any:
+        """Returns the JSON body of a GET call.
+
+        Raises:
+            CommandError: The daemon refused it or cannot be reached.
+        """
+        return await self._call("GET", path, params=query)
+
+    async def post(self, path: str, body: Any) -> Any:
+        """Returns the JSON body of a POST call.
+
+        Raises:
+            CommandError: The daemon refused it or cannot be reached.
+        """
+        return await self._call("POST", path, json=body)
+
+    async def _call(self, method: str, path: str, **options: Any) -> Any:
+        headers = {"Authorization": f"Bearer {self.key}"} if self.key else {}
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.request(
+                    method, self.url + path, headers=headers, **options
+                ) as response,
+            ):
+                body = await response.json(content_type=None)
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            reason = str(error) or type(error).__name__
+            message = f"cannot use {self.url}: {reason}"
+            raise CommandError(message, EXIT_UNREACHABLE) from error
+        if response.status >= 400:
+            raise CommandError(_refusal_line(body), EXIT_REFUSED)
+        return body
+
+
+def _read_key(key_file: str) -> str:
+    try:
+        return Path(key_file).read_text("utf-8").strip()
+    except (OSError, UnicodeDecodeError) as error:
+        message = f"cannot read the key file {key_file}: {error}"
+        raise CommandError(message, EXIT_USAGE) from error
+
+
+def _refusal_line(body: Any) -> str:
+    try:
+        error = body["error"]
+        return f"{error['code']} {error['name']}: {error['message']}"
+    except (LookupError, TypeError):
+        return f"the daemon gave an unexpected answer: {body!r:.200}"
+
+
+__all__ = ["KEY_FILE_VARIABLE", "URL_VARIABLE", "OperatorClient"]
--- /dev/null
+++ b/src/auburnswitch/cli/main.py
@@ -0,0 +1,132 @@
+"""Entry point and top-level commands of the command-line tool."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from typing import Any
+
+import fire
+
+from auburnswitch.cli.client import OperatorClient
+from auburnswitch.cli.errors import EXIT_OK, EXIT_USAGE, CommandError
+from auburnswitch.cli.output import print_fields, print_json, print_table
+from auburnswitch.cli.settings import SettingsCommands
+from auburnswitch.cli.tickets import TicketCommands
+
+
+class Commands:
+    """Operates auburnswitch.
+
+    The operators' listener and its key come from --url and --key_file, or from
+    the variables AUBURNSWITCH_URL and AUBURNSWITCH_KEY_FILE.
+    """
+
+    def __init__(self) -> None:
+        self.ticket = TicketCommands()
+        self.settings = SettingsCommands()
+
+    def status(
+        self, url: str = "", key_file: str = "", json: bool = False
+    ) -> int:
+        """Shows the status of one daemon.
+
+        Args:
+            url: Base URL of the daemon's operators' listener.
+            key_file: File with the operator key.
+            json: Print JSON.
+        """
+        client = OperatorClient(url=url, key_file=key_file)
+        body = asyncio.run(client.get("/status"))
+        if json:
+            print_json(body)
+        else:
+            print_fields(body)
+        return EXIT_OK
+
+    def endpoints(
+        self, url: str = "", key_file: str = "", json: bool = False
+    ) -> int:
+        """Lists the endpoints with their phase, load and owner.
+
+        Args:
+            url: Base URL of a daemon's operators' listener.
+            key_file: File with the operator key.
+            json: Print JSON.
+        """
+        client = OperatorClient(url=url, key_file=key_file)
+        body = asyncio.run(client.get("/endpoints"))
+        if json:
+            print_json(body)
+            return EXIT_OK
+        rows = [
+            (
+                row["endpoint"],
+                row["service"],
+                row["zone"],
+                row["phase"],
+                f"{row['running']}/{row['max_running']}",
+                row["free_tokens"],
+                row["owner"],
+            )
+            for row in body["endpoints"]
+        ]
+        columns = (
+            "ENDPOINT",
+            "SERVICE",
+            "ZONE",
+            "PHASE",
+            "RUNNING",
+            "FREE TOKENS",
+            "OWNER",
+        )
+        print_table(columns, rows)
+        return EXIT_OK
+
+    def audit(
+        self,
+        object_name: str = "",
+        author: str = "",
+        url: str = "",
+        key_file: str = "",
+    ) -> int:
+        """Shows the audit trail of accepted changes as JSON.
+
+        Args:
+            object_name: Only changes of this object, such as endpoint/e1.
+            author: Only changes of this author.
+            url: Base URL of a daemon's operators' listener.
+            key_file: File with the operator key.
+        """
+        client = OperatorClient(url=url, key_file=key_file)
+        query = {"object": object_name, "author": author}
+        given = {name: value for name, value in query.items() if value}
+        print_json(asyncio.run(client.get("/audit", **given)))
+        return EXIT_OK
+
+    def demo(self) -> int:
+        """Runs a small fleet in one process and shows what it does."""
+        from auburnswitch.experiments.demo import run_demo
+
+        asyncio.run(run_demo())
+        return EXIT_OK
+
+
+def run(arguments: list[str] | None = None) -> None:
+    """Entry point of ``auburnswitch``; exits with the command's code."""
+    try:
+        outcome: Any = fire.Fire(
+            Commands(),
+            command=arguments,
+            name="auburnswitch",
+            serialize=lambda _: None,
+        )
+    except CommandError as error:
+        print(f"auburnswitch: {error}", file=sys.stderr)
+        sys.exit(error.exit_code)
+    except KeyboardInterrupt:
+        sys.exit(EXIT_USAGE)
+    sys.exit(outcome if isinstance(outcome, int) else EXIT_OK)
+
+
+__all__ = ["Commands", "run"]
--- /dev/null
+++ b/src/auburnswitch/cli/settings.py
@@ -0,0 +1,60 @@
+"""Commands about settings files."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from expression import Result
+
+from auburnswitch.cli.errors import EXIT_OK, EXIT_USAGE, CommandError
+from auburnswitch.cli.output import print_json
+from auburnswitch.schema.base import to_json
+from auburnswitch.settings.load import load_settings
+
+if TYPE_CHECKING:
+    from auburnswitch.schema.settings import Settings
+
+
+class SettingsCommands:
+    """Checks and shows settings files."""
+
+    def check(self, settings_file: str) -> int:
+        """Checks a settings file and reports all of its faults.
+
+        Args:
+            settings_file: Path of the INI file.
+        """
+        _load(settings_file)
+        print("ok")
+        return EXIT_OK
+
+    def show(self, settings_file: str, json: bool = False) -> int:
+        """Shows every setting with the value in force; keys are not shown.
+
+        Args:
+            settings_file: Path of the INI file.
+            json: Print JSON.
+        """
+        data = to_json(_load(settings_file))
+        if json:
+            print_json(data)
+            return EXIT_OK
+        for section, values in data.items():
+            print(f"[{section}]")
+            for key, value in values.items():
+                print(f"{key} = {value}")
+            print()
+        return EXIT_OK
+
+
+def _load(settings_file: str) -> Settings:
+    match load_settings(Path(settings_file)):
+        case Result(tag="ok", ok=settings):
+            return settings
+        case Result(error=problems):
+            lines = "\n".join(str(problem) for problem in problems)
+            raise CommandError(lines, EXIT_USAGE)
+
+
+__all__ = ["SettingsCommands"]
