Add the load tool: a bounded mix of lengths, outcomes and first-token times

Cause: operators need to see what a fleet does before callers do. The tool sends a seeded mix to a list of daemons, prints first-token times by length class and outcomes by result code, and saves them. The demo now reads streams through the same caller.

--- a/src/auburnswitch/cli/client.py
+++ b/src/auburnswitch/cli/client.py
@@ -35,7 +35,7 @@
         url = url or os.environ.get(URL_VARIABLE, DEFAULT_URL)
         key_file = key_file or os.environ.get(KEY_FILE_VARIABLE, "")
         self.url = url.rstrip("/")
-        self.key = _read_key(key_file) if key_file else ""
+        self.key = read_key(key_file) if key_file else ""
 
     async def get(self, path: str, **query: str) -> Any:
         """Returns the JSON body of a GET call.
@@ -73,7 +73,12 @@
         return body
 
 
-def _read_key(key_file: str) -> str:
+def read_key(key_file: str) -> str:
+    """Returns the key in a file.
+
+    Raises:
+        CommandError: The file cannot be read.
+    """
     try:
         return Path(key_file).read_text("utf-8").strip()
     except (OSError, UnicodeDecodeError) as error:
@@ -89,4 +94,4 @@
         return f"the daemon gave an unexpected answer: {body!r:.200}"
 
 
-__all__ = ["KEY_FILE_VARIABLE", "URL_VARIABLE", "OperatorClient"]
+__all__ = ["KEY_FILE_VARIABLE", "URL_VARIABLE", "OperatorClient", "read_key"]
--- /dev/null
+++ b/src/auburnswitch/cli/load.py
@@ -0,0 +1,61 @@
+"""Shows and saves the report of a load run."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+from typing import Any
+
+from auburnswitch.cli.errors import (
+    EXIT_OK,
+    EXIT_REFUSED,
+    EXIT_USAGE,
+    CommandError,
+)
+from auburnswitch.cli.output import print_json, print_table
+from auburnswitch.experiments.load import LoadOptions, run_load
+
+
+def show_load(options: LoadOptions, *, save: str, as_json: bool) -> int:
+    """Runs a load, shows its report and returns the exit code.
+
+    Raises:
+        CommandError: The options are not acceptable or the report cannot be
+            saved.
+    """
+    try:
+        report = asyncio.run(run_load(options)).to_json()
+    except ValueError as error:
+        raise CommandError(str(error), EXIT_USAGE) from error
+    if save:
+        _save(save, report)
+    if as_json:
+        print_json(report)
+    else:
+        _print_report(report)
+    results = [part["results"] for part in report["lengths"].values()]
+    whole = all(set(counts) == {"ok"} for counts in results)
+    return EXIT_OK if whole else EXIT_REFUSED
+
+
+def _save(path: str, report: dict[str, Any]) -> None:
+    try:
+        Path(path).write_text(json.dumps(report, indent=2) + "\n", "utf-8")
+    except OSError as error:
+        message = f"cannot write {path}: {error.strerror}"
+        raise CommandError(message, EXIT_USAGE) from error
+
+
+def _print_report(report: dict[str, Any]) -> None:
+    rows = []
+    for name, part in report["lengths"].items():
+        times = part["first_token_s"]
+        results = ", ".join(f"{k} {v}" for k, v in part["results"].items())
+        rows.append((name, part["requests"], *times.values(), results))
+    columns = ("LENGTH", "REQUESTS", "P50 S", "P95 S", "P99 S", "RESULTS")
+    print_table(columns, rows)
+    print(f"took {report['took_s']} s")
+
+
+__all__ = ["show_load"]
--- a/src/auburnswitch/cli/main.py
+++ b/src/auburnswitch/cli/main.py
@@ -8,7 +8,7 @@
 
 import fire
 
-from auburnswitch.cli.client import OperatorClient
+from auburnswitch.cli.client import OperatorClient, read_key
 from auburnswitch.cli.errors import EXIT_OK, EXIT_USAGE, CommandError
 from auburnswitch.cli.output import print_fields, print_json, print_table
 from auburnswitch.cli.settings import SettingsCommands
@@ -104,6 +104,45 @@
         print_json(asyncio.run(client.get("/audit", **given)))
         return EXIT_OK
 
+    def load(
+        self,
+        urls: str,
+        key_file: str,
+        model: str,
+        requests: int = 100,
+        rate_per_s: float = 10.0,
+        answer_tokens: int = 16,
+        seed: int = 1,
+        save: str = "",
+        json: bool = False,
+    ) -> int:
+        """Sends a bounded mix of prompt lengths and reports the outcomes.
+
+        Args:
+            urls: Base URLs of daemons for callers, separated by commas.
+            key_file: File with a caller key.
+            model: Model to ask.
+            requests: Requests to send.
+            rate_per_s: Mean arrivals in a second.
+            answer_tokens: Tokens of each answer.
+            seed: Seed of lengths and arrivals.
+            save: File for the report as JSON.
+            json: Print JSON.
+        """
+        from auburnswitch.cli.load import show_load
+        from auburnswitch.experiments.load import LoadOptions
+
+        options = LoadOptions(
+            urls=str(urls).split(","),
+            caller_key=read_key(key_file),
+            model=model,
+            requests=requests,
+            rate_per_s=rate_per_s,
+            answer_tokens=answer_tokens,
+            seed=seed,
+        )
+        return show_load(options, save=save, as_json=json)
+
     def demo(self) -> int:
         """Runs a small fleet in one process and shows what it does."""
         from auburnswitch.experiments.demo import run_demo
--- /dev/null
+++ b/src/auburnswitch/experiments/caller.py
@@ -0,0 +1,109 @@
+"""A caller that streams completions and measures them."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from auburnswitch.clock import monotonic_s
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+@dataclass(slots=True, kw_only=True)
+class CallOutcome:
+    """What a caller saw of one request.
+
+    Attributes:
+        result: Name of the result code, ``ok`` for a whole answer.
+        ran: What the system said of whether the request ran.
+        first_token_s: Time to first token, in seconds; None without one.
+        total_s: Time to the end, in seconds.
+        text: Text of the answer.
+        tokens: Tokens of a whole answer.
+        retry_after_s: When the caller was told to come back, in seconds.
+    """
+
+    result: str
+    ran: str = "yes"
+    first_token_s: float | None = None
+    total_s: float = 0.0
+    text: str = ""
+    tokens: int = 0
+    retry_after_s: float | None = None
+
+
+async def stream_completion(
+    session: aiohttp.ClientSession,
+    url: str,
+    body: Mapping[str, Any],
+    headers: Mapping[str, str],
+) -> CallOutcome:
+    """Streams one completion to its end.
+
+    Args:
+        session: HTTP client.
+        url: Base URL of a daemon's listener for callers.
+        body: The completion request; ``stream`` is set.
+        headers: Request headers, the caller key among them.
+
+    Returns:
+        The outcome; a broken connection has the result ``broken``.
+    """
+    outcome = CallOutcome(result="broken", ran="unknown")
+    started_at = monotonic_s()
+    try:
+        async with session.post(
+            url + "/v1/completions",
+            json={**body, "stream": True},
+            headers=headers,
+        ) as response:
+            if response.status != 200:
+                _note_error(outcome, await response.json())
+            else:
+                await _read_stream(response, outcome, started_at)
+    except (aiohttp.ClientError, OSError, ValueError):
+        outcome.result = "broken"
+    outcome.total_s = monotonic_s() - started_at
+    return outcome
+
+
+async def _read_stream(
+    response: aiohttp.ClientResponse, outcome: CallOutcome, started_at: float
+) -> None:
+    texts: list[str] = []
+    ended = False
+    async for line in response.content:
+        payload = line.removeprefix(b"data: ").strip()
+        if payload == b"[DONE]":
+            ended = True
+        if not line.startswith(b"data: {"):
+            continue
+        frame = json.loads(payload)
+        if "error" in frame:
+            _note_error(outcome, frame)
+            break
+        text = frame["choices"][0].get("text") or ""
+        if text and outcome.first_token_s is None:
+            outcome.first_token_s = monotonic_s() - started_at
+        texts.append(text)
+        usage = frame.get("usage") or {}
+        outcome.tokens = usage.get("completion_tokens", outcome.tokens)
+    outcome.text = "".join(texts)
+    if ended:
+        outcome.result = "ok"
+        outcome.ran = "yes"
+
+
+def _note_error(outcome: CallOutcome, body: dict[str, Any]) -> None:
+    error = body["error"]
+    outcome.result = error["name"]
+    outcome.ran = error["ran"]
+    outcome.retry_after_s = error.get("retry_after_s")
+
+
+__all__ = ["CallOutcome", "stream_completion"]
--- a/src/auburnswitch/experiments/demo.py
+++ b/src/auburnswitch/experiments/demo.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import json
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from auburnswitch.clock import monotonic_s
+from auburnswitch.experiments.caller import stream_completion
 from auburnswitch.experiments.fleet import (
     CALLER_KEY,
     MODEL,
@@ -26,6 +26,7 @@
 LONG_PROMPT = "Season review, week by week. " * 14_000
 AUTHORIZATION = {"Authorization": f"Bearer {CALLER_KEY}"}
 
+ANSWER_TOKENS = 16
 WARM_AFTER = 2  # so that a few requests warm both engines
 
 
@@ -59,30 +60,16 @@
     fleet: Fleet, label: str, prompt: str, show: Callable[[str], None]
 ) -> None:
     """Streams one completion and shows its times."""
-    body = {"model": MODEL, "prompt": prompt, "max_tokens": 16, "stream": True}
-    started_at = monotonic_s()
-    first_at = 0.0
-    texts: list[str] = []
-    usage: dict[str, Any] = {}
-    async with fleet.session.post(
-        fleet.caller_url("entry-0") + "/v1/completions",
-        json=body,
-        headers=AUTHORIZATION,
-    ) as response:
-        async for line in response.content:
-            if not line.startswith(b"data: {"):
-                continue
-            frame = json.loads(line[len(b"data: ") :])
-            if "error" in frame:
-                show(f"{label}: {frame['error']}")
-                return
-            first_at = first_at or monotonic_s()
-            texts.append(frame["choices"][0].get("text") or "")
-            usage = frame.get("usage") or usage
+    body = {"model": MODEL, "prompt": prompt, "max_tokens": ANSWER_TOKENS}
+    url = fleet.caller_url("entry-0")
+    outcome = await stream_completion(fleet.session, url, body, AUTHORIZATION)
+    if outcome.first_token_s is None:
+        show(f"{label}: {outcome.result}, ran: {outcome.ran}")
+        return
     show(
-        f"{label}: HTTP {response.status}, first token after"
-        f" {first_at - started_at:.2f} s, {usage}, answer"
-        f" {''.join(texts)[:40]!r}"
+        f"{label}: {outcome.result}, first token after"
+        f" {outcome.first_token_s:.2f} s, {outcome.tokens} tokens, answer"
+        f" {outcome.text[:40]!r}"
     )
 
 
--- /dev/null
+++ b/src/auburnswitch/experiments/load.py
@@ -0,0 +1,184 @@
+"""Sends a bounded mix of requests and reports what came of them."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+import statistics
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import aiohttp
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.experiments.caller import CallOutcome, stream_completion
+
+MAX_REQUESTS: Final = 100_000
+MAX_SECONDS: Final = 3600.0
+BYTES_PER_TOKEN: Final = 4
+WORDS: Final = ("slot", "cut", "visa", "page", "week", "note", "form", "desk")
+
+
+@dataclass(slots=True, kw_only=True)
+class LengthShare:
+    """A part of the mix: a range of prompt tokens and its share."""
+
+    name: str
+    min_tokens: int
+    max_tokens: int
+    share: float
+
+
+DEFAULT_MIX: Final = (
+    LengthShare(name="short", min_tokens=1_000, max_tokens=8_000, share=0.9),
+    LengthShare(
+        name="medium", min_tokens=8_001, max_tokens=100_000, share=0.08
+    ),
+    LengthShare(
+        name="long", min_tokens=100_001, max_tokens=400_000, share=0.02
+    ),
+)
+
+
+@dataclass(slots=True, kw_only=True)
+class LoadOptions:
+    """A load run.
+
+    Attributes:
+        urls: Base URLs of daemons, used in turn.
+        caller_key: Key of the team that sends.
+        model: Model that is asked.
+        requests: Requests to send.
+        rate_per_s: Mean arrivals in a second.
+        answer_tokens: Tokens of each answer.
+        seed: Seed of lengths and arrivals.
+        mix: Lengths of the prompts.
+    """
+
+    urls: list[str]
+    caller_key: str
+    model: str
+    requests: int = 100
+    rate_per_s: float = 10.0
+    answer_tokens: int = 16
+    seed: int = 1
+    mix: tuple[LengthShare, ...] = DEFAULT_MIX
+
+
+@dataclass(slots=True, kw_only=True)
+class LoadReport:
+    """What came of a load run.
+
+    Attributes:
+        outcomes: Outcomes by part of the mix.
+        took_s: Time of the whole run, in seconds.
+    """
+
+    outcomes: dict[str, list[CallOutcome]] = field(default_factory=dict)
+    took_s: float = 0.0
+
+    def to_json(self) -> dict[str, Any]:
+        """Returns counts by result and first-token times by length."""
+        lengths = {
+            name: _summary(outcomes) for name, outcomes in self.outcomes.items()
+        }
+        return {"took_s": round(self.took_s, 3), "lengths": lengths}
+
+
+async def run_load(options: LoadOptions) -> LoadReport:
+    """Sends the requests of a load run and waits for all of them.
+
+    Raises:
+        ValueError: The run is not bounded.
+    """
+    if not 1 <= options.requests <= MAX_REQUESTS:
+        raise ValueError(f"requests must be from 1 to {MAX_REQUESTS}")
+    seconds = options.requests / max(options.rate_per_s, 1e-9)
+    if seconds > MAX_SECONDS:
+        raise ValueError(f"the run would take more than {MAX_SECONDS:.0f} s")
+    chance = random.Random(options.seed)
+    report = LoadReport()
+    started_at = monotonic_s()
+    connector = aiohttp.TCPConnector(limit=0)
+    timeout = aiohttp.ClientTimeout(total=None)
+    async with (
+        aiohttp.ClientSession(connector=connector, timeout=timeout) as session,
+        asyncio.TaskGroup() as group,
+    ):
+        for number in range(options.requests):
+            part = _choose(options.mix, chance)
+            body = _body(options, part, chance)
+            url = options.urls[number % len(options.urls)]
+            group.create_task(_send(session, url, options, part, body, report))
+            await asyncio.sleep(chance.expovariate(options.rate_per_s))
+    report.took_s = monotonic_s() - started_at
+    return report
+
+
+async def _send(
+    session: aiohttp.ClientSession,
+    url: str,
+    options: LoadOptions,
+    part: LengthShare,
+    body: dict[str, Any],
+    report: LoadReport,
+) -> None:
+    headers = {"Authorization": f"Bearer {options.caller_key}"}
+    outcome = await stream_completion(session, url, body, headers)
+    report.outcomes.setdefault(part.name, []).append(outcome)
+
+
+def _choose(mix: tuple[LengthShare, ...], chance: random.Random) -> LengthShare:
+    return chance.choices(mix, [part.share for part in mix])[0]
+
+
+def _body(
+    options: LoadOptions, part: LengthShare, chance: random.Random
+) -> dict[str, Any]:
+    tokens = chance.randint(part.min_tokens, part.max_tokens)
+    first = f"{chance.getrandbits(64):016x} "  # no two prompts share a prefix
+    size_bytes = tokens * BYTES_PER_TOKEN - len(first)
+    word = chance.choice(WORDS) + " "
+    prompt = first + (word * (size_bytes // len(word) + 1))[:size_bytes]
+    return {
+        "model": options.model,
+        "prompt": prompt,
+        "max_tokens": options.answer_tokens,
+    }
+
+
+def _summary(outcomes: list[CallOutcome]) -> dict[str, Any]:
+    counts = collections.Counter(outcome.result for outcome in outcomes)
+    times = sorted(
+        outcome.first_token_s
+        for outcome in outcomes
+        if outcome.first_token_s is not None
+    )
+    return {
+        "requests": len(outcomes),
+        "results": dict(sorted(counts.items())),
+        "first_token_s": {
+            "p50": _quantile(times, 50),
+            "p95": _quantile(times, 95),
+            "p99": _quantile(times, 99),
+        },
+    }
+
+
+def _quantile(times: list[float], percent: int) -> float | None:
+    if not times:
+        return None
+    if len(times) == 1:
+        return round(times[0], 4)
+    cuts = statistics.quantiles(times, n=100, method="inclusive")
+    return round(cuts[percent - 1], 4)
+
+
+__all__ = [
+    "DEFAULT_MIX",
+    "LengthShare",
+    "LoadOptions",
+    "LoadReport",
+    "run_load",
+]
