Type the strict rights of owners and expose them to endpoints

Cause: MemberView only knew the newest majority; nothing waited for the former owner's lease, and no hand-over by message existed.

StrictRights answers owner_of (roster), may_use and wait_s, and keeps the epochs in which a majority was first seen. A new owner waits strict_lease_s + reservation_ttl_s from there, or reservation_ttl_s after its predecessor's HandoverRequest. Acknowledgements are dated by the local sending time of the heartbeat and never go back to an older epoch. MemberView.owner_of is the soft owner. The daemon hands over before it leaves the roster.

--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -25,6 +25,7 @@
 from auburnswitch.members.roster import ROSTER_KEY, RosterKeeper
 from auburnswitch.members.server import PeerServer
 from auburnswitch.members.service import Membership
+from auburnswitch.members.strict import StrictRights
 from auburnswitch.members.view import MemberView
 from auburnswitch.observe.invariants import Invariants
 from auburnswitch.observe.logs import configure_logs, log_event
@@ -100,6 +101,7 @@
         self.tickets = TicketStore(store=self.store, state=self.state)
         self.watcher = StoreWatcher(store=self.store, seed=seed)
         self.view = MemberView(me=self.member, settings=settings.members)
+        self.strict_rights = StrictRights(view=self.view)
         self.roster = RosterKeeper(store=self.store, view=self.view)
         self.watcher.handlers[TICKETS_PREFIX] = self.tickets.handle_object
         self.watcher.handlers[ROSTER_KEY] = self.roster.handle_object
@@ -119,6 +121,7 @@
             settings=self.settings,
             shared_key=shared_key,
             view=self.view,
+            strict_rights=self.strict_rights,
             state=self.state,
             tasks=self.tasks,
             store_age_s=lambda: monotonic_s() - self.store.last_success_at,
@@ -247,6 +250,7 @@
         while self.caller_app.in_flight:
             await asyncio.sleep(DRAIN_POLL_S)
         self.view.leaving = True
+        await self.membership.hand_over()
         await asyncio.sleep(self.settings.members.heartbeat_interval_s)
         await self.roster.leave()
 
--- a/src/auburnswitch/members/service.py
+++ b/src/auburnswitch/members/service.py
@@ -10,6 +10,8 @@
 from auburnswitch.members.link import PeerLink
 from auburnswitch.schema.objects import Member
 from auburnswitch.schema.peers import (
+    Done,
+    HandoverRequest,
     Heartbeat,
     HeartbeatAck,
     StateReply,
@@ -20,6 +22,7 @@
     from collections.abc import Callable
 
     from auburnswitch.members.server import PeerServer
+    from auburnswitch.members.strict import StrictRights
     from auburnswitch.members.view import MemberView
     from auburnswitch.observe.tasks import TaskSet
     from auburnswitch.platform.state import ConfigState
@@ -33,6 +36,7 @@
 
     Attributes:
         view: What is known of the peers.
+        strict_rights: Strict rights of this daemon.
         links: Connection to each peer, by member id.
         heartbeat_sources: Called to fill a heartbeat for one peer.
         heartbeat_listeners: Called with each heartbeat received.
@@ -48,6 +52,7 @@
         "shared_key",
         "state",
         "store_age_s",
+        "strict_rights",
         "tasks",
         "view",
     )
@@ -58,6 +63,7 @@
         settings: Settings,
         shared_key: bytes,
         view: MemberView,
+        strict_rights: StrictRights,
         state: ConfigState,
         tasks: TaskSet,
         store_age_s: Callable[[], float],
@@ -65,6 +71,7 @@
         self.settings = settings
         self.shared_key = shared_key
         self.view = view
+        self.strict_rights = strict_rights
         self.state = state
         self.tasks = tasks
         self.store_age_s = store_age_s
@@ -77,6 +84,7 @@
         """Registers the handlers of this service's messages."""
         server.handlers[Heartbeat] = self._on_heartbeat
         server.handlers[StateRequest] = self._on_state_request
+        server.handlers[HandoverRequest] = self._on_handover
 
     async def run(self) -> None:
         """Opens links to new peers and drops links to forgotten ones."""
@@ -157,18 +165,18 @@
         except (OSError, TimeoutError, FrameError):
             return
         if isinstance(ack, HeartbeatAck):
-            self._note_ack(ack)
+            self._note_ack(ack, heartbeat.sent_at)
             await self._fetch_state(link, ack.epoch, ack.state_digest)
 
-    def _note_ack(self, ack: HeartbeatAck) -> None:
+    def _note_ack(self, ack: HeartbeatAck, sent_at: float) -> None:
         status = self.view.peers.get(ack.member_id)
         if status is None:
             return
         status.heard_at = monotonic_s()
         status.leaving = ack.leaving
         status.state_digest = ack.state_digest
-        status.acked_at = ack.sent_at
-        status.acked_epoch = ack.epoch
+        status.note_ack(ack.epoch, sent_at)
+        self.strict_rights.note_ack()
 
     async def _fetch_state(
         self, link: PeerLink, epoch: int, digest: str
@@ -203,6 +211,27 @@
             leaving=self.view.leaving,
         )
 
+    async def hand_over(self) -> None:
+        """Gives up all strict rights and tells the successors."""
+        requests = self.strict_rights.hand_over(self.state.endpoints)
+        calls = [
+            self._tell(self.links[member_id], request)
+            for member_id, request in requests.items()
+            if member_id in self.links
+        ]
+        await asyncio.gather(*calls)
+
+    async def _tell(self, link: PeerLink, request: HandoverRequest) -> None:
+        try:
+            await link.call(request)
+        except (OSError, TimeoutError, FrameError):
+            return  # the successor waits in full
+
+    async def _on_handover(self, request: Any, peer_id: str) -> Done:
+        if request.member_id == peer_id:
+            self.strict_rights.note_handover(request)
+        return Done()
+
     async def _on_state_request(self, _: Any, __: str) -> StateReply:
         return StateReply(
             snapshot=self.state.snapshot(), roster=self.view.roster
--- /dev/null
+++ b/src/auburnswitch/members/strict.py
@@ -0,0 +1,172 @@
+"""Decides whether this daemon holds the strict rights of an owner.
+
+Strict rights allow work on a cold or unknown endpoint and orders to an engine.
+At most one daemon holds them for an endpoint at any time; docs/MEMBERSHIP.md
+has the argument.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.members.history import RosterHistory
+from auburnswitch.members.rendezvous import rendezvous_first
+from auburnswitch.schema.peers import HandoverRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from auburnswitch.members.view import MemberView
+    from auburnswitch.schema.objects import Roster
+
+
+class _Handover:
+    """A predecessor's word that it makes no more strict use."""
+
+    __slots__ = ("epoch", "received_at")
+
+    def __init__(self, *, epoch: int, received_at: float) -> None:
+        self.epoch = epoch
+        self.received_at = received_at
+
+
+class StrictRights:
+    """Tracks majorities, tenures and hand-overs of one daemon.
+
+    Attributes:
+        view: What is known of the members.
+        history: The rosters learned so far.
+        majority_at: Loop time of the first majority at each epoch, in seconds.
+        relinquished: Endpoints that this daemon has handed over for good.
+    """
+
+    __slots__ = ("handovers", "history", "majority_at", "relinquished", "view")
+
+    def __init__(self, *, view: MemberView) -> None:
+        self.view = view
+        self.history = RosterHistory()
+        self.majority_at: dict[int, float] = {}
+        self.relinquished: set[str] = set()
+        self.handovers: dict[tuple[str, str], _Handover] = {}
+        view.roster_listeners.append(self.note_roster)
+
+    def owner_of(self, endpoint: str) -> str:
+        """Returns the member that owns an endpoint by the roster."""
+        return self.history.owner_of(endpoint, self.history.epoch)
+
+    def is_owner(self, endpoint: str) -> bool:
+        """Tells whether this daemon owns an endpoint by the roster."""
+        return self.owner_of(endpoint) == self.view.me.id
+
+    def may_use(self, endpoint: str) -> bool:
+        """Tells whether this daemon may make a strict use now.
+
+        The answer holds for this moment only: ask before each use, and use it
+        before the next ``await``.
+        """
+        return self.wait_s(endpoint) <= 0
+
+    def wait_s(self, endpoint: str) -> float:
+        """Returns the time until strict rights may begin, in seconds.
+
+        Returns:
+            0 if this daemon holds them now; infinity if it is not the owner
+            or no majority has acknowledged the epoch lately.
+        """
+        if not self.is_owner(endpoint) or endpoint in self.relinquished:
+            return math.inf
+        now = monotonic_s()
+        if self.view.quorum_at() <= now - self._lease_s():
+            return math.inf
+        return max(0.0, self._begins_at(endpoint) - now)
+
+    def note_roster(self, roster: Roster) -> None:
+        """Takes a newer roster."""
+        self.history.note(roster)
+        for epoch in self.majority_at.keys() - self.history.member_ids.keys():
+            del self.majority_at[epoch]
+        self.note_ack()
+
+    def note_ack(self) -> None:
+        """Notes the first majority at the present epoch once it is there."""
+        epoch = self.history.epoch
+        if epoch in self.majority_at or not epoch:
+            return
+        now = monotonic_s()
+        if self.view.quorum_at() > now - self._lease_s():
+            self.majority_at[epoch] = now
+
+    def note_handover(self, request: HandoverRequest) -> None:
+        """Takes a predecessor's word that it makes no more strict use."""
+        handover = _Handover(epoch=request.epoch, received_at=monotonic_s())
+        for endpoint in request.endpoints:
+            self.handovers[endpoint, request.member_id] = handover
+
+    def hand_over(self, endpoints: Iterable[str]) -> dict[str, HandoverRequest]:
+        """Gives up strict rights for good and says to whom.
+
+        Call it when this daemon leaves. The rights end with the call, so the
+        messages may be sent at any later time.
+
+        Args:
+            endpoints: Names of all configured endpoints.
+
+        Returns:
+            The message for each successor, by member id.
+        """
+        heirs = [i for i in self.view.roster_ids() if i != self.view.me.id]
+        requests: dict[str, HandoverRequest] = {}
+        now = monotonic_s()
+        for endpoint in endpoints:
+            if not self.is_owner(endpoint):
+                continue
+            if self._begins_at(endpoint) <= now:
+                heir = rendezvous_first(endpoint, heirs)
+                self._add(requests, heir, endpoint, self.history.epoch)
+            self.relinquished.add(endpoint)
+        return requests
+
+    def _add(
+        self,
+        requests: dict[str, HandoverRequest],
+        heir: str,
+        endpoint: str,
+        epoch: int,
+    ) -> None:
+        if not heir:
+            return
+        request = requests.setdefault(
+            heir, HandoverRequest(member_id=self.view.me.id, epoch=epoch)
+        )
+        request.endpoints.append(endpoint)
+
+    def _begins_at(self, endpoint: str) -> float:
+        epoch = self.history.epoch
+        start = self.history.tenure_start(endpoint, epoch)
+        majority_at = min(
+            (at for e, at in self.majority_at.items() if e >= start),
+            default=math.inf,
+        )
+        ttl_s = self.view.settings.reservation_ttl_s
+        return min(
+            majority_at + self._lease_s() + ttl_s,
+            self._handed_over_at(endpoint, start) + ttl_s,
+        )
+
+    def _handed_over_at(self, endpoint: str, start: int) -> float:
+        predecessor = self.history.owner_of(endpoint, start - 1)
+        handover = self.handovers.get((endpoint, predecessor))
+        if not predecessor or handover is None:
+            return math.inf
+        since = self.history.tenure_start(endpoint, start - 1)
+        if not since <= handover.epoch < start:
+            return math.inf
+        return handover.received_at
+
+    def _lease_s(self) -> float:
+        return self.view.settings.strict_lease_s
+
+
+__all__ = ["StrictRights"]
--- a/src/auburnswitch/members/view.py
+++ b/src/auburnswitch/members/view.py
@@ -5,9 +5,12 @@
 from typing import TYPE_CHECKING, Final
 
 from auburnswitch.clock import monotonic_s
+from auburnswitch.members.rendezvous import rendezvous_first
 from auburnswitch.schema.objects import Member, Roster
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from auburnswitch.schema.settings import MembersSettings
 
 _NEVER: Final = float("-inf")
@@ -43,6 +46,15 @@
         self.leaving = False
         self.state_digest = ""
 
+    def note_ack(self, epoch: int, sent_at: float) -> None:
+        """Takes the epoch that acknowledges a heartbeat sent at a time."""
+        if epoch < self.acked_epoch:
+            return  # a late answer; the peer knows a newer epoch
+        if epoch > self.acked_epoch:
+            self.acked_at = _NEVER
+        self.acked_epoch = epoch
+        self.acked_at = max(self.acked_at, sent_at)
+
 
 class MemberView:
     """The roster and the liveness of its members.
@@ -52,9 +64,17 @@
         roster: The agreed membership as last seen.
         peers: Status of every known peer, by member id.
         leaving: This daemon is stopping.
+        roster_listeners: Called with each newer roster.
     """
 
-    __slots__ = ("leaving", "me", "peers", "roster", "settings")
+    __slots__ = (
+        "leaving",
+        "me",
+        "peers",
+        "roster",
+        "roster_listeners",
+        "settings",
+    )
 
     def __init__(self, *, me: Member, settings: MembersSettings) -> None:
         self.me = me
@@ -62,6 +82,7 @@
         self.roster = Roster()
         self.peers: dict[str, PeerStatus] = {}
         self.leaving = False
+        self.roster_listeners: list[Callable[[Roster], None]] = []
 
     def note_member(self, member: Member) -> PeerStatus | None:
         """Returns the status of a member, which may be new; None for self."""
@@ -79,6 +100,8 @@
         self.roster = roster
         for member in roster.members:
             self.note_member(member)
+        for listener in self.roster_listeners:
+            listener(roster)
         return True
 
     def live_ids(self) -> list[str]:
@@ -93,6 +116,10 @@
             live.append(self.me.id)
         return sorted(live)
 
+    def owner_of(self, endpoint: str) -> str:
+        """Returns the live member that owns an endpoint, for soft rights."""
+        return rendezvous_first(endpoint, self.live_ids())
+
     def roster_ids(self) -> list[str]:
         """Returns the ids of the agreed members."""
         return [member.id for member in self.roster.members]
