--- a/schema/results.thrift
+++ b/schema/results.thrift
@@ -38,6 +38,8 @@
   IDEMPOTENCY_KEY_REUSED = 1011
   // The idempotency key is empty, too long or has unprintable characters. @http 400 @ran no
   BAD_IDEMPOTENCY_KEY = 1012
+  // The path does not accept this method. @http 405 @ran no
+  BAD_METHOD = 1013
   // The team has reached one of its limits. @http 429 @ran no
   TEAM_LIMIT = 2001
   // The request could not start within its deadline. @http 503 @ran no
--- a/src/auburnswitch/callers/app.py
+++ b/src/auburnswitch/callers/app.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING
 
 from starlette.applications import Starlette
-from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
 from auburnswitch.callers.answers import (
@@ -15,6 +16,7 @@
     model_list,
     text_chunk,
 )
+from auburnswitch.callers.event_stream import EventStreamResponse
 from auburnswitch.observe.logs import log_event
 from auburnswitch.results import Refusal, RefusalError, refusal
 from auburnswitch.routing.dispatcher import (
@@ -28,7 +30,7 @@
 from auburnswitch.schema.results import ResultCode
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncGenerator, Callable
 
     from starlette.requests import Request
 
@@ -48,12 +50,10 @@
         dispatcher: Runs completions.
         plain: Runs plain requests.
         refuse_new: Returns why new work is refused, or None.
-        in_flight: Requests that have not been answered to their end.
     """
 
     __slots__ = (
         "dispatcher",
-        "in_flight",
         "metrics",
         "parser",
         "plain",
@@ -74,7 +74,6 @@
         self.plain = plain
         self.metrics = metrics
         self.refuse_new = refuse_new
-        self.in_flight = 0
 
     def build(self) -> Starlette:
         """Returns the ASGI application."""
@@ -96,6 +95,7 @@
             exception_handlers={
                 RefusalError: self._on_refusal,
                 404: self._on_unknown_path,
+                405: self._on_bad_method,
                 Exception: self._on_error,
             },
         )
@@ -112,34 +112,49 @@
 
     async def _complete(self, request: Request, *, chat: bool) -> Response:
         self._check_open()
+        self.parser.check_headers(request.headers)
         caller = self.parser.caller(request.headers)
         raw = await self.parser.body(request)
         completion = self.parser.completion(
             caller, request.headers, raw, chat=chat
         )
-        parts = self._counted(self.dispatcher.run(completion.request))
+        parts = self.dispatcher.run(completion.request)
         first = await anext(parts)
         if isinstance(first, AnswerFailed):
             await parts.aclose()
             return self._refused(first.refusal, completion.request.id)
         headers = {"X-Request-Id": completion.request.id}
         if completion.stream:
-            return StreamingResponse(
-                self._stream(completion, first, parts),
-                media_type="text/event-stream",
-                headers=headers | {"Cache-Control": "no-cache"},
-            )
+            return self._event_stream(completion, first, parts, headers)
         return await self._whole(completion, first, parts, headers)
 
-    async def _stream(
+    def _event_stream(
         self,
         completion: Completion,
         first: AnswerPart,
-        parts: AsyncIterator[AnswerPart],
-    ) -> AsyncIterator[bytes]:
-        yield self._chunk(completion, first)
-        async for part in parts:
-            yield self._chunk(completion, part)
+        parts: AsyncGenerator[AnswerPart, None],
+        headers: dict[str, str],
+    ) -> Response:
+        request_id = completion.request.id
+        settings = self.parser.settings.callers
+        return EventStreamResponse(
+            chunks=self._chunks(completion, first, parts),
+            headers=headers,
+            slow_timeout_s=settings.slow_caller_timeout_s,
+            on_gone=lambda: self._count(ResultCode.CALLER_GONE, request_id),
+            on_slow=lambda: self._count(ResultCode.CALLER_TOO_SLOW, request_id),
+        )
+
+    async def _chunks(
+        self,
+        completion: Completion,
+        first: AnswerPart,
+        parts: AsyncGenerator[AnswerPart, None],
+    ) -> AsyncGenerator[bytes, None]:
+        async with contextlib.aclosing(parts):
+            yield self._chunk(completion, first)
+            async for part in parts:
+                yield self._chunk(completion, part)
 
     def _chunk(self, completion: Completion, part: AnswerPart) -> bytes:
         match part:
@@ -156,7 +171,7 @@
         self,
         completion: Completion,
         first: AnswerPart,
-        parts: AsyncIterator[AnswerPart],
+        parts: AsyncGenerator[AnswerPart, None],
         headers: dict[str, str],
     ) -> Response:
         text: list[str] = []
@@ -176,9 +191,10 @@
 
     async def _plain_service(self, request: Request) -> Response:
         self._check_open()
+        self.parser.check_headers(request.headers)
         caller = self.parser.caller(request.headers)
         raw = await self.parser.body(request)
-        path = "/" + request.path_params["path"]
+        path = _service_path(request)
         routed = self.parser.plain(
             caller,
             request.headers,
@@ -194,11 +210,7 @@
             headers=_passed_headers(request),
             idempotency_key=self.parser.idempotency_key(request.headers),
         )
-        self.in_flight += 1
-        try:
-            outcome = await self.plain.run(routed, call)
-        finally:
-            self.in_flight -= 1
+        outcome = await self.plain.run(routed, call)
         match outcome:
             case PlainAnswer(status=status, body=body, headers=headers):
                 self._count(ResultCode.OK, routed.id)
@@ -207,17 +219,6 @@
             case Refusal():
                 return self._refused(outcome, routed.id)
 
-    async def _counted(
-        self, parts: AsyncIterator[AnswerPart]
-    ) -> AsyncIterator[AnswerPart]:
-        self.in_flight += 1
-        try:
-            async for part in parts:
-                yield part
-        finally:
-            self.in_flight -= 1
-            await parts.aclose()
-
     def _check_open(self) -> None:
         refused = self.refuse_new()
         if refused is not None:
@@ -244,11 +245,20 @@
     async def _on_unknown_path(self, _: Request, __: Exception) -> Response:
         return self._refused(refusal(ResultCode.UNKNOWN_SERVICE))
 
+    async def _on_bad_method(self, _: Request, __: Exception) -> Response:
+        return self._refused(refusal(ResultCode.BAD_METHOD))
+
     async def _on_error(self, _: Request, error: Exception) -> Response:
         log_event(EventId.TASK_FAILED, task="request", error=repr(error))
         return self._refused(refusal(ResultCode.INTERNAL))
 
 
+def _service_path(request: Request) -> str:
+    """Returns the path below the service's name, encoded as it was sent."""
+    raw_path = request.scope["raw_path"].decode("ascii")
+    return "/" + raw_path.split("/", 3)[3]
+
+
 def _passed_headers(request: Request) -> dict[str, str]:
     names = ("content-type", "accept", "idempotency-key")
     return {
--- /dev/null
+++ b/src/auburnswitch/callers/event_stream.py
@@ -0,0 +1,105 @@
+"""Sends an answer as server-sent events to a caller that may be slow."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+from starlette.responses import Response
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator, Callable, Mapping
+
+    from starlette.types import Receive, Scope, Send
+
+
+class EventStreamResponse(Response):
+    """Streams chunks until they end, the caller goes or reads too slowly.
+
+    The server's write buffer is bounded: sending waits while the caller does
+    not read, and so does reading from the endpoint.
+
+    Attributes:
+        chunks: The chunks of the answer; closed in every case.
+        slow_timeout_s: Longest wait for a caller to read a chunk, in seconds.
+        on_gone: Called when the caller closed the connection.
+        on_slow: Called when the caller did not read in time.
+    """
+
+    def __init__(
+        self,
+        *,
+        chunks: AsyncGenerator[bytes, None],
+        headers: Mapping[str, str],
+        slow_timeout_s: float,
+        on_gone: Callable[[], None],
+        on_slow: Callable[[], None],
+    ) -> None:
+        super().__init__(media_type="text/event-stream", headers=headers)
+        del self.headers["content-length"]
+        self.headers["cache-control"] = "no-cache"
+        self.chunks = chunks
+        self.slow_timeout_s = slow_timeout_s
+        self.on_gone = on_gone
+        self.on_slow = on_slow
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Sends the response as an ASGI application."""
+        sender = asyncio.create_task(self._send_all(send))
+        watcher = asyncio.create_task(_wait_gone(receive))
+        try:
+            await asyncio.wait(
+                {sender, watcher}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not sender.done():
+                self.on_gone()
+        finally:
+            watcher.cancel()
+            sender.cancel()
+            await asyncio.gather(sender, watcher, return_exceptions=True)
+        if not sender.cancelled():
+            sender.result()
+
+    async def _send_all(self, send: Send) -> None:
+        async with contextlib.aclosing(self.chunks) as chunks:
+            await send(
+                {
+                    "type": "http.response.start",
+                    "status": self.status_code,
+                    "headers": self.raw_headers,
+                }
+            )
+            async for chunk in chunks:
+                if not await self._send_chunk(send, chunk):
+                    return  # the server closes the unfinished response
+        await self._send_chunk(send, b"", more=False)
+
+    async def _send_chunk(
+        self, send: Send, chunk: bytes, *, more: bool = True
+    ) -> bool:
+        message = {
+            "type": "http.response.body",
+            "body": chunk,
+            "more_body": more,
+        }
+        try:
+            async with asyncio.timeout(self.slow_timeout_s):
+                await send(message)
+        except TimeoutError:
+            self.on_slow()
+            return False
+        except OSError:
+            self.on_gone()
+            return False
+        return True
+
+
+async def _wait_gone(receive: Receive) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
+__all__ = ["EventStreamResponse"]
--- a/src/auburnswitch/callers/parse.py
+++ b/src/auburnswitch/callers/parse.py
@@ -81,6 +81,18 @@
             raise RefusalError(refusal(ResultCode.BAD_CALLER_KEY))
         return Caller(team=name, weight=self.state.teams[name].weight)
 
+    def check_headers(self, headers: Headers) -> None:
+        """Checks the size of the headers.
+
+        Raises:
+            RefusalError: They are too large.
+        """
+        limit = self.settings.callers.max_header_bytes
+        size = sum(len(name) + len(value) for name, value in headers.raw)
+        if size > limit:
+            message = f"headers may have {limit} bytes"
+            raise RefusalError(refusal(ResultCode.HEADER_TOO_LARGE, message))
+
     async def body(self, request: Request) -> bytes:
         """Reads a body within the configured limit.
 
--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -15,6 +15,7 @@
 from expression import Result
 
 from auburnswitch.callers.app import CallerApp
+from auburnswitch.callers.in_flight import InFlightCounter
 from auburnswitch.callers.parse import RequestParser
 from auburnswitch.clock import WallClock, monotonic_s
 from auburnswitch.endpoints.client import EndpointClient
@@ -51,6 +52,7 @@
     from auburnswitch.schema.settings import Settings
 
 DRAIN_POLL_S: Final = 0.05
+HEADER_MARGIN_BYTES: Final = 65536  # so that the refusal is a numbered one
 EXIT_OK: Final = 0
 EXIT_BAD_SETTINGS: Final = 2
 EXIT_CANNOT_LISTEN: Final = 3
@@ -103,6 +105,7 @@
         self.roster = RosterKeeper(store=self.store, view=self.view)
         self.watcher.handlers[TICKETS_PREFIX] = self.tickets.handle_object
         self.watcher.handlers[ROSTER_KEY] = self.roster.handle_object
+        self.cleanups = TaskSet()
         self._build_members()
         self._build_endpoints(session)
         self._build_routing(session, seed)
@@ -164,6 +167,7 @@
             client=client,
             metrics=self.metrics,
             member_id=self.member.id,
+            cleanups=self.cleanups,
         )
         claims = ClaimStore(
             store=self.store,
@@ -187,6 +191,7 @@
             metrics=self.metrics,
             refuse_new=self.refuse_new,
         )
+        self.in_flight = InFlightCounter(app=self.caller_app.build())
         key_file = self.settings.operators.key_file
         self.operator_app = OperatorApp(
             key=read_secret(key_file) if key_file else b"",
@@ -224,7 +229,7 @@
             "roster": self.view.roster_ids(),
             "live": self.view.live_ids(),
             "owned_endpoints": self.owner_table.owned(),
-            "in_flight": self.caller_app.in_flight,
+            "in_flight": self.in_flight.count,
             "store_available": self.watcher.available,
             "store_calls": self.store.calls,
             "violations": {
@@ -244,7 +249,8 @@
         """Refuses new work, finishes what runs and leaves the roster."""
         self.stopping = True
         log_event(EventId.DAEMON_STOPPING, member=self.member.id)
-        while self.caller_app.in_flight:
+        await self.in_flight.idle.wait()
+        while self.cleanups.tasks:
             await asyncio.sleep(DRAIN_POLL_S)
         self.view.leaving = True
         await asyncio.sleep(self.settings.members.heartbeat_interval_s)
@@ -289,10 +295,12 @@
                 port=settings.operators.port,
             ) as daemon.operators,
             open_http_server(
-                daemon.caller_app.build(),
+                daemon.in_flight,
                 host=settings.callers.host,
                 port=settings.callers.port,
-                max_header_bytes=settings.callers.max_header_bytes,
+                max_header_bytes=(
+                    settings.callers.max_header_bytes + HEADER_MARGIN_BYTES
+                ),
             ) as daemon.callers,
         ):
             daemon.member.port = daemon.peer_server.port
@@ -307,6 +315,7 @@
             try:
                 yield daemon
             finally:
+                await daemon.cleanups.cancel()
                 daemon.metrics.close()
 
 
--- a/src/auburnswitch/endpoints/client.py
+++ b/src/auburnswitch/endpoints/client.py
@@ -110,7 +110,7 @@
         timeout = aiohttp.ClientTimeout(
             total=None,
             sock_connect=self.settings.connect_timeout_s,
-            sock_read=self.settings.stream_idle_timeout_s,
+            sock_read=None,  # callers of this class bound their own reads
         )
         try:
             async with self.session.request(
@@ -146,6 +146,23 @@
             async for frames in _read_frames(response, attempt):
                 yield frames
 
+    async def resume(
+        self, spec: Endpoint, attempt: Attempt, sequence: int
+    ) -> AsyncIterator[list[Frame | ForeignFrame]]:
+        """Streams an attempt again from a sequence number on.
+
+        Raises:
+            EndpointFailureError: The endpoint no longer has the stream, or it
+                ended before its explicit end.
+        """
+        path = f"/v1/streams/{attempt.request_id}/{attempt.number}"
+        async with self.request(
+            spec, "GET", path, params={"from": sequence}
+        ) as response:
+            await _check_status(response)
+            async for frames in _read_frames(response, attempt):
+                yield frames
+
     async def cancel(self, spec: Endpoint, attempt: Attempt) -> None:
         """Cancels an attempt, so that the endpoint frees its memory."""
         path = f"/v1/streams/{attempt.request_id}/{attempt.number}"
--- a/src/auburnswitch/endpoints/reservations.py
+++ b/src/auburnswitch/endpoints/reservations.py
@@ -111,7 +111,6 @@
 
     async def note_prefilled(self, held: HeldReservation) -> None:
         """Tells the owner that the prompt has been prefilled."""
-        held.work.prefill_tokens = 0
         request = ProgressRequest(
             endpoint=held.endpoint, reservation_id=held.id
         )
--- a/src/auburnswitch/observe/logs.py
+++ b/src/auburnswitch/observe/logs.py
@@ -11,6 +11,7 @@
 from auburnswitch.schema.events import EVENTID_INFO, EventId
 
 LOGGER: Final = logging.getLogger("auburnswitch")
+LOGGER.addHandler(logging.NullHandler())  # a library logs nothing by itself
 _LEVELS: Final = {
     event: logging.getLevelNamesMapping()[info.options["level"].upper()]
     for event, info in EVENTID_INFO.items()
--- /dev/null
+++ b/src/auburnswitch/routing/answer_stream.py
@@ -0,0 +1,209 @@
+"""Reads one attempt's answer and resumes it on the same endpoint."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Final
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.endpoints.client import (
+    Attempt,
+    EndpointClient,
+    EndpointFailureError,
+    ForeignFrame,
+    Frame,
+)
+from auburnswitch.observe.logs import log_event
+from auburnswitch.schema.events import EventId
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from auburnswitch.observe.metrics import Metrics
+    from auburnswitch.routing.progress import Progress
+    from auburnswitch.routing.request import RoutedRequest
+    from auburnswitch.schema.objects import Endpoint
+
+MAX_RESUMES: Final = 2
+RESUME_DELAY_S: Final = 0.1
+PREFILL_PATIENCE: Final = 4.0  # times the prefill of the prompt alone
+
+
+@dataclass(slots=True, kw_only=True)
+class AnswerText:
+    """Text that goes on with the answer."""
+
+    text: str
+
+
+@dataclass(slots=True, kw_only=True)
+class AnswerEnd:
+    """The explicit end of a whole answer."""
+
+    finish_reason: str
+    usage: dict[str, int] = field(default_factory=dict)
+
+
+class AnswerStream:
+    """The answer of one attempt, frame by frame.
+
+    Attributes:
+        request: The request that runs.
+        spec: The endpoint it runs on.
+        attempt: Names the attempt.
+        progress: What has been delivered.
+    """
+
+    __slots__ = ("attempt", "client", "metrics", "progress", "request", "spec")
+
+    def __init__(
+        self,
+        *,
+        client: EndpointClient,
+        metrics: Metrics,
+        request: RoutedRequest,
+        spec: Endpoint,
+        attempt: Attempt,
+        progress: Progress,
+    ) -> None:
+        self.client = client
+        self.metrics = metrics
+        self.request = request
+        self.spec = spec
+        self.attempt = attempt
+        self.progress = progress
+
+    async def parts(self) -> AsyncIterator[AnswerText | AnswerEnd]:
+        """Yields the parts of the answer, the last one its end.
+
+        Raises:
+            EndpointFailureError: The answer broke and cannot be resumed.
+            TimeoutError: The deadline passed.
+        """
+        batches = self._start()
+        resumes = 0
+        while True:
+            try:
+                async with contextlib.aclosing(batches):
+                    async for part in self._read(batches):
+                        yield part
+                        if isinstance(part, AnswerEnd):
+                            return
+                raise EndpointFailureError(
+                    "the stream ended without an end frame",
+                    sent=True,
+                    lost=True,
+                )
+            except EndpointFailureError as error:
+                if not self._may_resume(error, resumes):
+                    raise
+            resumes += 1
+            await asyncio.sleep(RESUME_DELAY_S)
+            batches = self.client.resume(
+                self.spec, self.attempt, self.progress.frames
+            )
+
+    def _start(self) -> AsyncIterator[list[Frame | ForeignFrame]]:
+        request = self.request
+        body = _engine_body(request, self.progress)
+        return self.client.stream(self.spec, request.path, body, self.attempt)
+
+    def _may_resume(self, error: EndpointFailureError, resumes: int) -> bool:
+        started = self.progress.frames > 0
+        return started and error.lost and error.sent and resumes < MAX_RESUMES
+
+    async def _read(
+        self, batches: AsyncIterator[list[Frame | ForeignFrame]]
+    ) -> AsyncIterator[AnswerText | AnswerEnd]:
+        while True:
+            batch = await self._next_batch(batches)
+            if batch is None:
+                return
+            accepted = [frame for frame in batch if self._accept(frame)]
+            if joined := "".join(frame.text for frame in accepted):
+                self.progress.text.append(joined)
+                yield AnswerText(text=joined)
+            for frame in accepted:
+                if frame.finish_reason:
+                    yield self._end(frame)
+                    return
+
+    async def _next_batch(
+        self, batches: AsyncIterator[list[Frame | ForeignFrame]]
+    ) -> list[Frame | ForeignFrame] | None:
+        """Returns the next frames, None at the end of the stream.
+
+        Raises:
+            EndpointFailureError: The endpoint sent nothing for too long.
+            TimeoutError: The deadline passed.
+        """
+        silent_at = monotonic_s() + self._silence_limit_s()
+        try:
+            async with asyncio.timeout_at(
+                min(silent_at, self.request.deadline_at)
+            ):
+                return await anext(batches, None)
+        except TimeoutError as error:
+            if silent_at >= self.request.deadline_at:
+                raise
+            raise EndpointFailureError(
+                "the endpoint sent nothing for too long", sent=True, lost=False
+            ) from error
+
+    def _silence_limit_s(self) -> float:
+        """Returns the longest silence before the next frame, in seconds."""
+        idle_s = self.client.settings.stream_idle_timeout_s
+        if self.progress.frames:
+            return idle_s
+        rate = max(1, self.spec.prefill_tokens_per_second)
+        prefill_s = self.request.prompt_tokens / rate
+        return idle_s + PREFILL_PATIENCE * prefill_s
+
+    def _accept(self, frame: Frame | ForeignFrame) -> bool:
+        """Counts the next frame; tells whether it goes on with the answer.
+
+        Raises:
+            EndpointFailureError: A frame is missing before this one.
+        """
+        expected = self.progress.frames
+        match frame:
+            case Frame(sequence=sequence) if sequence == expected:
+                self.progress.frames += 1
+                return True
+            case Frame(sequence=sequence) if sequence > expected:
+                raise EndpointFailureError(
+                    "a frame is missing", sent=True, lost=False
+                )
+        self.metrics.late_frames.add(1)
+        log_event(
+            EventId.LATE_FRAME_DROPPED,
+            request_id=self.request.id,
+            frame=repr(frame)[:200],
+        )
+        return False
+
+    def _end(self, frame: Frame) -> AnswerEnd:
+        usage = dict(frame.usage or {})
+        if self.progress.tokens:  # the endpoint counted what came before
+            usage["prompt_tokens"] -= self.progress.tokens
+            usage["completion_tokens"] += self.progress.tokens
+        return AnswerEnd(finish_reason=frame.finish_reason, usage=usage)
+
+
+def _broken(reason: str) -> EndpointFailureError:
+    return EndpointFailureError(reason, sent=True, lost=True)
+
+
+def _engine_body(request: RoutedRequest, progress: Progress) -> dict[str, Any]:
+    body = dict(request.body)
+    body["stream"] = True
+    body["max_tokens"] = request.answer_tokens - progress.tokens
+    body["priority"] = int(request.length_class)
+    if progress.text:
+        body["continue_text"] = "".join(progress.text)
+    return body
+
+
+__all__ = ["AnswerEnd", "AnswerStream", "AnswerText"]
--- a/src/auburnswitch/routing/dispatcher.py
+++ b/src/auburnswitch/routing/dispatcher.py
@@ -3,19 +3,24 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+import contextlib
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.endpoints.client import (
     Attempt,
     EndpointClient,
     EndpointFailureError,
-    ForeignFrame,
-    Frame,
 )
 from auburnswitch.observe.logs import log_event
 from auburnswitch.results import Refusal, refusal
+from auburnswitch.routing.answer_stream import (
+    AnswerEnd,
+    AnswerStream,
+    AnswerText,
+)
+from auburnswitch.routing.progress import Progress
 from auburnswitch.schema.events import EventId
 from auburnswitch.schema.results import Ran, ResultCode
 
@@ -24,24 +29,9 @@
 
     from auburnswitch.endpoints.reservations import HeldReservation
     from auburnswitch.observe.metrics import Metrics
+    from auburnswitch.observe.tasks import TaskSet
     from auburnswitch.routing.placement import Placer
     from auburnswitch.routing.request import RoutedRequest
-    from auburnswitch.schema.objects import Endpoint
-
-
-@dataclass(slots=True, kw_only=True)
-class AnswerText:
-    """Text that goes on with the answer."""
-
-    text: str
-
-
-@dataclass(slots=True, kw_only=True)
-class AnswerEnd:
-    """The explicit end of a whole answer."""
-
-    finish_reason: str
-    usage: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -54,22 +44,6 @@
 AnswerPart = AnswerText | AnswerEnd | AnswerFailed
 
 
-class Progress:
-    """What has been delivered of one answer.
-
-    Attributes:
-        text: Text delivered, over all attempts.
-        frames: Frames of the present attempt that were taken.
-    """
-
-    __slots__ = ("first_token_at", "frames", "text")
-
-    def __init__(self) -> None:
-        self.text: list[str] = []
-        self.frames = 0
-        self.first_token_at = 0.0
-
-
 class Dispatcher:
     """Runs requests on endpoints.
 
@@ -77,9 +51,10 @@
         placer: Finds endpoints.
         client: Calls endpoints.
         metrics: The daemon's instruments.
+        cleanups: Cancellations and releases that go on after an attempt.
     """
 
-    __slots__ = ("client", "member_id", "metrics", "placer")
+    __slots__ = ("cleanups", "client", "member_id", "metrics", "placer")
 
     def __init__(
         self,
@@ -88,11 +63,13 @@
         client: EndpointClient,
         metrics: Metrics,
         member_id: str,
+        cleanups: TaskSet,
     ) -> None:
         self.placer = placer
         self.client = client
         self.metrics = metrics
         self.member_id = member_id
+        self.cleanups = cleanups
 
     async def run(self, request: RoutedRequest) -> AsyncIterator[AnswerPart]:
         """Yields the parts of the answer; the last one is its end."""
@@ -111,8 +88,10 @@
                 return
             request.attempts += 1
             try:
-                async for part in self._attempt(request, placed, progress):
-                    yield part
+                attempt = self._attempt(request, placed, progress)
+                async with contextlib.aclosing(attempt) as parts:
+                    async for part in parts:
+                        yield part
                 return
             except TimeoutError:
                 yield AnswerFailed(refusal=_deadline(request, progress))
@@ -145,14 +124,22 @@
         )
         started_at = monotonic_s()
         succeeded = lost = finished = False
-        progress.frames = 0
+        progress.start_attempt()
         try:
             request.dispatched = True
-            async for part in self._stream(request, spec, attempt, progress):
-                finished = isinstance(part, AnswerEnd)
-                if progress.frames == 1 or finished:
-                    await self._note_prefilled(request, held, started_at)
-                yield part
+            stream = AnswerStream(
+                client=self.client,
+                metrics=self.metrics,
+                request=request,
+                spec=spec,
+                attempt=attempt,
+                progress=progress,
+            )
+            async with contextlib.aclosing(stream.parts()) as parts:
+                async for part in parts:
+                    finished = isinstance(part, AnswerEnd)
+                    yield part
+                    self._note_prefilled(request, held, started_at)
             succeeded = True
         except EndpointFailureError as error:
             lost = error.lost
@@ -160,74 +147,25 @@
             raise
         finally:
             if not finished:
-                await asyncio.shield(self.client.cancel(spec, attempt))
-            await asyncio.shield(
-                self.placer.reservations.release(
-                    held, succeeded=succeeded, endpoint_lost=lost
+                self.cleanups.start(
+                    self.client.cancel(spec, attempt), "cancel attempt"
                 )
+            release = self.placer.reservations.release(
+                held, succeeded=succeeded, endpoint_lost=lost
             )
+            self.cleanups.start(release, "release reservation")
 
-    async def _stream(
-        self,
-        request: RoutedRequest,
-        spec: Endpoint,
-        attempt: Attempt,
-        progress: Progress,
-    ) -> AsyncIterator[AnswerPart]:
-        body = _engine_body(request, progress)
-        batches = self.client.stream(spec, request.path, body, attempt)
-        while True:
-            async with asyncio.timeout_at(request.deadline_at):
-                batch = await anext(batches, None)
-            if batch is None:
-                break
-            text = []
-            end: Frame | None = None
-            for frame in batch:
-                match frame:
-                    case ForeignFrame():
-                        self._drop(frame, request)
-                    case Frame(sequence=sequence) if sequence < progress.frames:
-                        self._drop(frame, request)
-                    case Frame():
-                        if frame.sequence != progress.frames:
-                            raise EndpointFailureError(
-                                "a frame is missing", sent=True, lost=False
-                            )
-                        progress.frames += 1
-                        text.append(frame.text)
-                        end = frame if frame.finish_reason else end
-            if joined := "".join(text):
-                progress.text.append(joined)
-                yield AnswerText(text=joined)
-            if end is not None:
-                yield AnswerEnd(
-                    finish_reason=end.finish_reason, usage=end.usage or {}
-                )
-                return
-        raise EndpointFailureError(
-            "the stream ended without an end frame", sent=True, lost=True
-        )
-
-    def _drop(
-        self, frame: Frame | ForeignFrame, request: RoutedRequest
-    ) -> None:
-        self.metrics.late_frames.add(1)
-        log_event(
-            EventId.LATE_FRAME_DROPPED,
-            request_id=request.id,
-            frame=str(frame)[:200],
-        )
-
-    async def _note_prefilled(
+    def _note_prefilled(
         self, request: RoutedRequest, held: HeldReservation, started_at: float
     ) -> None:
         if held.work.prefill_tokens == 0:
             return
+        held.work.prefill_tokens = 0
         length = request.length_class.name.lower()
         first_token_s = monotonic_s() - started_at
         self.metrics.first_token.record(first_token_s, {"length": length})
-        await self.placer.reservations.note_prefilled(held)
+        progress = self.placer.reservations.note_prefilled(held)
+        self.cleanups.start(progress, "note progress")
 
     def _note_retry(
         self, request: RoutedRequest, held: HeldReservation, reason: str
@@ -243,16 +181,6 @@
         )
 
 
-def _engine_body(request: RoutedRequest, progress: Progress) -> dict[str, Any]:
-    body = dict(request.body)
-    body["stream"] = True
-    body["max_tokens"] = request.answer_tokens
-    body["priority"] = int(request.length_class)
-    if progress.text:
-        body["continue_text"] = "".join(progress.text)
-    return body
-
-
 def _deadline(request: RoutedRequest, progress: Progress) -> Refusal:
     ran = Ran.NO
     if request.dispatched:
--- a/src/auburnswitch/schema/results.py
+++ b/src/auburnswitch/schema/results.py
@@ -51,6 +51,7 @@
     PROMPT_TOO_LONG = 1010
     IDEMPOTENCY_KEY_REUSED = 1011
     BAD_IDEMPOTENCY_KEY = 1012
+    BAD_METHOD = 1013
     TEAM_LIMIT = 2001
     QUEUE_FULL = 2002
     ISOLATED = 2003
@@ -134,6 +135,10 @@
         text="The idempotency key is empty, too long or has unprintable characters.",
         options={"http": "400", "ran": "no"},
     ),
+    ResultCode.BAD_METHOD: Description(
+        text="The path does not accept this method.",
+        options={"http": "405", "ran": "no"},
+    ),
     ResultCode.TEAM_LIMIT: Description(
         text="The team has reached one of its limits.",
         options={"http": "429", "ran": "no"},
--- a/src/auburnswitch/standins/engine.py
+++ b/src/auburnswitch/standins/engine.py
@@ -137,6 +137,11 @@
         """Stops doing anything for a time; connections stay open."""
         self.pause.extend(seconds)
 
+    def drop_connections(self) -> None:
+        """Breaks every connection; streams go on and can be resumed."""
+        if self._listener is not None:
+            self._listener.abort_connections()
+
     def crash(self, cause: str = "switch") -> None:
         """Drops connections, memory and streams, and restarts later."""
         self.history.add(
--- /dev/null
+++ b/tests/callers/test_streams.py
@@ -0,0 +1,189 @@
+"""Tests of answer streams that break, stall or lose their caller."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import unittest
+
+from auburnswitch.experiments.caller import stream_completion
+from auburnswitch.experiments.fleet import (
+    CALLER_KEY,
+    MODEL,
+    Fleet,
+    FleetOptions,
+    open_fleet,
+)
+from auburnswitch.schema.objects import (
+    Change,
+    ObjectKind,
+    Service,
+    ServiceKind,
+)
+from auburnswitch.standins.answers import answer_text, prompt_digest
+from auburnswitch.standins.engine_model import EngineOptions
+from auburnswitch.standins.history import HistoryKind
+from tests.virtual_time import SimulatedConnector, run_virtual
+
+HEADERS = {"Authorization": f"Bearer {CALLER_KEY}"}
+PROMPT = "one more question about the season " * 30
+TOKENS = 200
+FREED_WITHIN_S = 5
+
+
+def tune(settings):
+    settings.endpoints.stream_idle_timeout_s = 3
+    settings.callers.slow_caller_timeout_s = 5
+
+
+@contextlib.asynccontextmanager
+async def open_warm_fleet():
+    options = FleetOptions(
+        engines=2,
+        daemons=2,
+        engine=EngineOptions(starts_warm=True),
+        endpoint={"warm_after": 1},
+        connector=SimulatedConnector,
+        tune=tune,
+    )
+    async with open_fleet(options) as fleet:
+        for _ in range(8):
+            outcome = await complete(fleet, tokens=1)
+            assert outcome.result == "ok", outcome
+        yield fleet
+
+
+async def complete(fleet: Fleet, *, tokens: int = TOKENS, deadline_s=60.0):
+    return await stream_completion(
+        fleet.session,
+        fleet.caller_url("entry-0"),
+        {"model": MODEL, "prompt": PROMPT, "max_tokens": tokens},
+        HEADERS | {"X-Deadline-Seconds": str(deadline_s)},
+    )
+
+
+def running_engine(fleet: Fleet):
+    return next(e for e in fleet.engines.values() if e.batch.jobs())
+
+
+def started(fleet: Fleet) -> int:
+    return len(list(fleet.history.select(HistoryKind.REQUEST_STARTED)))
+
+
+def count_running(fleet: Fleet) -> list[int]:
+    return [len(engine.batch.jobs()) for engine in fleet.engines.values()]
+
+
+def count_held(fleet: Fleet) -> list[int]:
+    return [len(d.reservations.held) for d in fleet.daemons.values()]
+
+
+def expected() -> str:
+    return answer_text(prompt_digest(PROMPT), TOKENS)
+
+
+class StreamTest(unittest.TestCase):
+    def run_fault(self, fault, **options):
+        """Completes a request while a fault befalls its engine."""
+
+        async def scenario():
+            async with open_warm_fleet() as fleet:
+                before = started(fleet)
+                task = asyncio.create_task(complete(fleet, **options))
+                await asyncio.sleep(2)
+                await fault(fleet, running_engine(fleet))
+                outcome = await task
+                return outcome, started(fleet) - before
+
+        return run_virtual(scenario)
+
+    def test_dropped_connection_is_resumed(self):
+        async def fault(_, engine):
+            engine.drop_connections()
+
+        outcome, runs = self.run_fault(fault)
+        self.assertEqual((outcome.result, runs), ("ok", 1))
+        self.assertEqual(outcome.text, expected())
+        self.assertEqual(outcome.tokens, TOKENS)
+
+    def test_crash_is_continued_elsewhere(self):
+        async def fault(_, engine):
+            engine.crash()
+
+        outcome, runs = self.run_fault(fault)
+        self.assertEqual((outcome.result, runs), ("ok", 2))
+        self.assertEqual(outcome.text, expected())
+        self.assertEqual(outcome.tokens, TOKENS)
+
+    def test_stalled_engine_is_left(self):
+        async def fault(_, engine):
+            engine.freeze(40)
+
+        outcome, _ = self.run_fault(fault)
+        self.assertEqual(outcome.result, "ok")
+        self.assertEqual(outcome.text, expected())
+
+    def test_no_continuation_ends_with_an_error(self):
+        async def fault(fleet, engine):
+            service = Service(kind=ServiceKind.MODEL, allow_continuation=False)
+            change = Change(
+                kind=ObjectKind.SERVICE, name=MODEL, service=service
+            )
+            await fleet.apply(fleet.ticket([change]))
+            await fleet.wait_in_force()
+            task = asyncio.create_task(complete(fleet))
+            await asyncio.sleep(2)
+            for each in fleet.engines.values():
+                each.crash()
+            self.late = await task
+
+        self.run_fault(fault)
+        self.assertEqual(
+            (self.late.result, self.late.ran), ("stream_broken", "yes")
+        )
+        self.assertTrue(expected().startswith(self.late.text))
+
+    def test_deadline_is_final(self):
+        async def fault(_, __):
+            pass
+
+        outcome, _ = self.run_fault(fault, deadline_s=3.0)
+        self.assertEqual(outcome.result, "deadline_exceeded")
+        self.assertEqual(outcome.ran, "yes")
+        self.assertAlmostEqual(outcome.total_s, 3.0, delta=0.5)
+
+
+class CallerTest(unittest.TestCase):
+    def test_caller_gone_frees_the_engine(self):
+        async def scenario():
+            async with open_warm_fleet() as fleet:
+                task = asyncio.create_task(complete(fleet))
+                await asyncio.sleep(2)
+                engine = running_engine(fleet)
+                task.cancel()
+                await asyncio.sleep(FREED_WITHIN_S)
+                held = [
+                    len(d.reservations.held) for d in fleet.daemons.values()
+                ]
+                return len(engine.batch.jobs()), held
+
+        self.assertEqual(run_virtual(scenario), (0, [0, 0]))
+
+    def test_slow_caller_is_bounded(self):
+        async def scenario():
+            async with open_warm_fleet() as fleet:
+                body = {"model": MODEL, "prompt": PROMPT, "max_tokens": 40_000}
+                response = await fleet.session.post(
+                    fleet.caller_url("entry-0") + "/v1/completions",
+                    json=body | {"stream": True},
+                    headers=HEADERS | {"X-Deadline-Seconds": "7000"},
+                )
+                await asyncio.sleep(400)  # never reads
+                running = count_running(fleet)
+                held = [
+                    len(d.reservations.held) for d in fleet.daemons.values()
+                ]
+                response.close()
+                return running, held
+
+        self.assertEqual(run_virtual(scenario), ([0, 0], [0, 0]))
