Find ready sockets faster in virtual time

A run of 20 engines spent nine tenths of its time in async-solipsism's selector, which looks up every socket by hash at each turn of the loop. The tests' loop now keeps the receive queues of connections at hand and asks only the other sockets the library's way. Watching writes instead of scanning was ruled out, since it needs changes inside the library's sockets.

--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -4,17 +4,113 @@
 
 import asyncio
 import contextlib
+import selectors
 from typing import TYPE_CHECKING, Any, TypeVar
 
 import aiohttp
 import async_solipsism
+from async_solipsism.selector import Selector
+from async_solipsism.socket import Queue, Socket
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
+    from async_solipsism.clock import Clock
+
+MAX_SLEEP_S = asyncio.base_events.MAXIMUM_SELECT_TIMEOUT
+
 ResultT = TypeVar("ResultT")
 
 
+class IndexedSelector(Selector):
+    """Finds ready sockets faster than the library's own selector.
+
+    It looks at the receive queues of connections alone, which are nearly all
+    of what a run waits for, and asks the other sockets as the library does.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__(clock)
+        self._receiving: dict[int, tuple[Queue, selectors.SelectorKey]] = {}
+        self._others: dict[int, selectors.SelectorKey] = {}
+
+    def register(
+        self, fileobj: Any, events: int, data: Any = None
+    ) -> selectors.SelectorKey:
+        """Starts to watch a socket."""
+        key = super().register(fileobj, events, data)
+        self._add(key)
+        return key
+
+    def unregister(self, fileobj: Any) -> selectors.SelectorKey:
+        """Stops watching a socket."""
+        key = super().unregister(fileobj)
+        self._remove(key)
+        return key
+
+    def modify(
+        self, fileobj: Any, events: int, data: Any = None
+    ) -> selectors.SelectorKey:
+        """Changes what a socket is watched for."""
+        key = super().modify(fileobj, events, data)
+        self._remove(key)
+        self._add(key)
+        return key
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        """Returns the ready sockets, else advances the clock."""
+        ready = [
+            (key, selectors.EVENT_READ)
+            for queue, key in self._receiving.values()
+            if queue._buffer or queue._eof
+        ]
+        ready += [
+            (key, events)
+            for key in self._others.values()
+            if (events := _ready_events(key))
+        ]
+        if ready:
+            return ready
+        if timeout is None or timeout >= MAX_SLEEP_S:
+            raise async_solipsism.SleepForeverError("nothing left to wait for")
+        if timeout > 0:
+            self.clock.advance(timeout)
+        return []
+
+    def _add(self, key: selectors.SelectorKey) -> None:
+        socket = key.fd.socket
+        if type(socket) is Socket and key.events == selectors.EVENT_READ:
+            self._receiving[id(socket)] = (socket._read_queue, key)
+        else:
+            self._others[id(socket)] = key
+
+    def _remove(self, key: selectors.SelectorKey) -> None:
+        self._receiving.pop(id(key.fd.socket), None)
+        self._others.pop(id(key.fd.socket), None)
+
+
+def _ready_events(key: selectors.SelectorKey) -> int:
+    socket = key.fd.socket
+    events = 0
+    if key.events & selectors.EVENT_READ and socket.read_ready():
+        events |= selectors.EVENT_READ
+    if key.events & selectors.EVENT_WRITE and socket.write_ready():
+        events |= selectors.EVENT_WRITE
+    return events
+
+
+class VirtualLoop(async_solipsism.EventLoop):
+    """An event loop with virtual time and in-memory sockets."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        own = self._selector
+        self._selector = IndexedSelector(own.clock)
+        own.close()
+
+
 class SimulatedConnector(aiohttp.TCPConnector):
     """Opens connections on the running loop's in-memory network."""
 
@@ -59,7 +155,7 @@
     Returns:
         What it returns.
     """
-    loop = async_solipsism.EventLoop()
+    loop = VirtualLoop()
     try:
         with asyncio.Runner(loop_factory=lambda: loop) as runner:
             return runner.run(_await(function))
@@ -71,4 +167,9 @@
     return await function()
 
 
-__all__ = ["SimulatedConnector", "open_session", "run_virtual"]
+__all__ = [
+    "SimulatedConnector",
+    "VirtualLoop",
+    "open_session",
+    "run_virtual",
+]
