Measure the daemon's overhead before work on it

A lone daemon called itself isolated while its watch waited: seen here, to be mended with the isolation rule.

--- a/tools/measure_overhead.py
+++ b/tools/measure_overhead.py
@@ -43,10 +43,11 @@
     async with session.post(
         url + "/v1/completions", json=body, headers=headers
     ) as response:
-        await response.content.readline()
+        first = await response.content.readline()
         took_s = time.perf_counter() - started_at
-        await response.read()
-    assert response.status == 200
+        rest = first + await response.read()
+    if response.status != 200:
+        raise RuntimeError(f"HTTP status {response.status}: {rest!r:.300}")
     return took_s
 
 
@@ -143,7 +144,8 @@
             if change["kind"] == "endpoint":
                 change["endpoint"]["max_running"] = 512
         await fleet.apply("entry-1", ticket)
-        await fleet.wait_ready(live=1)
+        await fleet.start_daemon("entry-2")
+        await fleet.wait_ready(live=2)
         for _ in range(4 * ENGINES):
             await run_stream(fleet.session, daemon.callers, AUTHORIZATION)
         report = {
