--- a/src/auburnswitch/standins/__main__.py
+++ b/src/auburnswitch/standins/__main__.py
@@ -7,6 +7,7 @@
 import logging
 import signal
 import sys
+import uuid
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -70,6 +71,7 @@
             name: Name of the service.
             **options: Options of `PlainServiceStandIn`.
         """
+        options.setdefault("incarnation", _incarnation())
         _run(open_plain_service(host=host, port=port, name=name, **options))
 
     def weights(
@@ -92,12 +94,21 @@
     async with (
         aiohttp.ClientSession() as session,
         open_engine(
-            host=host, port=port, name=name, options=options, session=session
+            host=host,
+            port=port,
+            name=name,
+            options=options,
+            session=session,
+            incarnation=_incarnation(),
         ) as engine,
     ):
         yield engine
 
 
+def _incarnation() -> str:
+    return uuid.uuid4().hex[:8] + "-"
+
+
 def _run(opening: contextlib.AbstractAsyncContextManager[Any]) -> None:
     logging.basicConfig(level=logging.WARNING)
     try:
--- a/src/auburnswitch/standins/control.py
+++ b/src/auburnswitch/standins/control.py
@@ -57,8 +57,8 @@
             if not isinstance(switches, dict):
                 raise ValueError("must be an object")
             target.apply_control(switches)
-        except (ValueError, TypeError) as error:
-            return JSONResponse({"error": str(error)}, 400)
+        except (ValueError, TypeError, KeyError) as error:
+            return JSONResponse({"error": repr(error)}, 400)
         return JSONResponse({})
 
     async def get_history(request: Request) -> Response:
--- a/src/auburnswitch/standins/engine_api.py
+++ b/src/auburnswitch/standins/engine_api.py
@@ -91,7 +91,7 @@
             max_tokens=parsed.max_tokens, first_token=continued, chat=chat
         )
         refusal = await self._refusal(parsed, work.max_tokens + continued)
-        if refusal is None and self._is_known(caller):
+        if refusal is None and self.engine.jobs.has_attempt(caller):
             refusal = _error(409, "this attempt has been sent already")
         if refusal is not None:
             return refusal
@@ -103,11 +103,7 @@
         return JSONResponse(whole_answer(job, work))
 
     def _default_id(self) -> str:
-        return f"{self.engine.boot_id}-{self.engine.next_order()}"
-
-    def _is_known(self, caller: Caller) -> bool:
-        self.engine.live_streams()  # drops those that have expired
-        return (caller.request_id, caller.attempt) in self.engine.streams
+        return f"{self.engine.boot_id}-{self.engine.jobs.next_order()}"
 
     async def _refusal(
         self, parsed: EngineRequest, further_tokens: int
@@ -147,7 +143,7 @@
             attempt=caller.attempt,
             member_id=caller.member_id,
             priority=parsed.priority,
-            order=self.engine.next_order(),
+            order=self.engine.jobs.next_order(),
             work=work,
             prompt_tokens=count_tokens(parsed.prompt) + continued,
             digest=prompt_digest(parsed.prompt, _chain_digest(parsed)),
@@ -174,15 +170,15 @@
                 "tokens": job.memory_tokens if job.live else 0,
                 "finished": not job.live,
             }
-            for job in self.engine.live_streams()
+            for job in self.engine.jobs.list_streams()
         ]
         return JSONResponse({"streams": streams})
 
     def _find_stream(self, request: Request) -> Job | None:
-        self.engine.live_streams()  # drops those that have expired
         params = request.path_params
-        key = (params["request_id"], params["attempt"])
-        return self.engine.streams.get(key)
+        return self.engine.jobs.find_stream(
+            params["request_id"], params["attempt"]
+        )
 
     async def resume_stream(self, request: Request) -> Response:
         """Streams an answer again from a sequence number on."""
@@ -219,7 +215,7 @@
             return refusal
         tokens = count_tokens(parsed.prompt)
         digest = prompt_digest(parsed.prompt, _chain_digest(parsed))
-        kv_id = self.engine.next_kv_id(tokens, digest)
+        kv_id = self.engine.jobs.next_kv_id(self.engine.boot_id, tokens, digest)
         job = self._make_job(parsed, caller, Segment(kv_id=kv_id))
         self.engine.submit(job)
         await job.wait_until_ended()
@@ -237,13 +233,13 @@
                 "member_id": job.member_id,
                 "tokens": job.memory_tokens,
             }
-            for kv_id, job in self.engine.kv_caches.items()
+            for kv_id, job in self.engine.jobs.kv_caches.items()
         ]
         return JSONResponse({"caches": caches})
 
     async def free_kv(self, request: Request) -> Response:
         """Frees a KV cache."""
-        job = self.engine.kv_caches.get(request.path_params["kv_id"])
+        job = self.engine.jobs.kv_caches.get(request.path_params["kv_id"])
         if job is None:
             return _error(404, "no such KV cache")
         self.engine.cancel(job)
@@ -251,7 +247,7 @@
 
     async def load(self, request: Request) -> Response:
         """Reports the load of a short time ago."""
-        return JSONResponse(self.engine.load_report().to_json())
+        return JSONResponse(self.engine.load.read().to_json())
 
     async def cache_events(self, request: Request) -> Response:
         """Lists cache events from a sequence number on."""
--- a/src/auburnswitch/standins/engine_cache.py
+++ b/src/auburnswitch/standins/engine_cache.py
@@ -6,12 +6,13 @@
 import collections
 import enum
 import hashlib
+import random
 from typing import TYPE_CHECKING, Any, Final
 
 from auburnswitch.standins.answers import BYTES_PER_TOKEN
 
 if TYPE_CHECKING:
-    import random
+    from auburnswitch.standins.engine_model import EngineOptions
 
 BLOCK_TOKENS: Final = 256
 BLOCK_BYTES: Final = BLOCK_TOKENS * BYTES_PER_TOKEN
@@ -70,9 +71,7 @@
     A lost event uses up its sequence number, so that readers see a gap.
 
     Attributes:
-        delay_s: Shortest age of a published event.
-        jitter_s: Random addition to that age.
-        loss: Share of events that are never published.
+        options: Delay and loss of events.
     """
 
     __slots__ = (
@@ -80,23 +79,12 @@
         "_last_visible_s",
         "_random",
         "_sequence",
-        "delay_s",
-        "jitter_s",
-        "loss",
+        "options",
     )
 
-    def __init__(
-        self,
-        *,
-        delay_s: float,
-        jitter_s: float,
-        loss: float,
-        random_source: random.Random,
-    ) -> None:
-        self.delay_s = delay_s
-        self.jitter_s = jitter_s
-        self.loss = loss
-        self._random = random_source
+    def __init__(self, *, options: EngineOptions) -> None:
+        self.options = options
+        self._random = random.Random(options.seed)
         self._events: collections.deque[CacheEvent] = collections.deque(
             maxlen=MAX_KEPT_EVENTS
         )
@@ -107,10 +95,12 @@
         """Adds an event, which readers see later if at all."""
         sequence = self._sequence
         self._sequence += 1
-        jitter_s = self._random.random() * self.jitter_s
-        if self._random.random() < self.loss:
+        options = self.options
+        jitter_s = self._random.random() * options.cache_event_jitter_s
+        if self._random.random() < options.cache_event_loss:
             return
-        visible_at_s = asyncio.get_running_loop().time() + self.delay_s
+        now_s = asyncio.get_running_loop().time()
+        visible_at_s = now_s + options.cache_event_delay_s
         visible_at_s = max(visible_at_s + jitter_s, self._last_visible_s)
         self._last_visible_s = visible_at_s  # events stay in order
         self._events.append(
--- /dev/null
+++ b/src/auburnswitch/standins/engine_cold.py
@@ -0,0 +1,54 @@
+"""The cold state of an engine, in which it bears only a small load."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from auburnswitch.standins.engine_job import Job
+    from auburnswitch.standins.engine_model import EngineOptions
+
+
+class ColdState:
+    """Whether an engine is cold, and what it bears then.
+
+    Attributes:
+        options: Bounds of the cold state.
+        cold: Whether the engine is cold.
+        successes: Requests served since it turned cold.
+    """
+
+    __slots__ = ("cold", "options", "successes")
+
+    def __init__(self, *, options: EngineOptions) -> None:
+        self.options = options
+        self.cold = not options.starts_warm
+        self.successes = 0
+
+    def turn_cold(self) -> None:
+        """Starts the cold state."""
+        self.cold = True
+        self.successes = 0
+
+    def count_success(self) -> bool:
+        """Counts a served request; returns whether it ended the cold state."""
+        self.successes += 1
+        if not self.cold or self.successes < self.options.warm_after:
+            return False
+        self.cold = False
+        return True
+
+    def is_overloaded(self, jobs: Sequence[Job]) -> bool:
+        """Returns whether a cold engine does not bear the jobs."""
+        if not self.cold:
+            return False
+        tokens = sum(job.prompt_tokens for job in jobs)
+        return (
+            len(jobs) > self.options.cold_max_running
+            or tokens > self.options.cold_max_tokens
+        )
+
+
+__all__ = ["ColdState"]
--- a/src/auburnswitch/standins/engine_job.py
+++ b/src/auburnswitch/standins/engine_job.py
@@ -153,6 +153,11 @@
         """Whether its KV cache is complete and kept."""
         return self.state is JobState.HELD
 
+    @property
+    def prefilled_segment(self) -> bool:
+        """Whether its KV cache has been completed, even if freed since."""
+        return isinstance(self.work, Segment) and self.prefill_left == 0
+
     def sort_key(self) -> tuple[int, int]:
         """Returns its place in the order of service."""
         return (self.priority, self.order)
--- a/src/auburnswitch/standins/engine_load.py
+++ b/src/auburnswitch/standins/engine_load.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import Any
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from auburnswitch.standins.engine_batch import Batch
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -35,4 +38,22 @@
         return dataclasses.asdict(self)
 
 
-__all__ = ["LoadReport"]
+def make_load_report(
+    batch: Batch, *, boot_id: str, model: str, leaving: bool
+) -> LoadReport:
+    """Returns the present load of a batch."""
+    queued = sum(job.prefill_left for job in batch.waiting)
+    queued += sum(job.prefill_left for job in batch.prefilling)
+    return LoadReport(
+        boot_id=boot_id,
+        running=batch.running_count,
+        waiting=len(batch.waiting),
+        memory_tokens=batch.options.memory_tokens,
+        memory_used_tokens=batch.memory_used,
+        prefill_queued_tokens=queued,
+        model=model,
+        leaving=leaving,
+    )
+
+
+__all__ = ["LoadReport", "make_load_report"]
--- a/src/auburnswitch/standins/history.py
+++ b/src/auburnswitch/standins/history.py
@@ -22,7 +22,7 @@
     WRITE_ACCEPTED = "write_accepted"
     ANSWER_LOST = "answer_lost"
     CRASHED = "crashed"
-    RESTARTED = "restarted"
+    BOOTED = "booted"
     TURNED_COLD = "turned_cold"
     TURNED_WARM = "turned_warm"
     ORDER_APPLIED = "order_applied"
--- a/src/auburnswitch/standins/listener.py
+++ b/src/auburnswitch/standins/listener.py
@@ -84,12 +84,6 @@
         """Base URL of the listener."""
         return f"http://{self.host}:{self.port}"
 
-    @property
-    def up(self) -> bool:
-        """Whether requests are accepted and run."""
-        now_s = asyncio.get_running_loop().time()
-        return self._open and now_s >= self._silent_until_s
-
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
@@ -102,6 +96,7 @@
         except asyncio.CancelledError:
             if task not in self._aborted:
                 raise
+            await wait_disconnected(receive)  # the server must see it first
         finally:
             self._requests.discard(task)
             self._aborted.discard(task)
--- a/src/auburnswitch/standins/plain_service.py
+++ b/src/auburnswitch/standins/plain_service.py
@@ -65,6 +65,7 @@
         restart_silent: Whether connections are left without an answer while
             it is down, instead of being refused.
         pause: While it lasts, the service does nothing.
+        incarnation: Part of boot ids that tells processes apart.
         boot_id: Changes with every start.
         running: Requests that run.
     """
@@ -78,6 +79,7 @@
         "boot_id",
         "fail_next",
         "history",
+        "incarnation",
         "name",
         "pause",
         "restart_s",
@@ -94,9 +96,11 @@
         service_time_s: float = DEFAULT_SERVICE_TIME_S,
         restart_s: float = DEFAULT_RESTART_S,
         load_lag_s: float = DEFAULT_LOAD_LAG_S,
+        incarnation: str = "",
     ) -> None:
         self.name = name
         self.history = history if history is not None else History()
+        self.incarnation = incarnation
         self.bookings: dict[str, Booking] = {}
         self.service_time_s = service_time_s
         self.fail_next = 0
@@ -130,6 +134,11 @@
         """Stops doing anything for a time; connections stay open."""
         self.pause.extend(seconds)
 
+    def drop_connections(self) -> None:
+        """Breaks every connection; the requests do not run on."""
+        if self._listener is not None:
+            self._listener.abort_connections()
+
     def crash(self) -> None:
         """Drops connections and what runs, and restarts later."""
         self.history.add(self.name, HistoryKind.CRASHED, boot_id=self.boot_id)
@@ -142,9 +151,12 @@
         others = dict(switches)
         freeze_s = float(others.pop("freeze_s", 0.0))
         crash = others.pop("crash", False)
+        drop = others.pop("drop_connections", False)
         set_switches(self, others, SWITCHES)
         if freeze_s:
             self.freeze(freeze_s)
+        if drop:
+            self.drop_connections()
         if crash:
             self.crash()
 
@@ -161,10 +173,10 @@
     def _boot(self) -> None:
         self._boots += 1
         self.running = 0
-        self.boot_id = f"{self.name}-{self._boots}"
+        self.boot_id = f"{self.name}-{self.incarnation}{self._boots}"
         self._load.clear()
         self._record_load()
-        self.history.add(self.name, HistoryKind.RESTARTED, boot_id=self.boot_id)
+        self.history.add(self.name, HistoryKind.BOOTED, boot_id=self.boot_id)
 
     def _record_load(self) -> None:
         self._load.record(
--- a/tests/standins/test_engine_faults.py
+++ b/tests/standins/test_engine_faults.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import random
 import unittest
+from typing import TYPE_CHECKING
 
 import aiohttp
 
 from auburnswitch.standins.history import HistoryKind
-from tests.standins.engine_client import open_client
+from tests.standins.engine_client import EngineClient, open_client
 from tests.virtual_time import run_virtual
 
+if TYPE_CHECKING:
+    from auburnswitch.standins.engine import EngineStandIn
+
 
 class ColdTest(unittest.TestCase):
     def test_overload_crashes_a_cold_engine(self):
@@ -131,5 +137,55 @@
         self.assertTrue(10.5 < took_s < 12)
 
 
+class RandomRunTest(unittest.TestCase):
+    def test_memory_is_exact_under_random_work(self):
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                run_virtual(lambda seed=seed: self.run_random(seed))
+
+    async def run_random(self, seed: int) -> None:
+        choices = random.Random(seed)
+        async with open_client(memory_tokens=9_000, restart_s=1) as client:
+            tasks = []
+            for number in range(150):
+                work = self.one(client, choices, f"r{number}")
+                tasks.append(asyncio.create_task(work))
+                await asyncio.sleep(choices.expovariate(10))
+                self.check(client.engine)
+            await asyncio.gather(*tasks)
+            for kv_id in list(client.engine.jobs.kv_caches):
+                await client.call("DELETE", f"/v1/kv/{kv_id}")
+            await asyncio.sleep(60)
+            self.assertEqual(client.engine.batch.memory_used, 0)
+            self.assertEqual(client.engine.batch.jobs(), [])
+
+    async def one(
+        self, client: EngineClient, choices: random.Random, name: str
+    ) -> None:
+        prompt = choices.choice("abc") * choices.randint(1, 20_000)
+        stop_after_s = choices.expovariate(0.5)
+        cancels, crashes = choices.random() < 0.3, choices.random() < 0.03
+        if choices.random() < 0.3:
+            call = client.call("POST", "/v1/prefill", {"prompt": prompt}, name)
+        else:
+            priority = choices.randint(0, 2)
+            call = client.complete(prompt, 9, name, priority=priority)
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            await asyncio.wait_for(call, stop_after_s)
+        if crashes:
+            client.engine.crash()
+        if cancels:
+            with contextlib.suppress(aiohttp.ClientError):
+                await client.call("DELETE", f"/v1/streams/{name}/1")
+
+    def check(self, engine: EngineStandIn) -> None:
+        batch = engine.batch
+        held = [job for job in engine.jobs.kv_caches.values() if job.held]
+        running = [*batch.prefilling, *batch.decoding, *held]
+        used = sum(job.memory_tokens for job in running)
+        self.assertEqual(batch.memory_used, used)
+        self.assertLessEqual(used, engine.options.memory_tokens)
+
+
 if __name__ == "__main__":
     unittest.main()
