Abort connections in a fixed order

A crash aborted connections and cancelled requests in the order of a set of objects, which follows memory addresses and so may differ between runs of one seed. Requests are now kept in order of arrival and connections sorted by the caller's address. A test runs one seed twice and compares the two histories; it passed before the change too, as no history so far depends on that order, so the change rests on reading and not on a red run.

--- a/src/auburnswitch/standins/listener.py
+++ b/src/auburnswitch/standins/listener.py
@@ -12,6 +12,7 @@
     from collections.abc import AsyncIterator
 
     from starlette.types import ASGIApp, Receive, Scope, Send
+    from uvicorn.protocols.http.h11_impl import H11Protocol
 
 MAX_HEADER_BYTES: Final = 65536
 
@@ -73,7 +74,7 @@
         self.pause = pause
         self._server: HttpServer | None = None
         self._open = False
-        self._requests: set[asyncio.Task[None]] = set()
+        self._requests: dict[asyncio.Task[None], None] = {}  # keeps order
         self._aborted: set[asyncio.Task[None]] = set()
         self._down = asyncio.Event()
         self._up_at_s = 0.0
@@ -90,7 +91,7 @@
         """Runs one request as an ASGI application."""
         task = asyncio.current_task()
         assert task is not None
-        self._requests.add(task)
+        self._requests[task] = None
         try:
             await self._run(scope, receive, send)
         except asyncio.CancelledError:
@@ -98,7 +99,7 @@
                 raise
             await wait_disconnected(receive)  # the server must see it first
         finally:
-            self._requests.discard(task)
+            del self._requests[task]
             self._aborted.discard(task)
 
     async def _run(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -137,8 +138,8 @@
     def abort_connections(self) -> None:
         """Breaks every connection and cancels its request."""
         if self._server is not None:
-            state = self._server.server.server_state
-            for connection in list(state.connections):
+            connections = self._server.server.server_state.connections
+            for connection in sorted(connections, key=_client_address):
                 connection.transport.abort()
         for task in list(self._requests):
             self._aborted.add(task)
@@ -186,6 +187,10 @@
             await self._down.wait()
 
 
+def _client_address(connection: H11Protocol) -> tuple[str, int]:
+    return connection.client or ("", 0)
+
+
 @contextlib.asynccontextmanager
 async def open_listener(
     app: ASGIApp, *, host: str, port: int, pause: Pause | None = None
--- a/tests/standins/test_engine_faults.py
+++ b/tests/standins/test_engine_faults.py
@@ -143,7 +143,12 @@
             with self.subTest(seed=seed):
                 run_virtual(lambda seed=seed: self.run_random(seed))
 
-    async def run_random(self, seed: int) -> None:
+    def test_same_seed_same_history(self):
+        dumps = [run_virtual(lambda: self.run_random(7)) for _ in range(2)]
+        self.assertIn('"kind":"crashed"', dumps[0])
+        self.assertEqual(dumps[0], dumps[1])
+
+    async def run_random(self, seed: int) -> str:
         choices = random.Random(seed)
         async with open_client(memory_tokens=9_000, restart_s=1) as client:
             tasks = []
@@ -158,6 +163,7 @@
             await asyncio.sleep(60)
             self.assertEqual(client.engine.batch.memory_used, 0)
             self.assertEqual(client.engine.batch.jobs(), [])
+            return client.engine.history.dump()
 
     async def one(
         self, client: EngineClient, choices: random.Random, name: str
