--- a/schema/objects.thrift
+++ b/schema/objects.thrift
@@ -87,6 +87,12 @@
   12: bool leaving = false
   // Long prefill tokens allowed at one time, as a share of memory.
   13: double long_share = 0.6
+  // Model version that the engine should have loaded; empty leaves it alone.
+  40: string model_version = ""
+  // Role that the engine should have; empty leaves it alone.
+  41: string role = ""
+  // Instance that the endpoint runs on; empty means the endpoint's own name.
+  42: string instance = ""
 }
 
 // One object's whole new state within a ticket.
--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -44,6 +44,10 @@
   7: i32 max_running = 0
   // Identifies one start of the endpoint.
   8: string boot_id = ""
+  // Requests that succeeded since the endpoint was cold.
+  40: i32 successes = 0
+  // Requests that may run at one time while load is rising.
+  41: i32 window = 0
 }
 
 // Work that a daemon has running on an endpoint.
@@ -56,6 +60,11 @@
   5: LengthClass length_class = 0
   6: string team = ""
   7: string fingerprint = ""
+  // Prompt tokens, prefilled or not.
+  40: i64 prompt_tokens = 0
+  41: string request_id = ""
+  // Number of the attempt that was dispatched; 0 before the dispatch.
+  42: i32 attempt = 0
 }
 
 // A request that was in flight when an endpoint crashed.
@@ -92,6 +101,10 @@
   10: list<string> heard = []
   // Seconds since the sender last read the platform's store.
   11: double store_age_s = 0
+  // Endpoints that the platform's instance list says are leaving.
+  40: list<string> leaving_endpoints = []
+  // Whether the sender read the instance list lately.
+  41: bool reads_instances = false
 }
 
 struct HeartbeatAck {
@@ -131,6 +144,8 @@
   // Endpoints that the owner believes have more room.
   4: list<string> alternatives = []
   5: string boot_id = ""
+  // Seconds from the arrival of the request to its grant.
+  40: double waited_s = 0
 }
 
 // Ends a reservation, used or not.
@@ -143,12 +158,16 @@
   5: double first_token_s = 0
   // The endpoint refused the connection or dropped it.
   6: bool endpoint_lost = false
+  // The endpoint may still run the attempt.
+  40: bool may_still_run = false
 }
 
 // The prompt has been prefilled.
 struct ProgressRequest {
   1: string endpoint = ""
   2: string reservation_id = ""
+  // Seconds from dispatch to first token.
+  40: double first_token_s = 0
 }
 
 struct Done {
@@ -170,6 +189,12 @@
   1: string member_id = ""
   2: i64 epoch = 0
   3: list<string> endpoints = []
+  // What the sender knows of each of these endpoints.
+  40: list<EndpointHint> states = []
+  // Work that the sender has granted on them.
+  41: list<RunningWork> running = []
+  // Member that holds each entry of running.
+  42: list<string> holders = []
 }
 
 // One frame of a peer connection; exactly one optional field is set.
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -124,6 +124,18 @@
   3: double stream_idle_timeout_s = 30
   // Load reports without a reply after which an endpoint counts as down. @min 1 @max 100
   4: i32 down_after_failures = 3
+  // Time between two comparisons of an engine's streams and KV caches with what daemons report. @unit seconds @min 0.5 @max 600
+  40: double orphan_interval_s = 2
+  // Age up to which an engine's lists may lag behind. @unit seconds @min 0 @max 60
+  41: double load_lag_s = 1
+  // Base URL of the weight store; empty asks for no admission of loads.
+  42: string weight_store_url = ""
+  // Model loads per second that all daemons together may start. @unit loads/s @min 0.001 @max 1000
+  43: double weight_loads_per_second = 0.4
+  // First-token time over the expected one, relative to the endpoint's record, that counts as trouble. @min 2 @max 1000
+  44: double slow_first_token_ratio = 8
+  // Time between two reads of the platform's instance list, by one daemon. @unit seconds @min 0.2 @max 60
+  45: double instances_interval_s = 1
 }
 
 // Structured logs.
--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -17,10 +17,11 @@
 from auburnswitch.callers.app import CallerApp
 from auburnswitch.callers.parse import RequestParser
 from auburnswitch.clock import WallClock, monotonic_s
-from auburnswitch.endpoints.client import EndpointClient
+from auburnswitch.endpoints.client import EndpointClient, guard_trace
 from auburnswitch.endpoints.monitor import LoadMonitor
 from auburnswitch.endpoints.owner import OwnerTable
 from auburnswitch.endpoints.reservations import ReservationClient
+from auburnswitch.endpoints.rights import RosterRights
 from auburnswitch.http_server import HttpServer, ListenError, open_http_server
 from auburnswitch.members.roster import ROSTER_KEY, RosterKeeper
 from auburnswitch.members.server import PeerServer
@@ -131,6 +132,7 @@
             view=self.view,
             state=self.state,
             invariants=self.invariants,
+            rights=RosterRights(view=self.view),
         )
         self.reservations = ReservationClient(
             owner_table=self.owner_table, membership=self.membership
@@ -144,8 +146,9 @@
             self.owner_table.note_heartbeat
         )
         self.monitor = LoadMonitor(
-            settings=self.settings.endpoints,
+            settings=self.settings,
             owner_table=self.owner_table,
+            reservations=self.reservations,
             session=session,
             tasks=self.tasks,
         )
@@ -272,7 +275,8 @@
         ListenError: A listener's address cannot be bound.
     """
     session = aiohttp.ClientSession(
-        connector=connector() if connector else aiohttp.TCPConnector(limit=0)
+        connector=connector() if connector else aiohttp.TCPConnector(limit=0),
+        trace_configs=[guard_trace()],
     )
     async with session, open_task_set() as tasks:
         daemon = Daemon(
--- a/src/auburnswitch/endpoints/client.py
+++ b/src/auburnswitch/endpoints/client.py
@@ -11,11 +11,13 @@
 import aiohttp
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from auburnswitch.schema.objects import Endpoint
     from auburnswitch.schema.settings import EndpointsSettings
 
+    Guard = Callable[[], None]
+
 _DATA: Final = b"data: "
 _DONE: Final = b"[DONE]"
 READ_BYTES: Final = 65536
@@ -81,6 +83,24 @@
         self.status = status
 
 
+def guard_trace() -> aiohttp.TraceConfig:
+    """Returns a trace that asks a request's guard before its first byte.
+
+    The guard is called once the connection is ready, with no ``await``
+    between it and the writing of the request's head.
+    """
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(_ask_guard)
+    trace.on_connection_reuseconn.append(_ask_guard)
+    return trace
+
+
+async def _ask_guard(_: Any, context: Any, __: Any) -> None:
+    guard = context.trace_request_ctx
+    if guard is not None:
+        guard()
+
+
 class EndpointClient:
     """Calls endpoints over HTTP.
 
@@ -99,10 +119,23 @@
 
     @contextlib.asynccontextmanager
     async def request(
-        self, spec: Endpoint, method: str, path: str, **options: Any
+        self,
+        spec: Endpoint,
+        method: str,
+        path: str,
+        *,
+        guard: Guard | None = None,
+        **options: Any,
     ) -> AsyncIterator[aiohttp.ClientResponse]:
         """Sends a request and yields the response.
 
+        Args:
+            spec: The endpoint.
+            method: HTTP method.
+            path: Path at the endpoint.
+            guard: Called right before the first byte is sent; may raise.
+            **options: Further options of the HTTP call.
+
         Raises:
             EndpointFailureError: The endpoint is lost or does not answer.
         """
@@ -114,7 +147,12 @@
         )
         try:
             async with self.session.request(
-                method, url, timeout=timeout, allow_redirects=False, **options
+                method,
+                url,
+                timeout=timeout,
+                allow_redirects=False,
+                trace_request_ctx=guard,
+                **options,
             ) as response:
                 yield response
         except aiohttp.ClientConnectorError as error:
@@ -131,30 +169,51 @@
             raise EndpointFailureError(reason, sent=True, lost=lost) from error
 
     async def stream(
-        self, spec: Endpoint, path: str, body: Any, attempt: Attempt
+        self,
+        spec: Endpoint,
+        path: str,
+        body: Any,
+        attempt: Attempt,
+        guard: Guard | None = None,
     ) -> AsyncIterator[list[Frame | ForeignFrame]]:
         """Runs a completion and yields its frames as they arrive.
 
+        Args:
+            spec: The endpoint.
+            path: Path at the endpoint.
+            body: JSON body.
+            attempt: Names the attempt.
+            guard: Called right before the first byte is sent; may raise.
+
         Raises:
             EndpointFailureError: The stream ended before its explicit end.
         """
         headers = attempt.headers()
         async with self.request(
-            spec, "POST", path, json=body, headers=headers
+            spec, "POST", path, guard=guard, json=body, headers=headers
         ) as response:
             await _check_status(response)
             async for frames in _read_frames(response, attempt):
                 yield frames
 
-    async def cancel(self, spec: Endpoint, attempt: Attempt) -> None:
-        """Cancels an attempt, so that the endpoint frees its memory."""
+    async def cancel(self, spec: Endpoint, attempt: Attempt) -> bool:
+        """Cancels an attempt, so that the endpoint frees its memory.
+
+        Returns:
+            Whether the endpoint runs it no longer.
+        """
         path = f"/v1/streams/{attempt.request_id}/{attempt.number}"
+        return await self.delete(spec, path)
+
+    async def delete(self, spec: Endpoint, path: str) -> bool:
+        """Deletes a resource of an endpoint; returns whether it is gone."""
         with contextlib.suppress(EndpointFailureError, TimeoutError):
             async with (
                 asyncio.timeout(self.settings.connect_timeout_s),
-                self.request(spec, "DELETE", path),
+                self.request(spec, "DELETE", path) as response,
             ):
-                pass
+                return response.status in (200, 204, 404)
+        return False
 
 
 async def _check_status(response: aiohttp.ClientResponse) -> None:
@@ -225,4 +284,5 @@
     "EndpointFailureError",
     "ForeignFrame",
     "Frame",
+    "guard_trace",
 ]
--- /dev/null
+++ b/src/auburnswitch/endpoints/hints.py
@@ -0,0 +1,43 @@
+"""What owners tell of their endpoints."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from auburnswitch.clock import monotonic_s
+
+if TYPE_CHECKING:
+    from auburnswitch.schema.peers import EndpointHint
+
+
+class HintBook:
+    """The newest hint of each endpoint.
+
+    Attributes:
+        hints: Hint and the loop time at which it came, by endpoint.
+    """
+
+    __slots__ = ("hints",)
+
+    def __init__(self) -> None:
+        self.hints: dict[str, tuple[float, EndpointHint]] = {}
+
+    def note(self, hint: EndpointHint) -> None:
+        """Takes a hint."""
+        self.hints[hint.endpoint] = (monotonic_s(), hint)
+
+    def newest(
+        self, endpoint: str, *, max_age_s: float | None = None
+    ) -> EndpointHint | None:
+        """Returns the newest hint unless it is too old."""
+        noted_at, hint = self.hints.get(endpoint, (0.0, None))
+        if max_age_s is not None and noted_at < monotonic_s() - max_age_s:
+            return None
+        return hint
+
+    def clear(self) -> None:
+        """Forgets all hints, which may be out of date after a pause."""
+        self.hints.clear()
+
+
+__all__ = ["HintBook"]
--- a/src/auburnswitch/endpoints/ledger.py
+++ b/src/auburnswitch/endpoints/ledger.py
@@ -2,21 +2,24 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from typing import TYPE_CHECKING, Final
 
 from auburnswitch.clock import monotonic_s
-from auburnswitch.schema.peers import EndpointPhase, LengthClass
+from auburnswitch.endpoints.phases import CLOSED_PHASES, Bounds, WarmUp
+from auburnswitch.schema.peers import (
+    EndpointPhase,
+    LengthClass,
+    ReserveRequest,
+    RunningWork,
+)
 
 if TYPE_CHECKING:
+    from auburnswitch.endpoints.load import LoadReport
     from auburnswitch.schema.objects import Endpoint
-    from auburnswitch.schema.peers import ReserveRequest
 
-CLOSED_PHASES: Final = (
-    EndpointPhase.LEAVING,
-    EndpointPhase.OUT,
-    EndpointPhase.DOWN,
-)
-_COLD_PHASES: Final = (EndpointPhase.UNKNOWN, EndpointPhase.COLD)
+ENDED_KEPT: Final = 1024
+_NEVER: Final = float("-inf")
 
 
 class Reservation:
@@ -26,19 +29,36 @@
         id: Identifies the reservation.
         member_id: Daemon that holds it.
         tokens: Memory it takes, in tokens.
+        prompt_tokens: Prompt tokens, prefilled or not.
         prefill_tokens: Prompt tokens not yet prefilled.
+        request_id: Request it is for.
+        attempt: Attempt that was dispatched, 0 if none is known.
+        boot_id: Start of the endpoint that it was granted on.
+        expected_s: Expected time to the first token, in seconds.
         granted_at: When it was granted, in seconds of loop time.
         reported_at: When its holder last reported it, in seconds of loop time.
+        missing: Reports of its holder in a row that lack it.
+        lingering: Its holder has given it back, but the endpoint may still
+            run it.
+        request: The request as asked, if this daemon granted it.
     """
 
     __slots__ = (
+        "attempt",
+        "boot_id",
+        "expected_s",
         "fingerprint",
         "granted_at",
         "id",
         "length_class",
+        "lingering",
         "member_id",
+        "missing",
         "prefill_tokens",
+        "prompt_tokens",
         "reported_at",
+        "request",
+        "request_id",
         "team",
         "tokens",
     )
@@ -53,16 +73,28 @@
         length_class: LengthClass,
         team: str,
         fingerprint: str,
+        prompt_tokens: int = 0,
+        request_id: str = "",
+        attempt: int = 0,
+        boot_id: str = "",
     ) -> None:
         self.id = id
         self.member_id = member_id
         self.tokens = tokens
+        self.prompt_tokens = prompt_tokens
         self.prefill_tokens = prefill_tokens
         self.length_class = length_class
         self.team = team
         self.fingerprint = fingerprint
+        self.request_id = request_id
+        self.attempt = attempt
+        self.boot_id = boot_id
+        self.expected_s = 0.0
         self.granted_at = monotonic_s()
         self.reported_at = self.granted_at
+        self.missing = 0
+        self.lingering = False
+        self.request: ReserveRequest | None = None
 
 
 class EndpointLedger:
@@ -71,42 +103,90 @@
     Attributes:
         name: The endpoint's name.
         spec: The endpoint as configured.
-        phase: What load the endpoint can bear.
-        boot_id: The endpoint's present start.
-        successes: Requests that succeeded since it was cold.
+        warm_up: What load the endpoint can bear.
         reservations: Granted room, by reservation id.
+        ended: Ids of reservations that ended lately.
+        load: Newest load report that this owner has read.
+        load_failures: Load reports in a row that could not be read.
+        opened_at: When this daemon became the owner, in seconds of loop time.
+        listed_at: When the endpoint's streams were last compared, in seconds
+            of loop time.
+        settling: Peers may still have unreported work on the endpoint.
     """
 
     __slots__ = (
-        "boot_id",
+        "ended",
+        "listed_at",
+        "load",
         "load_failures",
         "name",
-        "phase",
+        "opened_at",
         "reservations",
+        "settling",
         "spec",
-        "successes",
+        "warm_up",
     )
 
     def __init__(self, *, name: str, spec: Endpoint) -> None:
         self.name = name
         self.spec = spec
-        self.phase = EndpointPhase.UNKNOWN
-        self.boot_id = ""
-        self.successes = 0
-        self.load_failures = 0
+        self.warm_up = WarmUp()
         self.reservations: dict[str, Reservation] = {}
+        self.ended: OrderedDict[str, None] = OrderedDict()
+        self.load: LoadReport | None = None
+        self.load_failures = 0
+        self.opened_at = monotonic_s()
+        self.listed_at = _NEVER
+        self.settling = True
+
+    @property
+    def phase(self) -> EndpointPhase:
+        """What load the endpoint can bear."""
+        return self.warm_up.phase
+
+    @property
+    def boot_id(self) -> str:
+        """The endpoint's present start."""
+        return self.warm_up.boot_id
 
     @property
     def is_cold(self) -> bool:
         """Whether only the small bound of a cold endpoint may be used."""
-        return self.phase in _COLD_PHASES
+        return self.warm_up.is_strict
+
+    @property
+    def bounds(self) -> Bounds:
+        """The most work at present; less while a take-over settles."""
+        bounds = self.warm_up.bounds(self.spec)
+        if self.settling and not self.is_cold:
+            bounds.running = max(1, bounds.running // 2)
+        return bounds
 
     @property
     def max_running(self) -> int:
         """Requests that may run at one time in the present phase."""
-        if self.is_cold:
-            return self.spec.cold_max_running
-        return self.spec.max_running
+        return self.bounds.running
+
+    @property
+    def running(self) -> int:
+        """Requests granted, or at least those that the endpoint reports."""
+        return len(self.reservations) + self.unclaimed
+
+    @property
+    def unclaimed(self) -> int:
+        """Requests that the endpoint reports and no reservation covers.
+
+        Counted while a take-over settles only, since reports lag behind.
+        """
+        if not self.settling or self.load is None:
+            return 0
+        reported = self.load.running + self.load.waiting
+        return max(0, reported - len(self.reservations))
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Prompt tokens of the granted work."""
+        return sum(r.prompt_tokens for r in self.reservations.values())
 
     @property
     def reserved_tokens(self) -> int:
@@ -118,6 +198,27 @@
         """Prompt tokens granted and not yet prefilled."""
         return sum(r.prefill_tokens for r in self.reservations.values())
 
+    def begin_settling(self) -> None:
+        """Waits again for the reports of every live member."""
+        self.opened_at = monotonic_s()
+        self.settling = True
+
+    def bears(self, request: ReserveRequest) -> bool:
+        """Tells whether the phase allows one more request."""
+        bounds = self.bounds
+        if self.running >= bounds.running:
+            return False
+        if not self.is_cold:
+            return self.prompt_tokens < bounds.prompt_tokens
+        tokens = self.prompt_tokens + request.prompt_tokens
+        return tokens <= bounds.prompt_tokens
+
+    def can_bear_alone(self, request: ReserveRequest) -> bool:
+        """Tells whether the phase allows a request when nothing else runs."""
+        if not self.is_cold:
+            return True  # one request may be larger than the risen bound
+        return request.prompt_tokens <= self.bounds.prompt_tokens
+
     def grant(
         self, request: ReserveRequest, member_id: str, reservation_id: str
     ) -> Reservation:
@@ -126,25 +227,60 @@
             id=reservation_id,
             member_id=member_id,
             tokens=request.prompt_tokens + request.answer_tokens,
+            prompt_tokens=request.prompt_tokens,
             prefill_tokens=request.prompt_tokens - request.cached_tokens,
             length_class=LengthClass(request.length_class),
             team=request.team,
             fingerprint=request.fingerprint,
+            request_id=request.request_id,
+            boot_id=self.boot_id,
         )
+        reservation.request = request
         self.reservations[reservation_id] = reservation
         return reservation
 
-    def note_success(self) -> None:
-        """Counts a success, which lets a cold endpoint bear more."""
-        self.successes += 1
-        if self.is_cold and self.successes >= self.spec.warm_after:
-            self.phase = EndpointPhase.WARM
+    def note_work(self, work: RunningWork, member_id: str) -> None:
+        """Takes a holder's report of one reservation."""
+        if work.reservation_id in self.ended:
+            return  # the report crossed its release
+        known = self.reservations.get(work.reservation_id)
+        if known is None:
+            known = _from_work(work, member_id, self.boot_id)
+            self.reservations[known.id] = known
+        known.attempt = work.attempt or known.attempt
+        known.prefill_tokens = min(known.prefill_tokens, work.prefill_tokens)
+        known.reported_at = monotonic_s()
+        known.missing = 0
 
-    def note_cold(self, boot_id: str) -> None:
-        """Takes note of a new start of the endpoint."""
-        self.boot_id = boot_id
-        self.successes = 0
-        self.phase = EndpointPhase.COLD
+    def end(self, reservation_id: str) -> Reservation | None:
+        """Ends a reservation; returns it if it had not ended before."""
+        self.ended[reservation_id] = None
+        if len(self.ended) > ENDED_KEPT:
+            self.ended.popitem(last=False)
+        return self.reservations.pop(reservation_id, None)
+
+    def of_request(self, request: ReserveRequest) -> Reservation | None:
+        """Returns the reservation granted to one call, if there is one."""
+        for reservation in self.reservations.values():
+            if reservation.request is request:
+                return reservation
+        return None
+
+
+def _from_work(work: RunningWork, member_id: str, boot_id: str) -> Reservation:
+    return Reservation(
+        id=work.reservation_id,
+        member_id=member_id,
+        tokens=work.tokens,
+        prompt_tokens=work.prompt_tokens or work.tokens,
+        prefill_tokens=work.prefill_tokens,
+        length_class=LengthClass(work.length_class),
+        team=work.team,
+        fingerprint=work.fingerprint,
+        request_id=work.request_id,
+        attempt=work.attempt,
+        boot_id=boot_id,
+    )
 
 
 __all__ = ["CLOSED_PHASES", "EndpointLedger", "Reservation"]
--- /dev/null
+++ b/src/auburnswitch/endpoints/load.py
@@ -0,0 +1,54 @@
+"""Load reports of endpoints."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+
+@dataclass(slots=True, kw_only=True)
+class LoadReport:
+    """The load of an endpoint a short time ago.
+
+    Attributes:
+        boot_id: Identifies one start of the endpoint.
+        running: Requests that run.
+        waiting: Requests that wait in the endpoint.
+        memory_used_tokens: Memory in use, in tokens.
+        leaving: The endpoint says that it is leaving.
+    """
+
+    boot_id: str
+    running: int = 0
+    waiting: int = 0
+    memory_used_tokens: int = 0
+    leaving: bool = False
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether the endpoint has no work at all."""
+        return not (self.running or self.waiting or self.memory_used_tokens)
+
+
+def parse_load(body: Any) -> LoadReport:
+    """Builds a load report from the endpoint's answer.
+
+    Raises:
+        ValueError: The answer is no load report.
+    """
+    if not isinstance(body, dict) or not body.get("boot_id"):
+        raise ValueError("the load report names no start of the endpoint")
+    return LoadReport(
+        boot_id=str(body["boot_id"]),
+        running=_count(body.get("running")),
+        waiting=_count(body.get("waiting")),
+        memory_used_tokens=_count(body.get("memory_used_tokens")),
+        leaving=body.get("leaving") is True,
+    )
+
+
+def _count(value: Any) -> int:
+    return value if type(value) is int and value > 0 else 0
+
+
+__all__ = ["LoadReport", "parse_load"]
--- a/src/auburnswitch/endpoints/monitor.py
+++ b/src/auburnswitch/endpoints/monitor.py
@@ -7,14 +7,17 @@
 
 import aiohttp
 
+from auburnswitch.clock import monotonic_s
+from auburnswitch.endpoints.load import parse_load
 from auburnswitch.observe.logs import log_event
 from auburnswitch.schema.events import EventId
 
 if TYPE_CHECKING:
     from auburnswitch.endpoints.owner import OwnerTable
+    from auburnswitch.endpoints.reservations import ReservationClient
     from auburnswitch.observe.tasks import TaskSet
     from auburnswitch.schema.objects import Endpoint
-    from auburnswitch.schema.settings import EndpointsSettings
+    from auburnswitch.schema.settings import Settings
 
 
 class LoadMonitor:
@@ -23,29 +26,49 @@
     Attributes:
         owner_table: Where the reports go.
         pollers: Running task of each owned endpoint.
+        updated_at: Loop time of the last look at ownership, in seconds.
     """
 
-    __slots__ = ("owner_table", "pollers", "session", "settings", "tasks")
+    __slots__ = (
+        "owner_table",
+        "pollers",
+        "reservations",
+        "session",
+        "settings",
+        "tasks",
+        "updated_at",
+    )
 
     def __init__(
         self,
         *,
-        settings: EndpointsSettings,
+        settings: Settings,
         owner_table: OwnerTable,
+        reservations: ReservationClient,
         session: aiohttp.ClientSession,
         tasks: TaskSet,
     ) -> None:
         self.settings = settings
         self.owner_table = owner_table
+        self.reservations = reservations
         self.session = session
         self.tasks = tasks
         self.pollers: dict[str, asyncio.Task[Any]] = {}
+        self.updated_at = monotonic_s()
 
     async def run(self) -> None:
         """Starts and ends pollers as ownership changes."""
         while True:
+            self._check_pause()
             self._update()
-            await asyncio.sleep(self.settings.load_interval_s / 2)
+            self.reservations.report_own()
+            await asyncio.sleep(self.settings.endpoints.load_interval_s / 2)
+
+    def _check_pause(self) -> None:
+        now = monotonic_s()
+        if now - self.updated_at > self.settings.members.suspect_after_s:
+            self.owner_table.note_paused()
+        self.updated_at = now
 
     def _update(self) -> None:
         owned = set(self.owner_table.owned())
@@ -54,36 +77,36 @@
             self.pollers[name] = task
         for name in self.pollers.keys() - owned:
             self.pollers.pop(name).cancel()
-            self.owner_table.ledgers.pop(name, None)
+        for name in self.owner_table.ledgers.keys() - owned:
+            self.owner_table.drop_ledger(name)
 
     async def _poll(self, name: str) -> None:
         while True:
             spec = self.owner_table.state.endpoints.get(name)
             if spec is not None:
                 await self._read_load(name, spec)
-            await asyncio.sleep(self.settings.load_interval_s)
+            await asyncio.sleep(self.settings.endpoints.load_interval_s)
 
     async def _read_load(self, name: str, spec: Endpoint) -> None:
         url = f"http://{spec.host}:{spec.port}/load"
         try:
             async with (
-                asyncio.timeout(self.settings.connect_timeout_s),
+                asyncio.timeout(self.settings.endpoints.connect_timeout_s),
                 self.session.get(url) as response,
             ):
-                report = await response.json()
-            boot_id = str(report["boot_id"])
+                report = parse_load(await response.json())
         except (
             aiohttp.ClientError,
             OSError,
             TimeoutError,
-            LookupError,
+            ValueError,
         ) as error:
             log_event(
                 EventId.ENDPOINT_UNREACHABLE, endpoint=name, reason=repr(error)
             )
             self.owner_table.note_unreachable(name)
             return
-        self.owner_table.note_boot(name, boot_id)
+        self.owner_table.note_load(name, report)
 
 
 __all__ = ["LoadMonitor"]
--- a/src/auburnswitch/endpoints/owner.py
+++ b/src/auburnswitch/endpoints/owner.py
@@ -10,17 +10,18 @@
     has_room,
     predicted_wait_s,
 )
+from auburnswitch.endpoints.closing import Closings
+from auburnswitch.endpoints.hints import HintBook
 from auburnswitch.endpoints.ledger import CLOSED_PHASES, EndpointLedger
+from auburnswitch.endpoints.ownership import OwnerMap
 from auburnswitch.endpoints.queue import ReservationQueue
-from auburnswitch.members.rendezvous import rendezvous_first
+from auburnswitch.endpoints.rebuild import Rebuilder
+from auburnswitch.endpoints.transitions import Transitions
 from auburnswitch.observe.invariants import Invariant, Invariants
-from auburnswitch.observe.logs import log_event
-from auburnswitch.schema.events import EventId
 from auburnswitch.schema.peers import (
     EndpointHint,
     EndpointPhase,
     Heartbeat,
-    LengthClass,
     ReleaseRequest,
     ReserveReply,
     ReserveRequest,
@@ -28,30 +29,43 @@
 from auburnswitch.schema.results import ResultCode
 
 if TYPE_CHECKING:
+    from auburnswitch.endpoints.load import LoadReport
+    from auburnswitch.endpoints.rights import StrictOwnership
     from auburnswitch.members.view import MemberView
     from auburnswitch.platform.state import ConfigState
     from auburnswitch.schema.settings import Settings
 
-UNREPORTED_INTERVALS: Final = 4
+MIN_RETRY_AFTER_S: Final = 1.0
 
 
 class OwnerTable:
     """The ledgers of this daemon's endpoints.
 
     Attributes:
+        rights: Tells whether cold endpoints may be used.
+        owners: Owner of each endpoint by the live view.
+        closings: Endpoints that receive no new work.
+        hints: Newest hint of each endpoint from its owner.
         ledgers: Ledger by endpoint name; made on first use.
-        hints: Newest hint of each endpoint from its owner, with its time.
+        queues: Waiting requests by endpoint name.
+        transitions: Changes the phases of the ledgers.
+        rebuilder: Keeps the ledgers in step with the holders' reports.
     """
 
     __slots__ = (
+        "closings",
+        "hint_batch",
         "hints",
         "invariants",
         "ledgers",
         "next_id",
-        "owned_since",
+        "owners",
         "queues",
+        "rebuilder",
+        "rights",
         "settings",
         "state",
+        "transitions",
         "view",
     )
 
@@ -62,20 +76,32 @@
         view: MemberView,
         state: ConfigState,
         invariants: Invariants,
+        rights: StrictOwnership,
     ) -> None:
         self.settings = settings
         self.view = view
         self.state = state
         self.invariants = invariants
+        self.rights = rights
+        self.owners = OwnerMap(view=view, state=state)
+        self.closings = Closings(state=state)
+        self.hints = HintBook()
         self.ledgers: dict[str, EndpointLedger] = {}
-        self.owned_since: dict[str, float] = {}
-        self.hints: dict[str, tuple[float, EndpointHint]] = {}
         self.queues: dict[str, ReservationQueue] = {}
+        self.hint_batch: tuple[float, list[EndpointHint]] = (-1.0, [])
         self.next_id = 0
+        self.transitions = Transitions(
+            settings=settings.endpoints,
+            hints=self.hints,
+            closings=self.closings,
+        )
+        self.rebuilder = Rebuilder(
+            settings=settings, view=view, ledgers=self.ledgers, wake=self.wake
+        )
 
     def owner_of(self, endpoint: str) -> str:
         """Returns the live member that owns an endpoint."""
-        return rendezvous_first(endpoint, self.view.live_ids())
+        return self.owners.owner_of(endpoint)
 
     def owns(self, endpoint: str) -> bool:
         """Tells whether this daemon owns an endpoint."""
@@ -83,18 +109,17 @@
 
     def owned(self) -> list[str]:
         """Returns the endpoints that this daemon owns."""
-        return [name for name in self.state.endpoints if self.owns(name)]
+        return self.owners.owned()
 
     def ledger(self, endpoint: str) -> EndpointLedger | None:
         """Returns the ledger of a configured endpoint."""
         spec = self.state.endpoints.get(endpoint)
         if spec is None:
-            self.ledgers.pop(endpoint, None)
+            self.drop_ledger(endpoint)
             return None
         ledger = self.ledgers.get(endpoint)
         if ledger is None:
             ledger = EndpointLedger(name=endpoint, spec=spec)
-            self._adopt_hint(ledger)
             self.ledgers[endpoint] = ledger
             self.queues[endpoint] = ReservationQueue(
                 try_reserve=self._try_reserve
@@ -102,197 +127,208 @@
         ledger.spec = spec
         return ledger
 
+    def drop_ledger(self, endpoint: str) -> None:
+        """Forgets an endpoint that this daemon no longer owns."""
+        ledger = self.ledgers.pop(endpoint, None)
+        if ledger is None:
+            return
+        self.hints.note(self._hint_of(ledger))
+        self.wake(endpoint)
+        del self.queues[endpoint]
+
     def is_closed(self, endpoint: str) -> bool:
-        """Tells whether the endpoint or its zone is out of service."""
-        spec = self.state.endpoints.get(endpoint)
-        if spec is None or spec.leaving:
-            return True
-        zone = self.state.zones.get(spec.zone)
-        return zone is not None and zone.out
+        """Tells whether the endpoint may receive no new work."""
+        return self.closings.phase(endpoint) is not None
 
     async def reserve(
         self, request: ReserveRequest, member_id: str
     ) -> ReserveReply:
         """Grants a reservation, waiting for room as long as asked."""
+        asked_at = monotonic_s()
         ledger = self.ledger(request.endpoint)
-        if ledger is None:
+        if ledger is None or not self.owns(request.endpoint):
             return ReserveReply(code=ResultCode.NOT_OWNER)
-        retry_after_s = max(1.0, predicted_wait_s(ledger))
-        queue = self.queues[request.endpoint]
-        return await queue.reserve(request, member_id, retry_after_s)
+        reply: ReserveReply | None = None
+        try:
+            reply = await self.queues[request.endpoint].reserve(
+                request,
+                member_id,
+                max(MIN_RETRY_AFTER_S, predicted_wait_s(ledger)),
+            )
+        finally:
+            granted = ledger.of_request(request)
+            if granted is not None and (
+                reply is None or reply.code != ResultCode.OK
+            ):
+                ledger.end(granted.id)  # nobody waits for the reply
+                self.wake(request.endpoint)
+        if granted is not None and reply.code == ResultCode.OK:
+            reply.waited_s = granted.granted_at - asked_at
+        return reply
 
     def release(self, request: ReleaseRequest) -> ResultCode:
         """Ends a reservation and learns from its outcome."""
-        ledger = self.ledger(request.endpoint)
+        ledger = self.ledgers.get(request.endpoint)
         if ledger is None:
             return ResultCode.OK
-        ledger.reservations.pop(request.reservation_id, None)
-        if request.succeeded:
-            self._note_phase(ledger, ledger.note_success)
-        if request.endpoint_lost:
-            boot_id = ledger.boot_id
-            self._note_phase(ledger, lambda: ledger.note_cold(boot_id))
-        self._wake(request.endpoint)
+        if request.reservation_id in ledger.ended:
+            return ResultCode.OK  # released before
+        known = ledger.reservations.get(request.reservation_id)
+        if known is not None and request.used:
+            self.transitions.note_outcome(ledger, known, request)
+        if known is not None and request.may_still_run:
+            known.lingering = True
+        else:
+            ledger.end(request.reservation_id)
+        self.wake(request.endpoint)
         return ResultCode.OK
 
-    def note_progress(self, endpoint: str, reservation_id: str) -> None:
+    def note_progress(
+        self, endpoint: str, reservation_id: str, first_token_s: float = 0.0
+    ) -> None:
         """Takes note that a reservation's prompt has been prefilled."""
         ledger = self.ledgers.get(endpoint)
         if ledger is None:
             return
         reservation = ledger.reservations.get(reservation_id)
-        if reservation is not None:
-            reservation.prefill_tokens = 0
-            self._wake(endpoint)
+        if reservation is None:
+            return
+        reservation.prefill_tokens = 0
+        self.transitions.note_first_token(ledger, reservation, first_token_s)
+        self.wake(endpoint)
 
-    def note_boot(self, endpoint: str, boot_id: str) -> None:
-        """Takes note of a load report and the start it comes from."""
+    def note_load(self, endpoint: str, report: LoadReport) -> None:
+        """Takes a load report that the owner has read."""
         ledger = self.ledger(endpoint)
         if ledger is None:
             return
-        ledger.load_failures = 0
-        if boot_id != ledger.boot_id or ledger.phase is EndpointPhase.DOWN:
-            self._note_phase(ledger, lambda: ledger.note_cold(boot_id))
-            self._wake(endpoint)
+        self.closings.note_engine(endpoint, leaving=report.leaving)
+        self.transitions.note_load(ledger, report)
+        self.rebuilder.note_load(ledger, report)
+        self.wake(endpoint)
 
     def note_unreachable(self, endpoint: str) -> None:
         """Takes note of a load report that could not be read."""
         ledger = self.ledger(endpoint)
-        if ledger is None:
-            return
-        ledger.load_failures += 1
-        limit = self.settings.endpoints.down_after_failures
-        if ledger.load_failures >= limit:
-            self._note_phase(ledger, lambda: self._mark_down(ledger))
+        if ledger is not None:
+            self.transitions.note_unreachable(ledger)
+            self.wake(endpoint)
 
     def fill_heartbeat(self, heartbeat: Heartbeat, _: str) -> None:
         """Adds hints of the owned endpoints to a heartbeat."""
-        heartbeat.hints = [self.hint(name) for name in self.owned()]
+        made_at, hints = self.hint_batch
+        now = monotonic_s()
+        if made_at != now:
+            hints = [self.hint(name) for name in self.owned()]
+            self.hint_batch = (now, hints)
+        heartbeat.hints = hints
 
     def note_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Takes a peer's hints and its running work on owned endpoints."""
-        now = monotonic_s()
         for hint in heartbeat.hints:
-            self.hints[hint.endpoint] = (now, hint)
-        sender = heartbeat.sender.id
-        for work in heartbeat.running:
-            self._note_running(work, sender)
-        self._drop_unreported(sender)
+            self.hints.note(hint)
+        self.rebuilder.note_report(heartbeat.sender.id, heartbeat.running)
 
     def hint(self, endpoint: str) -> EndpointHint:
         """Returns what peers should know of an owned endpoint."""
         ledger = self.ledger(endpoint)
         if ledger is None:
             return EndpointHint(endpoint=endpoint)
-        phase = ledger.phase
-        if self.is_closed(endpoint):
-            phase = EndpointPhase.LEAVING
-        free = ledger.spec.memory_tokens - ledger.reserved_tokens
-        return EndpointHint(
-            endpoint=endpoint,
-            phase=phase,
-            free_tokens=free,
-            short_wait_s=predicted_wait_s(ledger),
-            long_wait_s=predicted_wait_s(ledger),
-            running=len(ledger.reservations),
-            max_running=ledger.max_running,
-            boot_id=ledger.boot_id,
-        )
+        return self._hint_of(ledger)
 
     def best_hint(self, endpoint: str) -> EndpointHint:
         """Returns the own hint of an owned endpoint, else its owner's."""
         if self.owns(endpoint):
             return self.hint(endpoint)
-        _, hint = self.hints.get(endpoint, (0.0, None))
-        return hint or EndpointHint(endpoint=endpoint)
+        return self.hints.newest(endpoint) or EndpointHint(endpoint=endpoint)
+
+    def note_paused(self) -> None:
+        """Distrusts everything after a pause of this daemon."""
+        self.hints.clear()
+        for ledger in self.ledgers.values():
+            self.transitions.note_paused(ledger)
+            ledger.begin_settling()
+
+    def wake(self, endpoint: str) -> None:
+        """Grants what waits and has room now."""
+        queue = self.queues.get(endpoint)
+        if queue is not None:
+            queue.pump()
+
+    def _hint_of(self, ledger: EndpointLedger) -> EndpointHint:
+        closed = self.closings.phase(ledger.name)
+        wait_s = predicted_wait_s(ledger)
+        return EndpointHint(
+            endpoint=ledger.name,
+            phase=ledger.phase if closed is None else closed,
+            free_tokens=ledger.spec.memory_tokens - ledger.reserved_tokens,
+            short_wait_s=wait_s,
+            long_wait_s=wait_s,
+            running=ledger.running,
+            max_running=ledger.max_running,
+            boot_id=ledger.boot_id,
+            successes=ledger.warm_up.successes,
+            window=ledger.warm_up.window,
+        )
 
     def _try_reserve(
         self, request: ReserveRequest, member_id: str
     ) -> ReserveReply | None:
         """Returns a final reply, or None while there is no room."""
-        ledger = self.ledger(request.endpoint)
+        ledger = self.ledgers.get(request.endpoint)
         if ledger is None or not self.owns(request.endpoint):
             return ReserveReply(code=ResultCode.NOT_OWNER)
-        if self.is_closed(request.endpoint) or ledger.phase in CLOSED_PHASES:
-            return ReserveReply(code=ResultCode.NO_ENDPOINT)
-        if not can_ever_hold(ledger, request):
-            return ReserveReply(code=ResultCode.PROMPT_TOO_LONG)
-        if not has_room(ledger, request):
+        if refused := self._refusal(ledger, request):
+            return ReserveReply(code=refused, retry_after_s=MIN_RETRY_AFTER_S)
+        if not ledger.bears(request) or not has_room(ledger, request):
             return None
         self.next_id += 1
         reservation_id = f"{self.view.me.id}/{self.next_id}"
-        ledger.grant(request, member_id, reservation_id)
-        self._check_cold_bound(ledger)
+        reservation = ledger.grant(request, member_id, reservation_id)
+        reservation.expected_s = predicted_wait_s(ledger)
+        self._check_grant(ledger)
         return ReserveReply(
             reservation_id=reservation_id, boot_id=ledger.boot_id
         )
 
-    def _check_cold_bound(self, ledger: EndpointLedger) -> None:
-        holds = (
-            not ledger.is_cold
-            or len(ledger.reservations) <= ledger.spec.cold_max_running
+    def _refusal(
+        self, ledger: EndpointLedger, request: ReserveRequest
+    ) -> ResultCode | None:
+        if self.is_closed(ledger.name) or ledger.phase in CLOSED_PHASES:
+            return ResultCode.NO_ENDPOINT
+        if not can_ever_hold(ledger, request):
+            return ResultCode.PROMPT_TOO_LONG
+        if ledger.is_cold and not self.may_use_cold(ledger):
+            return ResultCode.OWNERSHIP_PENDING
+        if not ledger.can_bear_alone(request):
+            return ResultCode.QUEUE_FULL
+        return None
+
+    def may_use_cold(self, ledger: EndpointLedger) -> bool:
+        """Tells whether work may be granted on a cold endpoint now."""
+        if ledger.phase is EndpointPhase.UNKNOWN or ledger.settling:
+            return False
+        return self.rights.may_use(ledger.name)
+
+    def _check_grant(self, ledger: EndpointLedger) -> None:
+        bounds = ledger.bounds
+        holds = not ledger.is_cold or (
+            ledger.running <= bounds.running
+            and ledger.prompt_tokens <= bounds.prompt_tokens
+            and self.rights.may_use(ledger.name)
         )
         self.invariants.check(holds, Invariant.COLD_BOUND, endpoint=ledger.name)
-
-    def _wake(self, endpoint: str) -> None:
-        queue = self.queues.get(endpoint)
-        if queue is not None:
-            queue.pump()
-
-    def _adopt_hint(self, ledger: EndpointLedger) -> None:
-        _, hint = self.hints.get(ledger.name, (0.0, None))
-        if hint is not None and hint.phase is not EndpointPhase.LEAVING:
-            ledger.phase = EndpointPhase(hint.phase)
-            ledger.boot_id = hint.boot_id
-
-    def _mark_down(self, ledger: EndpointLedger) -> None:
-        ledger.phase = EndpointPhase.DOWN
-
-    def _note_phase(self, ledger: EndpointLedger, change) -> None:  # noqa: ANN001
-        before = ledger.phase
-        change()
-        if ledger.phase is not before:
-            log_event(
-                EventId.ENDPOINT_PHASE_CHANGED,
-                endpoint=ledger.name,
-                before=before.name.lower(),
-                after=ledger.phase.name.lower(),
-            )
-
-    def _note_running(self, work, sender: str) -> None:  # noqa: ANN001
-        ledger = self.ledger(work.endpoint)
-        if ledger is None:
-            return
-        known = ledger.reservations.get(work.reservation_id)
-        if known is None:
-            request = ReserveRequest(
-                endpoint=work.endpoint,
-                prompt_tokens=work.tokens,
-                length_class=LengthClass(work.length_class),
-                team=work.team,
-                fingerprint=work.fingerprint,
-            )
-            known = ledger.grant(request, sender, work.reservation_id)
-            known.prefill_tokens = work.prefill_tokens
-        known.reported_at = monotonic_s()
-
-    def _drop_unreported(self, sender: str) -> None:
-        members = self.settings.members
-        silence_s = (
-            UNREPORTED_INTERVALS * members.heartbeat_interval_s
-            + members.reservation_ttl_s
+        closed = self.closings.phase(ledger.name)
+        self.invariants.check(
+            closed is not EndpointPhase.OUT,
+            Invariant.ZONE_OUT,
+            endpoint=ledger.name,
+        )
+        self.invariants.check(
+            closed is not EndpointPhase.LEAVING,
+            Invariant.LEAVING,
+            endpoint=ledger.name,
         )
-        oldest = monotonic_s() - silence_s
-        for name, ledger in self.ledgers.items():
-            gone = [
-                r.id
-                for r in ledger.reservations.values()
-                if r.member_id == sender and r.reported_at < oldest
-            ]
-            for reservation_id in gone:
-                del ledger.reservations[reservation_id]
-            if gone:
-                self._wake(name)
 
 
 __all__ = ["OwnerTable"]
--- /dev/null
+++ b/src/auburnswitch/endpoints/phases.py
@@ -0,0 +1,174 @@
+"""How much load an endpoint can bear after a start."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from auburnswitch.schema.peers import EndpointHint, EndpointPhase
+
+if TYPE_CHECKING:
+    from auburnswitch.schema.objects import Endpoint
+
+CLOSED_PHASES: Final = (
+    EndpointPhase.LEAVING,
+    EndpointPhase.OUT,
+    EndpointPhase.DOWN,
+)
+STRICT_PHASES: Final = (EndpointPhase.UNKNOWN, EndpointPhase.COLD)
+ADOPTED_PHASES: Final = (EndpointPhase.WARMING, EndpointPhase.WARM)
+GROWTH_DIVISOR: Final = 4
+RECORD_WEIGHT: Final = 0.1
+SLOW_ANSWERS: Final = 2
+EMPTY_REPORTS: Final = 2
+
+
+@dataclass(slots=True, kw_only=True)
+class Bounds:
+    """The most work that an endpoint may have at one time.
+
+    Attributes:
+        running: Requests.
+        prompt_tokens: Tokens of their prompts.
+    """
+
+    running: int
+    prompt_tokens: int
+
+
+class WarmUp:
+    """The phase of one endpoint and the load that goes with it.
+
+    Attributes:
+        phase: What load the endpoint can bear.
+        boot_id: The endpoint's present start.
+        successes: Requests that succeeded since it was cold.
+        window: Requests that may run at one time while load rises.
+        record: Usual first-token time over the expected one.
+        slow_answers: First tokens in a row far above the record.
+        empty_reports: Load reports in a row that show none of the known work.
+    """
+
+    __slots__ = (
+        "boot_id",
+        "empty_reports",
+        "phase",
+        "record",
+        "slow_answers",
+        "successes",
+        "window",
+    )
+
+    def __init__(self) -> None:
+        self.phase = EndpointPhase.UNKNOWN
+        self.boot_id = ""
+        self.record = 0.0
+        self._reset()
+
+    @property
+    def is_strict(self) -> bool:
+        """Whether only the strict owner may grant work."""
+        return self.phase in STRICT_PHASES
+
+    def bounds(self, spec: Endpoint) -> Bounds:
+        """Returns the most work in the present phase."""
+        match self.phase:
+            case EndpointPhase.UNKNOWN | EndpointPhase.COLD:
+                return Bounds(
+                    running=spec.cold_max_running,
+                    prompt_tokens=spec.cold_max_tokens,
+                )
+            case EndpointPhase.WARMING:
+                share = self.window / max(1, spec.max_running)
+                tokens = int(spec.memory_tokens * share)
+                return Bounds(
+                    running=self.window,
+                    prompt_tokens=max(spec.cold_max_tokens, tokens),
+                )
+            case EndpointPhase.WARM:
+                return Bounds(
+                    running=spec.max_running, prompt_tokens=spec.memory_tokens
+                )
+            case _:
+                return Bounds(running=0, prompt_tokens=0)
+
+    def note_success(self, spec: Endpoint) -> None:
+        """Counts a success, after which the endpoint may bear more."""
+        self.successes += 1
+        match self.phase:
+            case EndpointPhase.COLD if self.successes >= spec.warm_after:
+                self.phase = EndpointPhase.WARMING
+                self.window = spec.cold_max_running + 1
+            case EndpointPhase.WARMING:
+                self.window += max(1, self.window // GROWTH_DIVISOR)
+        if self.phase is EndpointPhase.WARMING and (
+            self.window >= spec.max_running
+        ):
+            self.phase = EndpointPhase.WARM
+
+    def note_trouble(self, spec: Endpoint) -> None:
+        """Halves the load that a warming endpoint may have."""
+        if self.phase is EndpointPhase.WARMING:
+            self.window = max(spec.cold_max_running, self.window // 2)
+
+    def note_cold(self, boot_id: str) -> None:
+        """Takes note of a new start, or of the signs of one."""
+        self._reset()
+        self.boot_id = boot_id
+        self.phase = EndpointPhase.COLD
+
+    def note_down(self) -> None:
+        """Takes note that the endpoint does not answer."""
+        self._reset()
+        self.phase = EndpointPhase.DOWN
+
+    def note_first_token(
+        self, spec: Endpoint, ratio: float, slow_ratio: float
+    ) -> None:
+        """Compares a first-token time with the endpoint's own record.
+
+        Args:
+            spec: The endpoint as configured.
+            ratio: First-token time over the expected one.
+            slow_ratio: Multiple of the record that counts as trouble.
+        """
+        if self.record and ratio > slow_ratio * self.record:
+            self.slow_answers += 1
+            self.note_trouble(spec)
+            if self.slow_answers >= SLOW_ANSWERS:
+                self.note_cold(self.boot_id)
+            return
+        self.slow_answers = 0
+        if not self.record:
+            self.record = ratio
+        self.record += RECORD_WEIGHT * (ratio - self.record)
+
+    def note_empty_report(self) -> None:
+        """Takes note of a load report that shows none of the known work."""
+        self.empty_reports += 1
+        if self.empty_reports >= EMPTY_REPORTS:
+            self.note_cold(self.boot_id)
+
+    def adopt(self, hint: EndpointHint) -> None:
+        """Takes over what an earlier owner knew of the present start."""
+        if hint.phase not in ADOPTED_PHASES:
+            return
+        self.phase = EndpointPhase(hint.phase)
+        self.boot_id = hint.boot_id
+        self.successes = hint.successes
+        self.window = max(1, hint.window)
+
+    def _reset(self) -> None:
+        self.successes = 0
+        self.window = 0
+        self.slow_answers = 0
+        self.empty_reports = 0
+
+
+__all__ = [
+    "ADOPTED_PHASES",
+    "CLOSED_PHASES",
+    "STRICT_PHASES",
+    "Bounds",
+    "WarmUp",
+]
--- /dev/null
+++ b/src/auburnswitch/endpoints/transitions.py
@@ -0,0 +1,152 @@
+"""Changes the phases of endpoints by what happens on them."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING, Final
+
+from auburnswitch.observe.logs import log_event
+from auburnswitch.schema.events import EventId
+from auburnswitch.schema.peers import EndpointPhase
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from auburnswitch.endpoints.closing import Closings
+    from auburnswitch.endpoints.hints import HintBook
+    from auburnswitch.endpoints.ledger import EndpointLedger, Reservation
+    from auburnswitch.endpoints.load import LoadReport
+    from auburnswitch.schema.peers import ReleaseRequest
+    from auburnswitch.schema.settings import EndpointsSettings
+
+FIRST_TOKEN_FLOOR_S: Final = 0.1
+HINT_MAX_AGE_S: Final = 15.0
+
+
+class Transitions:
+    """Moves endpoints between their phases.
+
+    Attributes:
+        hints: What earlier owners told of the endpoints.
+        closings: Endpoints that receive no new work.
+    """
+
+    __slots__ = ("closings", "hints", "settings")
+
+    def __init__(
+        self,
+        *,
+        settings: EndpointsSettings,
+        hints: HintBook,
+        closings: Closings,
+    ) -> None:
+        self.settings = settings
+        self.hints = hints
+        self.closings = closings
+
+    def note_outcome(
+        self,
+        ledger: EndpointLedger,
+        reservation: Reservation,
+        request: ReleaseRequest,
+    ) -> None:
+        """Learns from the end of an attempt."""
+        if reservation.boot_id != ledger.boot_id:
+            return  # it ran on an earlier start
+        if self.closings.phase(ledger.name) is not None:
+            return
+        with _logged(ledger):
+            if request.endpoint_lost:
+                ledger.warm_up.note_cold(ledger.boot_id)
+            elif request.succeeded:
+                ledger.warm_up.note_success(ledger.spec)
+            else:
+                ledger.warm_up.note_trouble(ledger.spec)
+
+    def note_first_token(
+        self,
+        ledger: EndpointLedger,
+        reservation: Reservation,
+        first_token_s: float,
+    ) -> None:
+        """Compares a first-token time with the endpoint's record."""
+        if first_token_s <= 0 or reservation.boot_id != ledger.boot_id:
+            return
+        expected_s = max(FIRST_TOKEN_FLOOR_S, reservation.expected_s)
+        with _logged(ledger):
+            ledger.warm_up.note_first_token(
+                ledger.spec,
+                max(FIRST_TOKEN_FLOOR_S, first_token_s) / expected_s,
+                self.settings.slow_first_token_ratio,
+            )
+
+    def note_load(self, ledger: EndpointLedger, report: LoadReport) -> None:
+        """Learns from a load report."""
+        ledger.load = report
+        ledger.load_failures = 0
+        warm_up = ledger.warm_up
+        with _logged(ledger):
+            if self.closings.phase(ledger.name) is not None:
+                warm_up.note_cold(report.boot_id)  # it may come back cold
+            elif ledger.phase is EndpointPhase.UNKNOWN:
+                self._begin(ledger, report)
+            elif _has_restarted(ledger, report):
+                warm_up.note_cold(report.boot_id)
+            elif report.is_empty and self._has_old_work(ledger):
+                warm_up.note_empty_report()
+            else:
+                warm_up.empty_reports = 0
+
+    def note_unreachable(self, ledger: EndpointLedger) -> None:
+        """Learns from a load report that could not be read."""
+        ledger.load_failures += 1
+        if ledger.load_failures >= self.settings.down_after_failures:
+            with _logged(ledger):
+                ledger.warm_up.note_down()
+
+    def note_paused(self, ledger: EndpointLedger) -> None:
+        """Distrusts what was known before this daemon was paused."""
+        with _logged(ledger):
+            ledger.warm_up.phase = EndpointPhase.UNKNOWN
+
+    def _begin(self, ledger: EndpointLedger, report: LoadReport) -> None:
+        ledger.warm_up.note_cold(report.boot_id)
+        hint = self.hints.newest(ledger.name, max_age_s=HINT_MAX_AGE_S)
+        if hint is not None and hint.boot_id == report.boot_id:
+            ledger.warm_up.adopt(hint)
+
+    def _has_old_work(self, ledger: EndpointLedger) -> bool:
+        # A report may be older than the work; only work that was dispatched
+        # before the report's lag counts.
+        lag_s = self.settings.load_lag_s + self.settings.load_interval_s
+        oldest = min(
+            (r.granted_at for r in ledger.reservations.values() if r.attempt),
+            default=float("inf"),
+        )
+        newest_report = max(
+            (r.reported_at for r in ledger.reservations.values() if r.attempt),
+            default=float("-inf"),
+        )
+        return newest_report - oldest > 2 * lag_s
+
+
+def _has_restarted(ledger: EndpointLedger, report: LoadReport) -> bool:
+    if ledger.phase is EndpointPhase.DOWN:
+        return True
+    return report.boot_id != ledger.boot_id
+
+
+@contextlib.contextmanager
+def _logged(ledger: EndpointLedger) -> Iterator[None]:
+    before = ledger.phase
+    yield
+    if ledger.phase is not before:
+        log_event(
+            EventId.ENDPOINT_PHASE_CHANGED,
+            endpoint=ledger.name,
+            before=before.name.lower(),
+            after=ledger.phase.name.lower(),
+        )
+
+
+__all__ = ["Transitions"]
--- a/src/auburnswitch/routing/dispatcher.py
+++ b/src/auburnswitch/routing/dispatcher.py
@@ -20,7 +20,7 @@
 from auburnswitch.schema.results import Ran, ResultCode
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from auburnswitch.endpoints.reservations import HeldReservation
     from auburnswitch.observe.metrics import Metrics
@@ -144,11 +144,14 @@
             member_id=self.member_id,
         )
         started_at = monotonic_s()
-        succeeded = lost = finished = False
+        succeeded = lost = finished = may_still_run = False
         progress.frames = 0
         try:
             request.dispatched = True
-            async for part in self._stream(request, spec, attempt, progress):
+            guard = self.placer.reservations.guard(held, attempt)
+            async for part in self._stream(
+                request, spec, attempt, progress, guard
+            ):
                 finished = isinstance(part, AnswerEnd)
                 if progress.frames == 1 or finished:
                     await self._note_prefilled(request, held, started_at)
@@ -156,14 +159,18 @@
             succeeded = True
         except EndpointFailureError as error:
             lost = error.lost
-            finished = error.lost
+            finished = may_still_run = error.lost
             raise
         finally:
-            if not finished:
-                await asyncio.shield(self.client.cancel(spec, attempt))
+            if not finished and held.dispatched_at is not None:
+                freed = await asyncio.shield(self.client.cancel(spec, attempt))
+                may_still_run = not freed
             await asyncio.shield(
                 self.placer.reservations.release(
-                    held, succeeded=succeeded, endpoint_lost=lost
+                    held,
+                    succeeded=succeeded,
+                    endpoint_lost=lost,
+                    may_still_run=may_still_run,
                 )
             )
 
@@ -173,9 +180,10 @@
         spec: Endpoint,
         attempt: Attempt,
         progress: Progress,
+        guard: Callable[[], None],
     ) -> AsyncIterator[AnswerPart]:
         body = _engine_body(request, progress)
-        batches = self.client.stream(spec, request.path, body, attempt)
+        batches = self.client.stream(spec, request.path, body, attempt, guard)
         while True:
             async with asyncio.timeout_at(request.deadline_at):
                 batch = await anext(batches, None)
--- a/src/auburnswitch/routing/plain.py
+++ b/src/auburnswitch/routing/plain.py
@@ -141,7 +141,12 @@
         try:
             request.dispatched = True
             async with self.client.request(
-                spec, call.method, call.path, data=call.body, headers=headers
+                spec,
+                call.method,
+                call.path,
+                guard=self.placer.reservations.guard(held, attempt),
+                data=call.body,
+                headers=headers,
             ) as response:
                 body = await response.read()
             succeeded = response.status < 500
--- a/src/auburnswitch/schema/objects.py
+++ b/src/auburnswitch/schema/objects.py
@@ -230,6 +230,9 @@
     fencing: FencingSupport = FencingSupport.IGNORED
     leaving: bool = False
     long_share: float = 0.6
+    model_version: str = ""
+    role: str = ""
+    instance: str = ""
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "service", False),
@@ -245,6 +248,9 @@
         11: (TType.I32, "fencing", False),
         12: (TType.BOOL, "leaving", False),
         13: (TType.DOUBLE, "long_share", False),
+        40: (TType.STRING, "model_version", False),
+        41: (TType.STRING, "role", False),
+        42: (TType.STRING, "instance", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("service", None),
@@ -260,6 +266,9 @@
         ("fencing", None),
         ("leaving", None),
         ("long_share", None),
+        ("model_version", None),
+        ("role", None),
+        ("instance", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {
         "fencing": FencingSupport
@@ -298,6 +307,18 @@
             text="Long prefill tokens allowed at one time, as a share of memory.",
             options={},
         ),
+        "model_version": Description(
+            text="Model version that the engine should have loaded; empty leaves it alone.",
+            options={},
+        ),
+        "role": Description(
+            text="Role that the engine should have; empty leaves it alone.",
+            options={},
+        ),
+        "instance": Description(
+            text="Instance that the endpoint runs on; empty means the endpoint's own name.",
+            options={},
+        ),
     }
 
 
--- a/src/auburnswitch/schema/peers.py
+++ b/src/auburnswitch/schema/peers.py
@@ -104,6 +104,8 @@
     running: int = 0
     max_running: int = 0
     boot_id: str = ""
+    successes: int = 0
+    window: int = 0
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "endpoint", False),
@@ -114,6 +116,8 @@
         6: (TType.I32, "running", False),
         7: (TType.I32, "max_running", False),
         8: (TType.STRING, "boot_id", False),
+        40: (TType.I32, "successes", False),
+        41: (TType.I32, "window", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("endpoint", None),
@@ -124,6 +128,8 @@
         ("running", None),
         ("max_running", None),
         ("boot_id", None),
+        ("successes", None),
+        ("window", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {
         "phase": EndpointPhase
@@ -144,6 +150,14 @@
         "boot_id": Description(
             text="Identifies one start of the endpoint.", options={}
         ),
+        "successes": Description(
+            text="Requests that succeeded since the endpoint was cold.",
+            options={},
+        ),
+        "window": Description(
+            text="Requests that may run at one time while load is rising.",
+            options={},
+        ),
     }
 
 
@@ -158,6 +172,9 @@
     length_class: LengthClass = LengthClass.SHORT
     team: str = ""
     fingerprint: str = ""
+    prompt_tokens: int = 0
+    request_id: str = ""
+    attempt: int = 0
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "endpoint", False),
@@ -167,6 +184,9 @@
         5: (TType.I32, "length_class", False),
         6: (TType.STRING, "team", False),
         7: (TType.STRING, "fingerprint", False),
+        40: (TType.I64, "prompt_tokens", False),
+        41: (TType.STRING, "request_id", False),
+        42: (TType.I32, "attempt", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("endpoint", None),
@@ -176,6 +196,9 @@
         ("length_class", None),
         ("team", None),
         ("fingerprint", None),
+        ("prompt_tokens", None),
+        ("request_id", None),
+        ("attempt", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {
         "length_class": LengthClass
@@ -190,6 +213,14 @@
         "length_class": Description(text="", options={}),
         "team": Description(text="", options={}),
         "fingerprint": Description(text="", options={}),
+        "prompt_tokens": Description(
+            text="Prompt tokens, prefilled or not.", options={}
+        ),
+        "request_id": Description(text="", options={}),
+        "attempt": Description(
+            text="Number of the attempt that was dispatched; 0 before the dispatch.",
+            options={},
+        ),
     }
 
 
@@ -266,6 +297,8 @@
     usage: list[TeamUsage] = field(default_factory=list)
     heard: list[str] = field(default_factory=list)
     store_age_s: float = 0.0
+    leaving_endpoints: list[str] = field(default_factory=list)
+    reads_instances: bool = False
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRUCT, "sender", Member, False),
@@ -279,6 +312,8 @@
         9: (TType.LIST, "usage", (TType.STRUCT, TeamUsage), False),
         10: (TType.LIST, "heard", TType.STRING, False),
         11: (TType.DOUBLE, "store_age_s", False),
+        40: (TType.LIST, "leaving_endpoints", TType.STRING, False),
+        41: (TType.BOOL, "reads_instances", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("sender", None),
@@ -292,6 +327,8 @@
         ("usage", None),
         ("heard", None),
         ("store_age_s", None),
+        ("leaving_endpoints", None),
+        ("reads_instances", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -319,6 +356,13 @@
             text="Seconds since the sender last read the platform's store.",
             options={},
         ),
+        "leaving_endpoints": Description(
+            text="Endpoints that the platform's instance list says are leaving.",
+            options={},
+        ),
+        "reads_instances": Description(
+            text="Whether the sender read the instance list lately.", options={}
+        ),
     }
 
 
@@ -445,6 +489,7 @@
     retry_after_s: float = 0.0
     alternatives: list[str] = field(default_factory=list)
     boot_id: str = ""
+    waited_s: float = 0.0
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I32, "code", False),
@@ -452,6 +497,7 @@
         3: (TType.DOUBLE, "retry_after_s", False),
         4: (TType.LIST, "alternatives", TType.STRING, False),
         5: (TType.STRING, "boot_id", False),
+        40: (TType.DOUBLE, "waited_s", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("code", None),
@@ -459,6 +505,7 @@
         ("retry_after_s", None),
         ("alternatives", None),
         ("boot_id", None),
+        ("waited_s", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {"code": ResultCode}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -471,6 +518,10 @@
             text="Endpoints that the owner believes have more room.", options={}
         ),
         "boot_id": Description(text="", options={}),
+        "waited_s": Description(
+            text="Seconds from the arrival of the request to its grant.",
+            options={},
+        ),
     }
 
 
@@ -484,6 +535,7 @@
     succeeded: bool = False
     first_token_s: float = 0.0
     endpoint_lost: bool = False
+    may_still_run: bool = False
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "endpoint", False),
@@ -492,6 +544,7 @@
         4: (TType.BOOL, "succeeded", False),
         5: (TType.DOUBLE, "first_token_s", False),
         6: (TType.BOOL, "endpoint_lost", False),
+        40: (TType.BOOL, "may_still_run", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("endpoint", None),
@@ -500,6 +553,7 @@
         ("succeeded", None),
         ("first_token_s", None),
         ("endpoint_lost", None),
+        ("may_still_run", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -515,6 +569,9 @@
             text="The endpoint refused the connection or dropped it.",
             options={},
         ),
+        "may_still_run": Description(
+            text="The endpoint may still run the attempt.", options={}
+        ),
     }
 
 
@@ -524,19 +581,25 @@
 
     endpoint: str = ""
     reservation_id: str = ""
+    first_token_s: float = 0.0
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "endpoint", False),
         2: (TType.STRING, "reservation_id", False),
+        40: (TType.DOUBLE, "first_token_s", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("endpoint", None),
         ("reservation_id", None),
+        ("first_token_s", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
         "endpoint": Description(text="", options={}),
         "reservation_id": Description(text="", options={}),
+        "first_token_s": Description(
+            text="Seconds from dispatch to first token.", options={}
+        ),
     }
 
 
@@ -601,22 +664,40 @@
     member_id: str = ""
     epoch: int = 0
     endpoints: list[str] = field(default_factory=list)
+    states: list[EndpointHint] = field(default_factory=list)
+    running: list[RunningWork] = field(default_factory=list)
+    holders: list[str] = field(default_factory=list)
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "member_id", False),
         2: (TType.I64, "epoch", False),
         3: (TType.LIST, "endpoints", TType.STRING, False),
+        40: (TType.LIST, "states", (TType.STRUCT, EndpointHint), False),
+        41: (TType.LIST, "running", (TType.STRUCT, RunningWork), False),
+        42: (TType.LIST, "holders", TType.STRING, False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("member_id", None),
         ("epoch", None),
         ("endpoints", None),
+        ("states", None),
+        ("running", None),
+        ("holders", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
         "member_id": Description(text="", options={}),
         "epoch": Description(text="", options={}),
         "endpoints": Description(text="", options={}),
+        "states": Description(
+            text="What the sender knows of each of these endpoints.", options={}
+        ),
+        "running": Description(
+            text="Work that the sender has granted on them.", options={}
+        ),
+        "holders": Description(
+            text="Member that holds each entry of running.", options={}
+        ),
     }
 
 
--- a/src/auburnswitch/schema/settings.py
+++ b/src/auburnswitch/schema/settings.py
@@ -409,18 +409,36 @@
     load_interval_s: float = 1.0
     stream_idle_timeout_s: float = 30.0
     down_after_failures: int = 3
+    orphan_interval_s: float = 2.0
+    load_lag_s: float = 1.0
+    weight_store_url: str = ""
+    weight_loads_per_second: float = 0.4
+    slow_first_token_ratio: float = 8.0
+    instances_interval_s: float = 1.0
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.DOUBLE, "connect_timeout_s", False),
         2: (TType.DOUBLE, "load_interval_s", False),
         3: (TType.DOUBLE, "stream_idle_timeout_s", False),
         4: (TType.I32, "down_after_failures", False),
+        40: (TType.DOUBLE, "orphan_interval_s", False),
+        41: (TType.DOUBLE, "load_lag_s", False),
+        42: (TType.STRING, "weight_store_url", False),
+        43: (TType.DOUBLE, "weight_loads_per_second", False),
+        44: (TType.DOUBLE, "slow_first_token_ratio", False),
+        45: (TType.DOUBLE, "instances_interval_s", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("connect_timeout_s", None),
         ("load_interval_s", None),
         ("stream_idle_timeout_s", None),
         ("down_after_failures", None),
+        ("orphan_interval_s", None),
+        ("load_lag_s", None),
+        ("weight_store_url", None),
+        ("weight_loads_per_second", None),
+        ("slow_first_token_ratio", None),
+        ("instances_interval_s", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -440,6 +458,30 @@
             text="Load reports without a reply after which an endpoint counts as down.",
             options={"min": "1", "max": "100"},
         ),
+        "orphan_interval_s": Description(
+            text="Time between two comparisons of an engine's streams and KV caches with what daemons report.",
+            options={"unit": "seconds", "min": "0.5", "max": "600"},
+        ),
+        "load_lag_s": Description(
+            text="Age up to which an engine's lists may lag behind.",
+            options={"unit": "seconds", "min": "0", "max": "60"},
+        ),
+        "weight_store_url": Description(
+            text="Base URL of the weight store; empty asks for no admission of loads.",
+            options={},
+        ),
+        "weight_loads_per_second": Description(
+            text="Model loads per second that all daemons together may start.",
+            options={"unit": "loads/s", "min": "0.001", "max": "1000"},
+        ),
+        "slow_first_token_ratio": Description(
+            text="First-token time over the expected one, relative to the endpoint's record, that counts as trouble.",
+            options={"min": "2", "max": "1000"},
+        ),
+        "instances_interval_s": Description(
+            text="Time between two reads of the platform's instance list, by one daemon.",
+            options={"unit": "seconds", "min": "0.2", "max": "60"},
+        ),
     }
 
 
--- /dev/null
+++ b/tests/endpoints/owners.py
@@ -0,0 +1,107 @@
+"""An owner table on its own, for tests."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from auburnswitch.endpoints.load import LoadReport
+from auburnswitch.endpoints.owner import OwnerTable
+from auburnswitch.endpoints.reservations import ReservationClient
+from auburnswitch.members.view import MemberView
+from auburnswitch.observe.invariants import Invariants
+from auburnswitch.platform.state import ConfigState
+from auburnswitch.schema.objects import (
+    AvailabilityZone,
+    Change,
+    Endpoint,
+    Member,
+    ObjectKind,
+    Service,
+    Ticket,
+)
+from auburnswitch.schema.peers import ReserveRequest
+from auburnswitch.schema.settings import Settings
+
+ENGINE = "engine-0"
+ZONE = "daejeon-1"
+SERVICE = "front-desk"
+
+
+class FakeRights:
+    """Strict rights that a test gives and takes."""
+
+    def __init__(self) -> None:
+        self.strict = True
+        self.owner = "me"
+
+    def owner_of(self, _: str) -> str:
+        """Returns the owner by the roster."""
+        return self.owner
+
+    def may_use(self, _: str) -> bool:
+        """Tells whether strict rights are held."""
+        return self.strict
+
+
+class FakeMembership:
+    """Membership with links that a test sets."""
+
+    def __init__(self) -> None:
+        self.links: dict[str, Any] = {}
+        self.tasks: Any = None
+
+
+def endpoint(**values: Any) -> Endpoint:
+    """Returns an endpoint."""
+    return Endpoint(service=SERVICE, zone=ZONE, host="127.0.0.1", **values)
+
+
+def changes(spec: Endpoint, *, zone_out: bool = False) -> list[Change]:
+    """Returns the changes that configure one endpoint."""
+    zone = AvailabilityZone(out=zone_out)
+    return [
+        Change(kind=ObjectKind.AVAILABILITY_ZONE, name=ZONE, zone=zone),
+        Change(kind=ObjectKind.SERVICE, name=SERVICE, service=Service()),
+        Change(kind=ObjectKind.ENDPOINT, name=ENGINE, endpoint=spec),
+    ]
+
+
+def open_table(*, settled: bool = True, **values: Any) -> OwnerTable:
+    """Returns the owner table of a daemon without peers."""
+    settings = Settings()
+    view = MemberView(me=Member(id="me"), settings=settings.members)
+    state = ConfigState()
+    state.join_ticket(Ticket(number=1, changes=changes(endpoint(**values))))
+    table = OwnerTable(
+        settings=settings,
+        view=view,
+        state=state,
+        invariants=Invariants(strict=True),
+        rights=FakeRights(),
+    )
+    table.note_load(ENGINE, LoadReport(boot_id="b1"))
+    table.ledgers[ENGINE].settling = not settled
+    return table
+
+
+def client_of(table: OwnerTable) -> ReservationClient:
+    """Returns the reservation client beside an owner table."""
+    return ReservationClient(owner_table=table, membership=FakeMembership())
+
+
+def ask(**values: Any) -> ReserveRequest:
+    """Returns a request for room."""
+    options = {"prompt_tokens": 1000, "answer_tokens": 16, **values}
+    return ReserveRequest(endpoint=ENGINE, **options)
+
+
+__all__ = [
+    "ENGINE",
+    "FakeMembership",
+    "FakeRights",
+    "ask",
+    "changes",
+    "client_of",
+    "endpoint",
+    "open_table",
+]
