--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -15,17 +15,18 @@
 from expression import Result
 
 from auburnswitch.callers.app import CallerApp
+from auburnswitch.callers.in_flight import InFlightCounter
 from auburnswitch.callers.parse import RequestParser
 from auburnswitch.clock import WallClock, monotonic_s
 from auburnswitch.endpoints.client import EndpointClient, guard_trace
 from auburnswitch.endpoints.monitor import LoadMonitor
 from auburnswitch.endpoints.owner import OwnerTable
 from auburnswitch.endpoints.reservations import ReservationClient
-from auburnswitch.endpoints.rights import RosterRights
 from auburnswitch.http_server import HttpServer, ListenError, open_http_server
 from auburnswitch.members.roster import ROSTER_KEY, RosterKeeper
 from auburnswitch.members.server import PeerServer
 from auburnswitch.members.service import Membership
+from auburnswitch.members.strict import StrictRights
 from auburnswitch.members.view import MemberView
 from auburnswitch.observe.invariants import Invariants
 from auburnswitch.observe.logs import configure_logs, log_event
@@ -52,6 +53,7 @@
     from auburnswitch.schema.settings import Settings
 
 DRAIN_POLL_S: Final = 0.05
+HEADER_MARGIN_BYTES: Final = 65536  # so that the refusal is a numbered one
 EXIT_OK: Final = 0
 EXIT_BAD_SETTINGS: Final = 2
 EXIT_CANNOT_LISTEN: Final = 3
@@ -101,9 +103,11 @@
         self.tickets = TicketStore(store=self.store, state=self.state)
         self.watcher = StoreWatcher(store=self.store, seed=seed)
         self.view = MemberView(me=self.member, settings=settings.members)
+        self.strict_rights = StrictRights(view=self.view)
         self.roster = RosterKeeper(store=self.store, view=self.view)
         self.watcher.handlers[TICKETS_PREFIX] = self.tickets.handle_object
         self.watcher.handlers[ROSTER_KEY] = self.roster.handle_object
+        self.cleanups = TaskSet()
         self._build_members()
         self._build_endpoints(session)
         self._build_routing(session, seed)
@@ -120,6 +124,7 @@
             settings=self.settings,
             shared_key=shared_key,
             view=self.view,
+            strict_rights=self.strict_rights,
             state=self.state,
             tasks=self.tasks,
             store_age_s=lambda: monotonic_s() - self.store.last_success_at,
@@ -132,7 +137,7 @@
             view=self.view,
             state=self.state,
             invariants=self.invariants,
-            rights=RosterRights(view=self.view),
+            rights=self.strict_rights,
         )
         self.reservations = ReservationClient(
             owner_table=self.owner_table, membership=self.membership
@@ -167,6 +172,7 @@
             client=client,
             metrics=self.metrics,
             member_id=self.member.id,
+            cleanups=self.cleanups,
         )
         claims = ClaimStore(
             store=self.store,
@@ -190,6 +196,7 @@
             metrics=self.metrics,
             refuse_new=self.refuse_new,
         )
+        self.in_flight = InFlightCounter(app=self.caller_app.build())
         key_file = self.settings.operators.key_file
         self.operator_app = OperatorApp(
             key=read_secret(key_file) if key_file else b"",
@@ -227,7 +234,7 @@
             "roster": self.view.roster_ids(),
             "live": self.view.live_ids(),
             "owned_endpoints": self.owner_table.owned(),
-            "in_flight": self.caller_app.in_flight,
+            "in_flight": self.in_flight.count,
             "store_available": self.watcher.available,
             "store_calls": self.store.calls,
             "violations": {
@@ -247,9 +254,11 @@
         """Refuses new work, finishes what runs and leaves the roster."""
         self.stopping = True
         log_event(EventId.DAEMON_STOPPING, member=self.member.id)
-        while self.caller_app.in_flight:
+        await self.in_flight.idle.wait()
+        while self.cleanups.tasks:
             await asyncio.sleep(DRAIN_POLL_S)
         self.view.leaving = True
+        await self.membership.hand_over()
         await asyncio.sleep(self.settings.members.heartbeat_interval_s)
         await self.roster.leave()
 
@@ -293,10 +302,12 @@
                 port=settings.operators.port,
             ) as daemon.operators,
             open_http_server(
-                daemon.caller_app.build(),
+                daemon.in_flight,
                 host=settings.callers.host,
                 port=settings.callers.port,
-                max_header_bytes=settings.callers.max_header_bytes,
+                max_header_bytes=(
+                    settings.callers.max_header_bytes + HEADER_MARGIN_BYTES
+                ),
             ) as daemon.callers,
         ):
             daemon.member.port = daemon.peer_server.port
@@ -311,6 +322,7 @@
             try:
                 yield daemon
             finally:
+                await daemon.cleanups.cancel()
                 daemon.metrics.close()
 
 
--- a/src/auburnswitch/endpoints/reservations.py
+++ b/src/auburnswitch/endpoints/reservations.py
@@ -151,7 +151,6 @@
 
     async def note_prefilled(self, held: HeldReservation) -> None:
         """Tells the owner that the prompt has been prefilled."""
-        held.work.prefill_tokens = 0
         first_token_s = 0.0
         if held.dispatched_at is not None:
             first_token_s = monotonic_s() - held.dispatched_at
--- a/src/auburnswitch/routing/plain.py
+++ b/src/auburnswitch/routing/plain.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Final
 
 from auburnswitch.endpoints.client import Attempt, EndpointFailureError
+from auburnswitch.http_client import send_once
 from auburnswitch.platform.claims import (
     AlreadyClaimed,
     Claimed,
@@ -147,6 +148,7 @@
                 guard=self.placer.reservations.guard(held, attempt),
                 data=call.body,
                 headers=headers,
+                middlewares=(send_once,),
             ) as response:
                 body = await response.read()
             succeeded = response.status < 500
