--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -18,7 +18,7 @@
 from auburnswitch.callers.in_flight import InFlightCounter
 from auburnswitch.callers.parse import RequestParser
 from auburnswitch.clock import WallClock, monotonic_s
-from auburnswitch.endpoints.client import EndpointClient
+from auburnswitch.endpoints.client import EndpointClient, guard_trace
 from auburnswitch.endpoints.monitor import LoadMonitor
 from auburnswitch.endpoints.owner import OwnerTable
 from auburnswitch.endpoints.reservations import ReservationClient
@@ -137,6 +137,7 @@
             view=self.view,
             state=self.state,
             invariants=self.invariants,
+            rights=self.strict_rights,
         )
         self.reservations = ReservationClient(
             owner_table=self.owner_table, membership=self.membership
@@ -150,8 +151,9 @@
             self.owner_table.note_heartbeat
         )
         self.monitor = LoadMonitor(
-            settings=self.settings.endpoints,
+            settings=self.settings,
             owner_table=self.owner_table,
+            reservations=self.reservations,
             session=session,
             tasks=self.tasks,
         )
@@ -282,7 +284,8 @@
         ListenError: A listener's address cannot be bound.
     """
     session = aiohttp.ClientSession(
-        connector=connector() if connector else aiohttp.TCPConnector(limit=0)
+        connector=connector() if connector else aiohttp.TCPConnector(limit=0),
+        trace_configs=[guard_trace()],
     )
     async with session, open_task_set() as tasks:
         daemon = Daemon(
--- a/src/auburnswitch/routing/plain.py
+++ b/src/auburnswitch/routing/plain.py
@@ -145,6 +145,7 @@
                 spec,
                 call.method,
                 call.path,
+                guard=self.placer.reservations.guard(held, attempt),
                 data=call.body,
                 headers=headers,
                 middlewares=(send_once,),
--- a/tests/routing/plain_support.py
+++ b/tests/routing/plain_support.py
@@ -11,7 +11,7 @@
 from starlette.responses import JSONResponse
 
 from auburnswitch.clock import WallClock, monotonic_s
-from auburnswitch.endpoints.client import EndpointClient
+from auburnswitch.endpoints.client import Attempt, EndpointClient
 from auburnswitch.endpoints.reservations import HeldReservation
 from auburnswitch.platform.claims import ClaimStore
 from auburnswitch.platform.store import ObjectStore
@@ -45,6 +45,9 @@
             work=RunningWork(endpoint="e", reservation_id=request.id),
         )
 
+    def guard(self, held: HeldReservation, attempt: Attempt) -> Any:
+        return lambda: None
+
     async def release(self, held: HeldReservation, **_: Any) -> None:
         pass
 
