--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -15,9 +15,10 @@
 from expression import Result
 
 from auburnswitch.callers.app import CallerApp
+from auburnswitch.callers.in_flight import InFlightCounter
 from auburnswitch.callers.parse import RequestParser
 from auburnswitch.clock import WallClock, monotonic_s
-from auburnswitch.endpoints.client import EndpointClient
+from auburnswitch.endpoints.client import EndpointClient, guard_trace
 from auburnswitch.endpoints.monitor import LoadMonitor
 from auburnswitch.endpoints.owner import OwnerTable
 from auburnswitch.endpoints.reservations import ReservationClient
@@ -52,6 +53,7 @@
     from auburnswitch.schema.settings import Settings
 
 DRAIN_POLL_S: Final = 0.05
+HEADER_MARGIN_BYTES: Final = 65536  # so that the refusal is a numbered one
 EXIT_OK: Final = 0
 EXIT_BAD_SETTINGS: Final = 2
 EXIT_CANNOT_LISTEN: Final = 3
@@ -105,6 +107,7 @@
         self.roster = RosterKeeper(store=self.store, view=self.view)
         self.watcher.handlers[TICKETS_PREFIX] = self.tickets.handle_object
         self.watcher.handlers[ROSTER_KEY] = self.roster.handle_object
+        self.cleanups = TaskSet()
         self._build_members()
         self._build_endpoints(session)
         self._build_routing(session, seed)
@@ -134,6 +137,7 @@
             view=self.view,
             state=self.state,
             invariants=self.invariants,
+            rights=self.strict_rights,
         )
         self.reservations = ReservationClient(
             owner_table=self.owner_table, membership=self.membership
@@ -147,8 +151,9 @@
             self.owner_table.note_heartbeat
         )
         self.monitor = LoadMonitor(
-            settings=self.settings.endpoints,
+            settings=self.settings,
             owner_table=self.owner_table,
+            reservations=self.reservations,
             session=session,
             tasks=self.tasks,
         )
@@ -167,6 +172,7 @@
             client=client,
             metrics=self.metrics,
             member_id=self.member.id,
+            cleanups=self.cleanups,
         )
         claims = ClaimStore(
             store=self.store,
@@ -190,6 +196,7 @@
             metrics=self.metrics,
             refuse_new=self.refuse_new,
         )
+        self.in_flight = InFlightCounter(app=self.caller_app.build())
         key_file = self.settings.operators.key_file
         self.operator_app = OperatorApp(
             key=read_secret(key_file) if key_file else b"",
@@ -227,7 +234,7 @@
             "roster": self.view.roster_ids(),
             "live": self.view.live_ids(),
             "owned_endpoints": self.owner_table.owned(),
-            "in_flight": self.caller_app.in_flight,
+            "in_flight": self.in_flight.count,
             "store_available": self.watcher.available,
             "store_calls": self.store.calls,
             "violations": {
@@ -247,7 +254,8 @@
         """Refuses new work, finishes what runs and leaves the roster."""
         self.stopping = True
         log_event(EventId.DAEMON_STOPPING, member=self.member.id)
-        while self.caller_app.in_flight:
+        await self.in_flight.idle.wait()
+        while self.cleanups.tasks:
             await asyncio.sleep(DRAIN_POLL_S)
         self.view.leaving = True
         await self.membership.hand_over()
@@ -276,7 +284,8 @@
         ListenError: A listener's address cannot be bound.
     """
     session = aiohttp.ClientSession(
-        connector=connector() if connector else aiohttp.TCPConnector(limit=0)
+        connector=connector() if connector else aiohttp.TCPConnector(limit=0),
+        trace_configs=[guard_trace()],
     )
     async with session, open_task_set() as tasks:
         daemon = Daemon(
@@ -293,10 +302,12 @@
                 port=settings.operators.port,
             ) as daemon.operators,
             open_http_server(
-                daemon.caller_app.build(),
+                daemon.in_flight,
                 host=settings.callers.host,
                 port=settings.callers.port,
-                max_header_bytes=settings.callers.max_header_bytes,
+                max_header_bytes=(
+                    settings.callers.max_header_bytes + HEADER_MARGIN_BYTES
+                ),
             ) as daemon.callers,
         ):
             daemon.member.port = daemon.peer_server.port
@@ -311,6 +322,7 @@
             try:
                 yield daemon
             finally:
+                await daemon.cleanups.cancel()
                 daemon.metrics.close()
 
 
