--- a/schema/events.thrift
+++ b/schema/events.thrift
@@ -31,6 +31,14 @@
   ISOLATED = 305
   // This daemon is no longer isolated. @level info
   ISOLATION_ENDED = 306
+  // Strict rights wait: no majority of the roster acknowledges its epoch, and the silent members can't be shown to be gone. @level error
+  STRICT_RIGHTS_WAITING = 330
+  // A majority of the roster acknowledges its epoch again. @level info
+  STRICT_RIGHTS_RESUMED = 331
+  // Another live daemon has this daemon's instance name. @level error
+  INSTANCE_NAME_SHARED = 332
+  // A peer does not read what is sent to it; its connection is dropped. @level warning
+  PEER_STALLED = 333
   // The phase of an endpoint changed. @level info
   ENDPOINT_PHASE_CHANGED = 400
   // A load report of an endpoint could not be read. @level warning
--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -105,6 +105,10 @@
   40: list<string> leaving_endpoints = []
   // Whether the sender read the instance list lately.
   41: bool reads_instances = false
+  // Former incarnations of the sender, which have ended.
+  30: list<string> former_ids = []
+  // Daemons that the sender's majority counts, if they aren't the roster.
+  31: list<string> quorum_ids = []
 }
 
 struct HeartbeatAck {
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -50,6 +50,8 @@
   4: i32 max_frame_bytes = 4194304
   // Time to wait for a peer's answer. @unit seconds @min 0.01 @max 60
   5: double call_timeout_s = 1
+  // Unsent bytes above which a connection to a peer that does not read is dropped. @unit bytes @min 65536 @max 67108864
+  30: i64 max_unsent_bytes = 1048576
 }
 
 // The platform's object store.
@@ -88,6 +90,8 @@
   6: double isolated_after_s = 3
   // Addresses of daemons to ask when the platform does not answer, as "host:port, host:port".
   7: string seeds = ""
+  // Greatest lag of the platform's list of instances. @unit seconds @min 0 @max 600
+  30: double instances_lag_s = 10
 }
 
 // Length classes, queues and retries.
--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -23,6 +23,8 @@
 from auburnswitch.endpoints.owner import OwnerTable
 from auburnswitch.endpoints.reservations import ReservationClient
 from auburnswitch.http_server import HttpServer, ListenError, open_http_server
+from auburnswitch.members.departures import Departures
+from auburnswitch.members.isolation import Isolation
 from auburnswitch.members.roster import ROSTER_KEY, RosterKeeper
 from auburnswitch.members.server import PeerServer
 from auburnswitch.members.service import Membership
@@ -50,6 +52,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
+    from auburnswitch.members.connection import Dialer
     from auburnswitch.schema.settings import Settings
 
 DRAIN_POLL_S: Final = 0.05
@@ -83,6 +86,7 @@
         session: aiohttp.ClientSession,
         tasks: TaskSet,
         invariants: Invariants,
+        dial: Dialer = asyncio.open_connection,
     ) -> None:
         self.settings = settings
         self.tasks = tasks
@@ -104,16 +108,26 @@
         self.watcher = StoreWatcher(store=self.store, seed=seed)
         self.view = MemberView(me=self.member, settings=settings.members)
         self.strict_rights = StrictRights(view=self.view)
-        self.roster = RosterKeeper(store=self.store, view=self.view)
+        self.departures = Departures(view=self.view, store=self.store)
+        self.isolation = Isolation(
+            view=self.view, read_at=lambda: self.watcher.read_at
+        )
+        self.roster = RosterKeeper(
+            store=self.store,
+            view=self.view,
+            departures=self.departures,
+            synced=self.watcher.synced,
+            seed=seed,
+        )
         self.watcher.handlers[TICKETS_PREFIX] = self.tickets.handle_object
         self.watcher.handlers[ROSTER_KEY] = self.roster.handle_object
         self.cleanups = TaskSet()
-        self._build_members()
+        self._build_members(dial)
         self._build_endpoints(session)
         self._build_routing(session, seed)
         self._build_listeners()
 
-    def _build_members(self) -> None:
+    def _build_members(self, dial: Dialer) -> None:
         shared_key = read_secret(self.settings.peers.key_file)
         self.peer_server = PeerServer(
             settings=self.settings.peers,
@@ -125,9 +139,12 @@
             shared_key=shared_key,
             view=self.view,
             strict_rights=self.strict_rights,
+            departures=self.departures,
+            isolation=self.isolation,
             state=self.state,
             tasks=self.tasks,
-            store_age_s=lambda: monotonic_s() - self.store.last_success_at,
+            store_age_s=lambda: monotonic_s() - self.watcher.read_at,
+            dial=dial,
         )
         self.membership.register(self.peer_server)
 
@@ -231,6 +248,7 @@
             "reason": "" if refused is None else refused.code.name.lower(),
             "state_digest": self.state.digest,
             "roster_epoch": self.view.roster.epoch,
+            "strict_rights": self.view.has_quorum(),
             "roster": self.view.roster_ids(),
             "live": self.view.live_ids(),
             "owned_endpoints": self.owner_table.owned(),
@@ -248,6 +266,8 @@
         self.tasks.start(self.watcher.run(), "watcher")
         self.tasks.start(self.roster.run(), "roster")
         self.tasks.start(self.membership.run(), "membership")
+        refresh = self.watcher.refresh
+        self.tasks.start(self.isolation.run(refresh), "store probe")
         self.tasks.start(self.monitor.run(), "load monitor")
 
     async def drain(self) -> None:
@@ -269,6 +289,7 @@
     *,
     connector: Callable[[], aiohttp.BaseConnector] | None = None,
     strict_invariants: bool = False,
+    dial: Dialer = asyncio.open_connection,
 ) -> AsyncIterator[Daemon]:
     """Runs a daemon until the context ends; the end is not graceful.
 
@@ -276,6 +297,7 @@
         settings: Checked settings.
         connector: Makes the connector of outgoing HTTP connections.
         strict_invariants: Raise when an invariant does not hold.
+        dial: Opens the connections to peers.
 
     Yields:
         The running daemon; call its ``drain`` for a graceful stop.
@@ -293,6 +315,7 @@
             session=session,
             tasks=tasks,
             invariants=Invariants(strict=strict_invariants),
+            dial=dial,
         )
         async with (
             daemon.peer_server.open(),
--- a/src/auburnswitch/experiments/fleet.py
+++ b/src/auburnswitch/experiments/fleet.py
@@ -63,6 +63,8 @@
         endpoint: Endpoint values that differ from the defaults.
         tune: Changes each daemon's settings before it starts.
         connector: Makes the connectors of HTTP clients.
+        daemon_options: Returns further arguments of ``open_daemon`` for an
+            instance.
         strict_invariants: Raise when an invariant does not hold.
         base_port: First port of the daemons; 0 takes free ones.
     """
@@ -75,6 +77,7 @@
     endpoint: dict[str, Any] = field(default_factory=dict)
     tune: Callable[[Settings], None] = lambda settings: None
     connector: Callable[[], aiohttp.BaseConnector] | None = None
+    daemon_options: Callable[[str], dict[str, Any]] = lambda instance: {}
     strict_invariants: bool = True
     base_port: int = 0
 
@@ -155,13 +158,15 @@
     async def start_daemon(self, number: int) -> Daemon:
         """Starts the n-th daemon, or starts it again."""
         instance = f"entry-{number}"
+        self.platform.instances.set(instance, self.zone(number))
+        options: dict[str, Any] = {
+            "connector": self.options.connector,
+            "strict_invariants": self.options.strict_invariants,
+            **self.options.daemon_options(instance),
+        }
         stack = contextlib.AsyncExitStack()
         daemon = await stack.enter_async_context(
-            open_daemon(
-                self.daemon_settings(number),
-                connector=self.options.connector,
-                strict_invariants=self.options.strict_invariants,
-            )
+            open_daemon(self.daemon_settings(number), **options)
         )
         self.daemons[instance] = daemon
         self.daemon_stacks[instance] = stack
--- a/src/auburnswitch/members/connection.py
+++ b/src/auburnswitch/members/connection.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import secrets
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Final
 
 from auburnswitch.members.frames import (
     FrameError,
@@ -15,14 +15,24 @@
     envelope_of,
     session_key,
 )
+from auburnswitch.observe.logs import log_event
+from auburnswitch.schema.events import EventId
 from auburnswitch.schema.peers import Hello
 from auburnswitch.schema.results import ResultCode
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from auburnswitch.schema.base import Struct
     from auburnswitch.schema.peers import Envelope
+    from auburnswitch.schema.settings import PeersSettings
+
+    Dialer = Callable[
+        [str, int],
+        Awaitable[tuple[asyncio.StreamReader, asyncio.StreamWriter]],
+    ]
+
+MAX_HELLO_BYTES: Final = 1024
 
 
 class PeerConnection:
@@ -31,11 +41,13 @@
     Attributes:
         peer_id: Member at the other end.
         pending: Calls that wait for a reply, by call id.
+        max_unsent_bytes: Unsent bytes above which the connection is dropped.
     """
 
     __slots__ = (
         "frame_reader",
         "frame_writer",
+        "max_unsent_bytes",
         "next_call_id",
         "peer_id",
         "pending",
@@ -51,12 +63,14 @@
         writer: asyncio.StreamWriter,
         frame_reader: FrameReader,
         frame_writer: FrameWriter,
+        max_unsent_bytes: int,
     ) -> None:
         self.peer_id = peer_id
         self.reader = reader
         self.writer = writer
         self.frame_reader = frame_reader
         self.frame_writer = frame_writer
+        self.max_unsent_bytes = max_unsent_bytes
         self.pending: dict[int, asyncio.Future[Struct]] = {}
         self.next_call_id = 1
 
@@ -71,7 +85,19 @@
                 waiter.set_result(body_of(envelope))
 
     def send(self, envelope: Envelope) -> None:
-        """Sends a message without waiting for the peer."""
+        """Sends a message without waiting for the peer.
+
+        Raises:
+            ConnectionError: The connection ended, or ends now because the
+                peer does not read.
+        """
+        transport = self.writer.transport
+        if transport.is_closing():
+            raise ConnectionResetError("connection ended")
+        if transport.get_write_buffer_size() > self.max_unsent_bytes:
+            log_event(EventId.PEER_STALLED, peer=self.peer_id)
+            self.drop()
+            raise ConnectionResetError("the peer does not read")
         self.writer.write(self.frame_writer.encode(envelope))
 
     async def call(self, body: Struct, timeout_s: float) -> Struct:
@@ -104,6 +130,11 @@
         self.pending.clear()
         self.writer.close()
 
+    def drop(self) -> None:
+        """Ends the connection without sending what is still unsent."""
+        self.close()
+        self.writer.transport.abort()
+
 
 @contextlib.asynccontextmanager
 async def connect_peer(
@@ -112,8 +143,8 @@
     *,
     member_id: str,
     shared_key: bytes,
-    max_frame_bytes: int,
-    timeout_s: float,
+    settings: PeersSettings,
+    dial: Dialer = asyncio.open_connection,
 ) -> AsyncIterator[PeerConnection]:
     """Opens a connection to a peer and closes it at the end.
 
@@ -121,17 +152,17 @@
         OSError: The peer cannot be reached.
         FrameError: The peer does not know the shared key.
     """
-    async with asyncio.timeout(timeout_s):
-        reader, writer = await asyncio.open_connection(host, port)
+    async with asyncio.timeout(settings.call_timeout_s):
+        reader, writer = await dial(host, port)
     connection: PeerConnection | None = None
     try:
-        async with asyncio.timeout(timeout_s):
+        async with asyncio.timeout(settings.call_timeout_s):
             connection = await _shake_hands(
                 reader,
                 writer,
                 member_id=member_id,
                 shared_key=shared_key,
-                max_frame_bytes=max_frame_bytes,
+                settings=settings,
                 is_client=True,
             )
         yield connection
@@ -147,8 +178,7 @@
     *,
     member_id: str,
     shared_key: bytes,
-    max_frame_bytes: int,
-    timeout_s: float,
+    settings: PeersSettings,
 ) -> PeerConnection:
     """Completes the handshake of an accepted connection.
 
@@ -156,13 +186,13 @@
         FrameError: The peer does not know the shared key.
         TimeoutError: The peer did not finish in time.
     """
-    async with asyncio.timeout(timeout_s):
+    async with asyncio.timeout(settings.call_timeout_s):
         return await _shake_hands(
             reader,
             writer,
             member_id=member_id,
             shared_key=shared_key,
-            max_frame_bytes=max_frame_bytes,
+            settings=settings,
             is_client=False,
         )
 
@@ -173,18 +203,20 @@
     *,
     member_id: str,
     shared_key: bytes,
-    max_frame_bytes: int,
+    settings: PeersSettings,
     is_client: bool,
 ) -> PeerConnection:
     hello = Hello(member_id=member_id, nonce=secrets.token_hex(16))
     first = FrameWriter(key=session_key(shared_key, "hello"))
     writer.write(first.encode(envelope_of(hello)))
     hello_reader = FrameReader(
-        key=session_key(shared_key, "hello"), max_bytes=max_frame_bytes
+        key=session_key(shared_key, "hello"), max_bytes=MAX_HELLO_BYTES
     )
     other = body_of(await hello_reader.read(reader))
-    if not isinstance(other, Hello):
+    if not isinstance(other, Hello) or not other.member_id:
         raise FrameError(ResultCode.BAD_FRAME, "a hello was expected")
+    if other.protocol_version != hello.protocol_version:
+        raise FrameError(ResultCode.BAD_FRAME, "another protocol version")
     client, server = (hello, other) if is_client else (other, hello)
     nonces = (client.nonce, server.nonce)
     to_server = session_key(shared_key, "to server", *nonces)
@@ -196,8 +228,11 @@
         peer_id=other.member_id,
         reader=reader,
         writer=writer,
-        frame_reader=FrameReader(key=receive_key, max_bytes=max_frame_bytes),
+        frame_reader=FrameReader(
+            key=receive_key, max_bytes=settings.max_frame_bytes
+        ),
         frame_writer=FrameWriter(key=send_key),
+        max_unsent_bytes=settings.max_unsent_bytes,
     )
 
 
--- /dev/null
+++ b/src/auburnswitch/members/departures.py
@@ -0,0 +1,128 @@
+"""Decides which members of the roster have certainly ended."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Final
+
+from expression import Result
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.observe.logs import log_event
+from auburnswitch.schema.events import EventId
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from auburnswitch.members.view import MemberView
+    from auburnswitch.platform.store import ObjectStore
+    from auburnswitch.schema.objects import Member
+
+LIST_INTERVAL_S: Final = 2.0
+
+
+class Departures:
+    """Collects proof that members have ended.
+
+    There are two proofs. A daemon that runs on a member's instance knows that
+    the member has ended, since one daemon runs on an instance at a time. And
+    the platform's list of instances no longer has the member's instance; the
+    list lags, so it counts only for members known for longer than its lag,
+    and only if it has this daemon's own instance.
+
+    Attributes:
+        view: What is known of the members.
+        store: Reads the list of instances.
+        former_ids: Members whose instances run a newer daemon.
+        listed: Names on the newest list of instances.
+        asked_at: Loop time at which that list was asked for, in seconds.
+    """
+
+    __slots__ = (
+        "asked_at",
+        "former_ids",
+        "listed",
+        "shared_with",
+        "store",
+        "view",
+    )
+
+    def __init__(self, *, view: MemberView, store: ObjectStore) -> None:
+        self.view = view
+        self.store = store
+        self.former_ids: set[str] = set()
+        self.listed: frozenset[str] = frozenset()
+        self.asked_at = -math.inf
+        self.shared_with = ""
+
+    def note_former(self, member_ids: Iterable[str]) -> None:
+        """Takes what a peer says of its own former incarnations."""
+        self.former_ids.update(i for i in member_ids if i != self.view.me.id)
+
+    def own_former_ids(self) -> list[str]:
+        """Returns this daemon's former incarnations in the roster."""
+        return [
+            member.id
+            for member in self.view.roster.members
+            if self._is_former_self(member)
+        ]
+
+    def gone_ids(self) -> list[str]:
+        """Returns the members of the roster that have certainly ended."""
+        self.former_ids.update(self.own_former_ids())
+        members = self.view.roster.members
+        self.former_ids.intersection_update(member.id for member in members)
+        return [
+            member.id
+            for member in members
+            if member.id in self.former_ids or self._is_unlisted(member)
+        ]
+
+    async def refresh(self) -> None:
+        """Reads the list of instances if a member has gone silent."""
+        suspect_s = self.view.settings.suspect_after_s
+        silent = [
+            member_id
+            for member_id in self.view.roster_ids()
+            if self.view.silence_s(member_id) >= suspect_s
+        ]
+        now = monotonic_s()
+        if not silent or now - self.asked_at < LIST_INTERVAL_S:
+            return
+        match await self.store.instances():
+            case Result(tag="ok", ok=instances):
+                self.listed = frozenset(item.name for item in instances)
+                self.asked_at = now
+
+    def _is_former_self(self, member: Member) -> bool:
+        me = self.view.me
+        if member.instance != me.instance or member.id == me.id:
+            return False
+        suspect_s = self.view.settings.suspect_after_s
+        if self.view.silence_s(member.id) >= suspect_s:
+            return True
+        status = self.view.peers.get(member.id)
+        if status is not None and status.heard_at > status.first_seen_at:
+            self._note_shared(member.id)
+        return False
+
+    def _note_shared(self, member_id: str) -> None:
+        if self.shared_with == member_id:
+            return
+        self.shared_with = member_id
+        log_event(
+            EventId.INSTANCE_NAME_SHARED,
+            instance=self.view.me.instance,
+            member=member_id,
+        )
+
+    def _is_unlisted(self, member: Member) -> bool:
+        status = self.view.peers.get(member.id)
+        if status is None or self.view.me.instance not in self.listed:
+            return False
+        lag_s = self.view.settings.instances_lag_s
+        known_s = self.asked_at - status.first_seen_at
+        return member.instance not in self.listed and known_s >= lag_s
+
+
+__all__ = ["Departures"]
--- a/src/auburnswitch/members/link.py
+++ b/src/auburnswitch/members/link.py
@@ -12,13 +12,14 @@
 from auburnswitch.schema.events import EventId
 
 if TYPE_CHECKING:
-    from auburnswitch.members.connection import PeerConnection
+    from auburnswitch.members.connection import Dialer, PeerConnection
     from auburnswitch.schema.base import Struct
     from auburnswitch.schema.objects import Member
     from auburnswitch.schema.settings import PeersSettings
 
 FIRST_DELAY_S: Final = 0.1
 LONGEST_DELAY_S: Final = 2.0
+MAX_TIMEOUTS: Final = 3
 
 
 class PeerLink:
@@ -27,15 +28,20 @@
     Attributes:
         member: The peer.
         connection: The open connection, if there is one.
+        timeouts: Heartbeats in a row that had no answer in time.
+        beat_now: Set when the next heartbeat should not wait.
     """
 
     __slots__ = (
+        "beat_now",
         "connection",
+        "dial",
         "member",
         "member_id",
         "random",
         "settings",
         "shared_key",
+        "timeouts",
     )
 
     def __init__(
@@ -46,12 +52,16 @@
         settings: PeersSettings,
         shared_key: bytes,
         seed: int,
+        dial: Dialer = asyncio.open_connection,
     ) -> None:
         self.member = member
         self.member_id = member_id
         self.settings = settings
         self.shared_key = shared_key
         self.random = random.Random(f"{seed}{member.id}")
+        self.dial = dial
+        self.beat_now = asyncio.Event()
+        self.timeouts = 0
         self.connection: PeerConnection | None = None
 
     async def run(self) -> None:
@@ -64,8 +74,8 @@
                     self.member.port,
                     member_id=self.member_id,
                     shared_key=self.shared_key,
-                    max_frame_bytes=self.settings.max_frame_bytes,
-                    timeout_s=self.settings.call_timeout_s,
+                    settings=self.settings,
+                    dial=self.dial,
                 ) as connection:
                     delay_s = FIRST_DELAY_S
                     await self._use(connection)
@@ -84,6 +94,8 @@
     async def _use(self, connection: PeerConnection) -> None:
         log_event(EventId.PEER_CONNECTED, peer=self.member.id)
         self.connection = connection
+        self.timeouts = 0
+        self.beat_now.set()
         try:
             while True:
                 await connection.receive()
@@ -91,6 +103,15 @@
             self.connection = None
             log_event(EventId.PEER_DISCONNECTED, peer=self.member.id)
 
+    async def wait_beat(self, interval_s: float) -> None:
+        """Waits for the time, or the wish, of the next heartbeat."""
+        try:
+            async with asyncio.timeout(interval_s):
+                await self.beat_now.wait()
+        except TimeoutError:
+            return
+        self.beat_now.clear()
+
     async def call(
         self, body: Struct, timeout_s: float | None = None
     ) -> Struct:
@@ -105,5 +126,25 @@
         timeout_s = timeout_s or self.settings.call_timeout_s
         return await self.connection.call(body, timeout_s)
 
+    async def call_or_drop(self, body: Struct) -> Struct | None:
+        """Calls the peer; drops the connection if it keeps silent.
+
+        Returns:
+            The reply; None if there was none.
+        """
+        connection = self.connection
+        try:
+            reply = await self.call(body)
+        except TimeoutError:
+            self.timeouts += 1
+            if self.timeouts >= MAX_TIMEOUTS and connection is not None:
+                self.timeouts = 0
+                connection.drop()
+            return None
+        except (OSError, FrameError):
+            return None
+        self.timeouts = 0
+        return reply
+
 
 __all__ = ["PeerLink"]
--- a/src/auburnswitch/members/roster.py
+++ b/src/auburnswitch/members/roster.py
@@ -1,43 +1,105 @@
-"""Keeps this daemon in the roster and silent members out of it."""
+"""Keeps the roster in step with the daemons that are alive."""
 
 from __future__ import annotations
 
 import asyncio
+import random
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from expression import Result
 
 from auburnswitch.clock import monotonic_s
+from auburnswitch.members.changes import (
+    ChangePlanner,
+    RemoveMember,
+    RosterChange,
+    changed_roster,
+)
 from auburnswitch.observe.logs import log_event
-from auburnswitch.platform.store import ABSENT, StoredObject
+from auburnswitch.platform.store import (
+    ABSENT,
+    StoredObject,
+    StoreUnavailable,
+    VersionConflict,
+)
 from auburnswitch.platform.watcher import CONFIG_PREFIX
 from auburnswitch.schema.base import SchemaError, from_json, to_json
 from auburnswitch.schema.events import EventId
-from auburnswitch.schema.objects import Member, Roster
+from auburnswitch.schema.objects import Roster
 
 if TYPE_CHECKING:
+    from auburnswitch.members.departures import Departures
     from auburnswitch.members.view import MemberView
     from auburnswitch.platform.store import ObjectStore
 
 ROSTER_KEY: Final = CONFIG_PREFIX + "roster/default"
 CHECK_INTERVAL_S: Final = 0.5
-JOIN_ATTEMPTS: Final = 5
+FIRST_DELAY_S: Final = 0.2
+LONGEST_DELAY_S: Final = 5.0
+LEAVE_TIMEOUT_S: Final = 3.0
+CONFLICT_SPREAD_S: Final = 0.1
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoredRoster:
+    """The roster and the version of its object."""
+
+    roster: Roster
+    version: int
 
 
 class RosterKeeper:
     """Changes the roster by conditional updates only.
 
+    At rest it makes no call: the store's watch brings each new roster.
+
     Attributes:
         store: The platform's store.
         view: What is known of the members.
+        planner: Decides on the next change.
+        departures: Proof that members have ended.
+        synced: Set once the store's objects have been listed.
+        stored: Newest roster read from the store.
+        woken: Set when there may be something to do.
     """
 
-    __slots__ = ("started_at", "store", "view")
-
-    def __init__(self, *, store: ObjectStore, view: MemberView) -> None:
+    __slots__ = (
+        "delay_s",
+        "departures",
+        "planner",
+        "quorum_seen_at",
+        "random",
+        "store",
+        "stored",
+        "synced",
+        "view",
+        "waiting",
+        "woken",
+    )
+
+    def __init__(
+        self,
+        *,
+        store: ObjectStore,
+        view: MemberView,
+        departures: Departures,
+        synced: asyncio.Event,
+        seed: int,
+    ) -> None:
         self.store = store
         self.view = view
-        self.started_at = monotonic_s()
+        self.departures = departures
+        self.synced = synced
+        self.planner = ChangePlanner(view=view, departures=departures)
+        self.random = random.Random(f"{seed}{view.me.id}")
+        self.stored: StoredRoster | None = None
+        self.woken = asyncio.Event()
+        self.delay_s = 0.0
+        self.quorum_seen_at = monotonic_s()
+        self.waiting = False
+        view.peer_listeners.append(self.woken.set)
+        view.roster_listeners.append(lambda _: self.woken.set())
 
     def handle_object(self, item: StoredObject) -> None:
         """Takes a stored roster into the view."""
@@ -45,6 +107,8 @@
             roster = from_json(Roster, item.value)
         except SchemaError:
             return
+        if self.stored is None or roster.epoch > self.stored.roster.epoch:
+            self.stored = StoredRoster(roster=roster, version=item.version)
         if self.view.note_roster(roster):
             log_event(
                 EventId.ROSTER_CHANGED,
@@ -53,65 +117,113 @@
             )
 
     async def run(self) -> None:
-        """Joins, then removes members that have gone silent."""
+        """Proposes changes for ever, one at a time."""
         while True:
-            if not self.view.leaving:
-                await self._check()
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            self.woken.clear()
+            self._watch_quorum()
+            change = None
+            if self.synced.is_set() and not self.view.leaving:
+                change = await self._plan()
+            if change is None or not await self._propose(change):
+                await self._rest()
 
     async def leave(self) -> None:
-        """Removes this daemon from the roster."""
-        for _ in range(JOIN_ATTEMPTS):
-            if self.view.me.id not in self.view.roster_ids():
-                return
-            await self._change(remove=self.view.me.id)
-
-    async def _check(self) -> None:
-        if self.view.me.id not in self.view.roster_ids():
-            await self._change(add=self.view.me)
-            return
-        if silent := self._removable():
-            await self._change(remove=silent)
-
-    def _removable(self) -> str:
-        watched_s = monotonic_s() - self.started_at
-        if watched_s < self.view.settings.remove_after_s:
-            return ""  # silence before the start proves nothing
-        silent = self.view.silent_ids()
-        live = self.view.live_ids()
-        first = [i for i in self.view.roster_ids() if i in live][:1]
-        if silent and first == [self.view.me.id]:
-            return silent[0]
-        return ""
-
-    async def _change(
-        self, *, add: Member | None = None, remove: str = ""
-    ) -> None:
+        """Takes this daemon out of the roster, if that can be done soon."""
+        change = RemoveMember(member_id=self.view.me.id)
+        try:
+            async with asyncio.timeout(LEAVE_TIMEOUT_S):
+                while self.view.me.id in self.view.roster_ids():
+                    self.woken.clear()
+                    if not await self._propose(change):
+                        await self._rest()
+        except TimeoutError:
+            return  # the others remove it once it is silent
+
+    async def _plan(self) -> RosterChange | None:
+        change = self.planner.next_change()
+        view = self.view
+        agrees = view.majority_knows_epoch() and view.hears_majority()
+        if change is None and not agrees:
+            await self.departures.refresh()
+            change = self.planner.next_change()
+        return change
+
+    async def _rest(self) -> None:
+        await asyncio.sleep(self.delay_s * self.random.uniform(0.5, 1.0))
+        try:
+            async with asyncio.timeout(CHECK_INTERVAL_S):
+                await self.woken.wait()
+        except TimeoutError:
+            return  # silence makes no event; look again
+
+    async def _propose(self, change: RosterChange) -> bool:
+        """Writes the next epoch; returns whether something newer is known."""
+        epoch = self.view.roster.epoch
+        stored = self.stored or StoredRoster(roster=Roster(), version=ABSENT)
+        if stored.roster.epoch != epoch or not self.planner.may_propose(change):
+            return stored.roster.epoch < epoch and await self._read()
+        roster = changed_roster(stored.roster, change)
+        if len(roster.members) == len(stored.roster.members):
+            return False
+        put = await self.store.put(
+            ROSTER_KEY, to_json(roster), expected_version=stored.version
+        )
+        match put:
+            case Result(tag="ok", ok=version):
+                self._take(roster, version, change)
+                return True
+            case Result(error=VersionConflict()):
+                spread_s = self.random.uniform(0, CONFLICT_SPREAD_S)
+                await asyncio.sleep(spread_s)
+                return await self._read()
+            case Result(error=StoreUnavailable(outcome_unknown=True)):
+                return await self._read()  # the write may have been made
+        self._back_off()
+        return False
+
+    def _take(self, roster: Roster, version: int, change: RosterChange) -> None:
+        self.delay_s = 0.0
+        self.handle_object(
+            StoredObject(key=ROSTER_KEY, version=version, value=to_json(roster))
+        )
+        if isinstance(change, RemoveMember):
+            log_event(EventId.MEMBER_REMOVED, member=change.member_id)
+
+    async def _read(self) -> bool:
+        """Reads the roster; returns whether something newer is known."""
+        before = self.stored
         match await self.store.get(ROSTER_KEY):
-            case Result(tag="ok", ok=stored):
-                roster, version = _decode(stored)
+            case Result(tag="ok", ok=StoredObject() as item):
+                self.delay_s = 0.0
+                self.handle_object(item)
             case _:
-                return
-        members = [m for m in roster.members if m.id != remove]
-        if add is not None and add.id not in [m.id for m in members]:
-            members.append(add)
-        if len(members) != len(roster.members):
-            new = Roster(epoch=roster.epoch + 1, members=members)
-            put = await self.store.put(
-                ROSTER_KEY, to_json(new), expected_version=version
-            )
-            if put.is_error():
-                return
-            if remove and remove != self.view.me.id:
-                log_event(EventId.MEMBER_REMOVED, member=remove)
-            roster = new
-        self.view.note_roster(roster)
-
-
-def _decode(stored: StoredObject | None) -> tuple[Roster, int]:
-    if stored is None:
-        return Roster(), ABSENT
-    return from_json(Roster, stored.value), stored.version
+                self._back_off()
+        return self.stored is not before
+
+    def _back_off(self) -> None:
+        self.delay_s = min(
+            max(2 * self.delay_s, FIRST_DELAY_S), LONGEST_DELAY_S
+        )
+
+    def _watch_quorum(self) -> None:
+        """Raises an alarm while strict rights wait."""
+        now = monotonic_s()
+        if self.view.has_quorum():
+            self.quorum_seen_at = now
+            if self.waiting:
+                self.waiting = False
+                log_event(EventId.STRICT_RIGHTS_RESUMED)
+            return
+        silence_s = now - max(self.quorum_seen_at, self.view.awake_since)
+        if silence_s < self.view.settings.remove_after_s or self.waiting:
+            return
+        self.waiting = True
+        log_event(
+            EventId.STRICT_RIGHTS_WAITING,
+            epoch=self.view.roster.epoch,
+            roster=self.view.roster_ids(),
+            live=self.view.live_ids(),
+        )
 
 
 __all__ = ["ROSTER_KEY", "RosterKeeper"]
--- a/src/auburnswitch/members/server.py
+++ b/src/auburnswitch/members/server.py
@@ -80,17 +80,12 @@
                 writer,
                 member_id=self.member_id,
                 shared_key=self.shared_key,
-                max_frame_bytes=self.settings.max_frame_bytes,
-                timeout_s=self.settings.call_timeout_s,
+                settings=self.settings,
             )
             async with open_task_set() as tasks:
                 await self._answer_calls(connection, tasks)
         except FrameError as error:
-            log_event(
-                EventId.PEER_FRAME_REJECTED,
-                code=int(error.code),
-                reason=str(error),
-            )
+            _log_rejected(error)
         except (OSError, EOFError, TimeoutError):
             pass  # the peer went away
         finally:
@@ -102,18 +97,30 @@
     ) -> None:
         while True:
             envelope = await connection.receive()
-            tasks.start(self._answer(connection, envelope), "peer call")
+            body = body_of(envelope)
+            tasks.start(self._answer(connection, envelope, body), "peer call")
 
     async def _answer(
-        self, connection: PeerConnection, envelope: Envelope
+        self, connection: PeerConnection, envelope: Envelope, body: Struct
     ) -> None:
-        body = body_of(envelope)
         handler = self.handlers.get(type(body))
         if handler is None:
             return
-        reply = await handler(body, connection.peer_id)
-        if reply is not None and envelope.call_id:
-            connection.reply(envelope, reply)
+        try:
+            reply = await handler(body, connection.peer_id)
+            if reply is not None and envelope.call_id:
+                connection.reply(envelope, reply)
+        except FrameError as error:
+            _log_rejected(error)
+            connection.close()
+        except ConnectionError:
+            return  # the caller went away
+
+
+def _log_rejected(error: FrameError) -> None:
+    log_event(
+        EventId.PEER_FRAME_REJECTED, code=int(error.code), reason=str(error)
+    )
 
 
 __all__ = ["PeerServer"]
--- a/src/auburnswitch/members/service.py
+++ b/src/auburnswitch/members/service.py
@@ -17,15 +17,20 @@
     StateReply,
     StateRequest,
 )
+from auburnswitch.schema.results import ResultCode
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from auburnswitch.members.connection import Dialer
+    from auburnswitch.members.departures import Departures
+    from auburnswitch.members.isolation import Isolation
     from auburnswitch.members.server import PeerServer
     from auburnswitch.members.strict import StrictRights
     from auburnswitch.members.view import MemberView
     from auburnswitch.observe.tasks import TaskSet
     from auburnswitch.platform.state import ConfigState
+    from auburnswitch.schema.objects import Roster
     from auburnswitch.schema.settings import Settings
 
 SEED_ID_PREFIX = "seed:"
@@ -37,15 +42,24 @@
     Attributes:
         view: What is known of the peers.
         strict_rights: Strict rights of this daemon.
+        departures: Proof that members have ended.
+        isolation: Whether new work must be refused.
         links: Connection to each peer, by member id.
         heartbeat_sources: Called to fill a heartbeat for one peer.
         heartbeat_listeners: Called with each heartbeat received.
-        store_age_s: Tells the age of the last answer of the store.
+        handover_sources: Called to fill a hand-over to a successor.
+        handover_listeners: Called with each hand-over received.
+        store_age_s: Tells the age of the last read of the store.
     """
 
     __slots__ = (
+        "departures",
+        "dial",
+        "handover_listeners",
+        "handover_sources",
         "heartbeat_listeners",
         "heartbeat_sources",
+        "isolation",
         "link_tasks",
         "links",
         "settings",
@@ -64,21 +78,30 @@
         shared_key: bytes,
         view: MemberView,
         strict_rights: StrictRights,
+        departures: Departures,
+        isolation: Isolation,
         state: ConfigState,
         tasks: TaskSet,
         store_age_s: Callable[[], float],
+        dial: Dialer = asyncio.open_connection,
     ) -> None:
         self.settings = settings
         self.shared_key = shared_key
         self.view = view
         self.strict_rights = strict_rights
+        self.departures = departures
+        self.isolation = isolation
         self.state = state
         self.tasks = tasks
         self.store_age_s = store_age_s
+        self.dial = dial
         self.links: dict[str, PeerLink] = {}
         self.link_tasks: dict[str, list[asyncio.Task[Any]]] = {}
         self.heartbeat_sources: list[Callable[[Heartbeat, str], None]] = []
         self.heartbeat_listeners: list[Callable[[Heartbeat], None]] = []
+        self.handover_sources: list[Callable[[HandoverRequest], None]] = []
+        self.handover_listeners: list[Callable[[HandoverRequest], None]] = []
+        view.roster_listeners.append(self._note_roster)
 
     def register(self, server: PeerServer) -> None:
         """Registers the handlers of this service's messages."""
@@ -90,18 +113,46 @@
         """Opens links to new peers and drops links to forgotten ones."""
         self._open_seed_links()
         while True:
+            self.view.note_tick()
+            self.view.forget_departed()
             self._update_links()
+            self.isolation.update()
             await asyncio.sleep(self.settings.members.heartbeat_interval_s)
 
     def is_isolated(self) -> bool:
-        """Tells whether neither the store nor any peer was heard lately."""
-        limit_s = self.settings.members.isolated_after_s
-        if self.store_age_s() < limit_s:
-            return False
-        oldest = monotonic_s() - limit_s
-        return not any(
-            status.heard_at >= oldest for status in self.view.peers.values()
-        )
+        """Tells whether the configuration may have moved on unseen."""
+        return self.isolation.is_isolated()
+
+    async def hand_over(self) -> None:
+        """Gives up all strict rights and tells the successors."""
+        requests = self.strict_rights.hand_over(self.state.endpoints)
+        await self._send_handovers(requests)
+
+    def _note_roster(self, _: Roster) -> None:
+        for status in self.view.peers.values():
+            if status.member.id not in self.links:
+                self._open_link(status.member)
+        for link in self.links.values():
+            link.beat_now.set()  # peers wait for this daemon to know it
+        requests = self.strict_rights.pass_on(self.state.endpoints)
+        if requests:
+            self.tasks.start(self._send_handovers(requests), "hand over")
+
+    async def _send_handovers(
+        self, requests: dict[str, HandoverRequest]
+    ) -> None:
+        for request in requests.values():
+            for source in self.handover_sources:
+                source(request)
+        calls = [
+            self._tell(self.links[member_id], request)
+            for member_id, request in requests.items()
+            if member_id in self.links
+        ]
+        await asyncio.gather(*calls)
+
+    async def _tell(self, link: PeerLink, request: HandoverRequest) -> None:
+        await link.call_or_drop(request)  # if lost, the successor waits
 
     def _open_seed_links(self) -> None:
         for address in self.settings.members.seeds.split(","):
@@ -129,6 +180,7 @@
             settings=self.settings.peers,
             shared_key=self.shared_key,
             seed=self.settings.daemon.seed,
+            dial=self.dial,
         )
         self.links[member.id] = link
         self.link_tasks[member.id] = [
@@ -142,13 +194,31 @@
             task.cancel()
 
     async def _send_heartbeats(self, link: PeerLink) -> None:
-        interval_s = self.settings.members.heartbeat_interval_s
         while True:
-            if link.connection is not None:
+            if link.connection is not None and not self._is_spare(link):
                 await self._send_heartbeat(link)
-            await asyncio.sleep(interval_s)
+            await link.wait_beat(self.settings.members.heartbeat_interval_s)
+
+    def _is_spare(self, link: PeerLink) -> bool:
+        """Tells whether a seed link's daemon has a link of its own by now."""
+        seed = link.member
+        return seed.id.startswith(SEED_ID_PREFIX) and any(
+            other.connection is not None
+            and other is not link
+            and other.member.host == seed.host
+            and other.member.port == seed.port
+            for other in self.links.values()
+        )
 
     async def _send_heartbeat(self, link: PeerLink) -> None:
+        heartbeat = self._heartbeat(link.member.id)
+        sent_at = heartbeat.sent_at
+        ack = await link.call_or_drop(heartbeat)
+        if isinstance(ack, HeartbeatAck):
+            self._note_ack(ack, sent_at)
+            await self._fetch_state(link, ack.epoch, ack.state_digest)
+
+    def _heartbeat(self, peer_id: str) -> Heartbeat:
         heartbeat = Heartbeat(
             sender=self.view.me,
             epoch=self.view.roster.epoch,
@@ -157,50 +227,47 @@
             leaving=self.view.leaving,
             heard=self.view.live_ids(),
             store_age_s=min(self.store_age_s(), 1e9),
+            former_ids=self.departures.own_former_ids(),
         )
+        self.isolation.fill_heartbeat(heartbeat)
         for source in self.heartbeat_sources:
-            source(heartbeat, link.member.id)
-        try:
-            ack = await link.call(heartbeat)
-        except (OSError, TimeoutError, FrameError):
-            return
-        if isinstance(ack, HeartbeatAck):
-            self._note_ack(ack, heartbeat.sent_at)
-            await self._fetch_state(link, ack.epoch, ack.state_digest)
+            source(heartbeat, peer_id)
+        return heartbeat
 
     def _note_ack(self, ack: HeartbeatAck, sent_at: float) -> None:
         status = self.view.peers.get(ack.member_id)
         if status is None:
             return
-        status.heard_at = monotonic_s()
-        status.leaving = ack.leaving
-        status.state_digest = ack.state_digest
-        status.note_ack(ack.epoch, sent_at)
+        known_epoch = status.known_epoch
+        status.note_ack(ack, sent_at)
         self.strict_rights.note_ack()
+        if status.known_epoch > known_epoch:
+            self.view.note_change()
 
     async def _fetch_state(
         self, link: PeerLink, epoch: int, digest: str
     ) -> None:
         if digest == self.state.digest and epoch <= self.view.roster.epoch:
             return
-        try:
-            reply = await link.call(
-                StateRequest(state_digest=self.state.digest)
-            )
-        except (OSError, TimeoutError, FrameError):
-            return
+        request = StateRequest(state_digest=self.state.digest)
+        reply = await link.call_or_drop(request)
         if not isinstance(reply, StateReply):
             return
         self.state.join_snapshot(reply.snapshot)
         if reply.roster is not None:
             self.view.note_roster(reply.roster)
 
-    async def _on_heartbeat(self, heartbeat: Any, _: str) -> HeartbeatAck:
+    async def _on_heartbeat(self, heartbeat: Any, peer_id: str) -> HeartbeatAck:
+        if heartbeat.sender is None or heartbeat.sender.id != peer_id:
+            raise FrameError(ResultCode.BAD_FRAME, "not the sender's own")
         status = self.view.note_member(heartbeat.sender)
         if status is not None:
-            status.heard_at = monotonic_s()
-            status.leaving = heartbeat.leaving
-            status.state_digest = heartbeat.state_digest
+            known_epoch = status.known_epoch
+            status.note_heartbeat(heartbeat)
+            self.departures.note_former(heartbeat.former_ids)
+            self.isolation.note_heartbeat(heartbeat)
+            if status.known_epoch > known_epoch:
+                self.view.note_change()
         for listener in self.heartbeat_listeners:
             listener(heartbeat)
         return HeartbeatAck(
@@ -211,25 +278,11 @@
             leaving=self.view.leaving,
         )
 
-    async def hand_over(self) -> None:
-        """Gives up all strict rights and tells the successors."""
-        requests = self.strict_rights.hand_over(self.state.endpoints)
-        calls = [
-            self._tell(self.links[member_id], request)
-            for member_id, request in requests.items()
-            if member_id in self.links
-        ]
-        await asyncio.gather(*calls)
-
-    async def _tell(self, link: PeerLink, request: HandoverRequest) -> None:
-        try:
-            await link.call(request)
-        except (OSError, TimeoutError, FrameError):
-            return  # the successor waits in full
-
     async def _on_handover(self, request: Any, peer_id: str) -> Done:
         if request.member_id == peer_id:
             self.strict_rights.note_handover(request)
+            for listener in self.handover_listeners:
+                listener(request)
         return Done()
 
     async def _on_state_request(self, _: Any, __: str) -> StateReply:
--- a/src/auburnswitch/members/strict.py
+++ b/src/auburnswitch/members/strict.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.members.history import RosterHistory
@@ -21,6 +21,8 @@
     from auburnswitch.members.view import MemberView
     from auburnswitch.schema.objects import Roster
 
+FIRST_EPOCH: Final = 1
+
 
 class _Handover:
     """A predecessor's word that it makes no more strict use."""
@@ -77,16 +79,17 @@
         """
         if not self.is_owner(endpoint) or endpoint in self.relinquished:
             return math.inf
-        now = monotonic_s()
-        if self.view.quorum_at() <= now - self._lease_s():
+        if not self.view.has_quorum():
             return math.inf
-        return max(0.0, self._begins_at(endpoint) - now)
+        begins_at = self._begins_at(endpoint, self.history.epoch)
+        return max(0.0, begins_at - monotonic_s())
 
     def note_roster(self, roster: Roster) -> None:
         """Takes a newer roster."""
         self.history.note(roster)
         for epoch in self.majority_at.keys() - self.history.member_ids.keys():
             del self.majority_at[epoch]
+        self._drop_handovers()
         self.note_ack()
 
     def note_ack(self) -> None:
@@ -94,9 +97,17 @@
         epoch = self.history.epoch
         if epoch in self.majority_at or not epoch:
             return
-        now = monotonic_s()
-        if self.view.quorum_at() > now - self._lease_s():
-            self.majority_at[epoch] = now
+        if self.view.has_quorum():
+            self.majority_at[epoch] = monotonic_s()
+
+    def _drop_handovers(self) -> None:
+        """Forgets hand-overs of epochs that are no longer remembered."""
+        known = self.history.member_ids
+        self.handovers = {
+            key: handover
+            for key, handover in self.handovers.items()
+            if handover.epoch in known or handover.epoch > self.history.epoch
+        }
 
     def note_handover(self, request: HandoverRequest) -> None:
         """Takes a predecessor's word that it makes no more strict use."""
@@ -116,42 +127,64 @@
         Returns:
             The message for each successor, by member id.
         """
+        epoch = self.history.epoch
+        owned = [name for name in endpoints if self.is_owner(name)]
         heirs = [i for i in self.view.roster_ids() if i != self.view.me.id]
-        requests: dict[str, HandoverRequest] = {}
+        requests = self._requests(
+            {name: rendezvous_first(name, heirs) for name in owned}, epoch
+        )
+        self.relinquished.update(owned)
+        return requests
+
+    def pass_on(self, endpoints: Iterable[str]) -> dict[str, HandoverRequest]:
+        """Says to whom strict rights went with the newest roster.
+
+        Call it after each newer roster. This daemon makes no more strict use
+        of these endpoints because it no longer owns them.
+
+        Args:
+            endpoints: Names of all configured endpoints.
+
+        Returns:
+            The message for each successor, by member id.
+        """
+        before = self.history.epoch - 1
+        me = self.view.me.id
+        lost = {
+            name: self.owner_of(name)
+            for name in endpoints
+            if self.history.owner_of(name, before) == me
+            and not self.is_owner(name)
+        }
+        return self._requests(lost, before)
+
+    def _requests(
+        self, heirs: dict[str, str], epoch: int
+    ) -> dict[str, HandoverRequest]:
+        """Returns messages on the endpoints whose former owners are out."""
         now = monotonic_s()
-        for endpoint in endpoints:
-            if not self.is_owner(endpoint):
+        requests: dict[str, HandoverRequest] = {}
+        for endpoint, heir in heirs.items():
+            if not heir or self._begins_at(endpoint, epoch) > now:
                 continue
-            if self._begins_at(endpoint) <= now:
-                heir = rendezvous_first(endpoint, heirs)
-                self._add(requests, heir, endpoint, self.history.epoch)
-            self.relinquished.add(endpoint)
+            request = requests.setdefault(
+                heir, HandoverRequest(member_id=self.view.me.id, epoch=epoch)
+            )
+            request.endpoints.append(endpoint)
         return requests
 
-    def _add(
-        self,
-        requests: dict[str, HandoverRequest],
-        heir: str,
-        endpoint: str,
-        epoch: int,
-    ) -> None:
-        if not heir:
-            return
-        request = requests.setdefault(
-            heir, HandoverRequest(member_id=self.view.me.id, epoch=epoch)
-        )
-        request.endpoints.append(endpoint)
-
-    def _begins_at(self, endpoint: str) -> float:
-        epoch = self.history.epoch
+    def _begins_at(self, endpoint: str, epoch: int) -> float:
+        """Returns when the tenure that includes an epoch may first be used."""
         start = self.history.tenure_start(endpoint, epoch)
+        if start == FIRST_EPOCH:
+            return -math.inf  # there was no owner before
         majority_at = min(
-            (at for e, at in self.majority_at.items() if e >= start),
+            (at for e, at in self.majority_at.items() if start <= e <= epoch),
             default=math.inf,
         )
         ttl_s = self.view.settings.reservation_ttl_s
         return min(
-            majority_at + self._lease_s() + ttl_s,
+            majority_at + self.view.settings.strict_lease_s + ttl_s,
             self._handed_over_at(endpoint, start) + ttl_s,
         )
 
@@ -165,8 +198,5 @@
             return math.inf
         return handover.received_at
 
-    def _lease_s(self) -> float:
-        return self.view.settings.strict_lease_s
-
 
 __all__ = ["StrictRights"]
--- a/src/auburnswitch/members/view.py
+++ b/src/auburnswitch/members/view.py
@@ -2,59 +2,18 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 from auburnswitch.clock import monotonic_s
+from auburnswitch.members.peer_status import NEVER, PeerStatus
 from auburnswitch.members.rendezvous import rendezvous_first
 from auburnswitch.schema.objects import Member, Roster
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from auburnswitch.schema.settings import MembersSettings
 
-_NEVER: Final = float("-inf")
-
-
-class PeerStatus:
-    """What is known of one peer.
-
-    Attributes:
-        member: The peer's identity and address.
-        heard_at: When the peer was last heard, in seconds of loop time.
-        acked_at: Sending time of the newest heartbeat that the peer has
-            acknowledged at ``acked_epoch``, in seconds of loop time.
-        acked_epoch: Roster epoch of that acknowledgement.
-        leaving: The peer is stopping.
-        state_digest: Digest of the peer's configuration.
-    """
-
-    __slots__ = (
-        "acked_at",
-        "acked_epoch",
-        "heard_at",
-        "leaving",
-        "member",
-        "state_digest",
-    )
-
-    def __init__(self, *, member: Member) -> None:
-        self.member = member
-        self.heard_at = _NEVER
-        self.acked_at = _NEVER
-        self.acked_epoch = 0
-        self.leaving = False
-        self.state_digest = ""
-
-    def note_ack(self, epoch: int, sent_at: float) -> None:
-        """Takes the epoch that acknowledges a heartbeat sent at a time."""
-        if epoch < self.acked_epoch:
-            return  # a late answer; the peer knows a newer epoch
-        if epoch > self.acked_epoch:
-            self.acked_at = _NEVER
-        self.acked_epoch = epoch
-        self.acked_at = max(self.acked_at, sent_at)
-
 
 class MemberView:
     """The roster and the liveness of its members.
@@ -64,16 +23,23 @@
         roster: The agreed membership as last seen.
         peers: Status of every known peer, by member id.
         leaving: This daemon is stopping.
+        awake_since: When this daemon started, or was last found to have been
+            paused, in seconds of loop time.
+        ticked_at: Loop time of the last tick, in seconds.
         roster_listeners: Called with each newer roster.
+        peer_listeners: Called when a peer appears or knows a newer epoch.
     """
 
     __slots__ = (
+        "awake_since",
         "leaving",
         "me",
+        "peer_listeners",
         "peers",
         "roster",
         "roster_listeners",
         "settings",
+        "ticked_at",
     )
 
     def __init__(self, *, me: Member, settings: MembersSettings) -> None:
@@ -82,7 +48,9 @@
         self.roster = Roster()
         self.peers: dict[str, PeerStatus] = {}
         self.leaving = False
+        self.awake_since = self.ticked_at = monotonic_s()
         self.roster_listeners: list[Callable[[Roster], None]] = []
+        self.peer_listeners: list[Callable[[], None]] = []
 
     def note_member(self, member: Member) -> PeerStatus | None:
         """Returns the status of a member, which may be new; None for self."""
@@ -91,6 +59,7 @@
         status = self.peers.get(member.id)
         if status is None:
             status = self.peers[member.id] = PeerStatus(member=member)
+            self.note_change()
         return status
 
     def note_roster(self, roster: Roster) -> bool:
@@ -104,6 +73,33 @@
             listener(roster)
         return True
 
+    def note_change(self) -> None:
+        """Tells the listeners that a peer's status has changed."""
+        for listener in self.peer_listeners:
+            listener()
+
+    def note_tick(self) -> None:
+        """Notices, called at each heartbeat, that the process was paused.
+
+        Silence of peers during a pause of this daemon proves nothing.
+        """
+        now = monotonic_s()
+        if now - self.ticked_at > self.settings.suspect_after_s:
+            self.awake_since = now
+        self.ticked_at = now
+
+    def forget_departed(self) -> None:
+        """Forgets peers that are not in the roster and have gone silent."""
+        members = set(self.roster_ids())
+        gone = [
+            peer_id
+            for peer_id in self.peers
+            if peer_id not in members
+            and self.silence_s(peer_id) >= self.settings.remove_after_s
+        ]
+        for peer_id in gone:
+            del self.peers[peer_id]
+
     def live_ids(self) -> list[str]:
         """Returns the members heard lately that are not leaving, and self."""
         oldest = monotonic_s() - self.settings.suspect_after_s
@@ -116,6 +112,15 @@
             live.append(self.me.id)
         return sorted(live)
 
+    def heard_ids(self, within_s: float) -> set[str]:
+        """Returns the peers heard within a time, leaving ones included."""
+        oldest = monotonic_s() - within_s
+        return {
+            peer_id
+            for peer_id, status in self.peers.items()
+            if status.heard_at >= oldest
+        }
+
     def owner_of(self, endpoint: str) -> str:
         """Returns the live member that owns an endpoint, for soft rights."""
         return rendezvous_first(endpoint, self.live_ids())
@@ -124,6 +129,44 @@
         """Returns the ids of the agreed members."""
         return [member.id for member in self.roster.members]
 
+    def silence_s(self, member_id: str) -> float:
+        """Returns for how long this daemon, awake, has not heard a peer."""
+        status = self.peers.get(member_id)
+        if status is None:
+            return 0.0
+        since = max(status.heard_at, status.first_seen_at, self.awake_since)
+        return monotonic_s() - since
+
+    def silent_ids(self) -> list[str]:
+        """Returns roster members that no live peer has heard for long."""
+        lately = self.heard_ids(self.settings.suspect_after_s)
+        heard = lately.union(*(self.peers[i].heard_ids for i in lately))
+        return [
+            member_id
+            for member_id in self.roster_ids()
+            if member_id not in heard
+            and self.silence_s(member_id) >= self.settings.remove_after_s
+        ]
+
+    def knows_epoch(self, member_id: str) -> bool:
+        """Tells whether a member is known to know the present epoch."""
+        if member_id == self.me.id:
+            return True
+        status = self.peers.get(member_id)
+        return status is not None and status.known_epoch >= self.roster.epoch
+
+    def majority_knows_epoch(self) -> bool:
+        """Tells whether a majority of the roster knows its epoch."""
+        ids = self.roster_ids()
+        known = [i for i in ids if self.knows_epoch(i)]
+        return not ids or is_majority(known, ids)
+
+    def hears_majority(self) -> bool:
+        """Tells whether a majority of the roster was heard lately."""
+        heard = self.heard_ids(self.settings.suspect_after_s) | {self.me.id}
+        ids = self.roster_ids()
+        return is_majority([i for i in ids if i in heard], ids)
+
     def quorum_at(self) -> float:
         """Returns the time up to which a majority has acknowledged the epoch.
 
@@ -133,29 +176,29 @@
         """
         ids = self.roster_ids()
         if self.me.id not in ids:
-            return _NEVER
+            return NEVER
         times = sorted(
             (self._acked_at(peer_id) for peer_id in ids), reverse=True
         )
         return times[len(ids) // 2]
 
+    def has_quorum(self) -> bool:
+        """Tells whether a majority has acknowledged within the lease."""
+        oldest = monotonic_s() - self.settings.strict_lease_s
+        return self.quorum_at() > oldest
+
     def _acked_at(self, member_id: str) -> float:
         if member_id == self.me.id:
             return monotonic_s()
         status = self.peers.get(member_id)
         if status is None or status.acked_epoch != self.roster.epoch:
-            return _NEVER
+            return NEVER
         return status.acked_at
 
-    def silent_ids(self) -> list[str]:
-        """Returns roster members not heard for the removal time."""
-        oldest = monotonic_s() - self.settings.remove_after_s
-        return [
-            member_id
-            for member_id in self.roster_ids()
-            if member_id != self.me.id
-            and self.peers[member_id].heard_at < oldest
-        ]
+
+def is_majority(part: Collection[str], whole: Collection[str]) -> bool:
+    """Tells whether a part of a group is more than half of it."""
+    return 2 * len(part) > len(whole)
 
 
-__all__ = ["MemberView", "PeerStatus"]
+__all__ = ["MemberView", "PeerStatus", "is_majority"]
--- a/src/auburnswitch/platform/store.py
+++ b/src/auburnswitch/platform/store.py
@@ -200,13 +200,24 @@
                 return Error(error)
 
     async def watch(
-        self, prefix: str, revision: int
+        self, prefix: str, revision: int, wait_s: float | None = None
     ) -> Result[WatchBatch, WatchError]:
-        """Waits for changes under a prefix after a revision."""
-        wait_s = self.settings.watch_timeout_s
+        """Waits for changes under a prefix after a revision.
+
+        Args:
+            prefix: Start of the keys.
+            revision: Revision after which changes are wanted.
+            wait_s: How long to wait for one, in seconds; None takes the
+                configured time.
+        """
+        grace_s = _WATCH_GRACE_S
+        if wait_s is None:
+            wait_s = self.settings.watch_timeout_s
+        else:
+            grace_s = self.settings.call_timeout_s
         params = {"prefix": prefix, "since": revision, "timeout": wait_s}
         reply = await self._send(
-            "GET", "/watch", wait_s + _WATCH_GRACE_S, params=params
+            "GET", "/watch", wait_s + grace_s, params=params
         )
         match reply:
             case _Reply(status=200, body=body):
--- a/src/auburnswitch/platform/watcher.py
+++ b/src/auburnswitch/platform/watcher.py
@@ -8,6 +8,7 @@
 
 from expression import Result
 
+from auburnswitch.clock import monotonic_s
 from auburnswitch.observe.logs import log_event
 from auburnswitch.platform.store import (
     RevisionExpired,
@@ -19,7 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from auburnswitch.platform.store import ObjectStore
+    from auburnswitch.platform.store import ObjectStore, WatchBatch
 
 CONFIG_PREFIX: Final = "config/"
 FIRST_DELAY_S: Final = 0.2
@@ -35,12 +36,15 @@
         revision: Store revision that the handlers have seen.
         synced: Set once the objects have been listed.
         available: The store answered the last call.
+        read_at: Loop time of the last answer that brought the objects up to
+            date, in seconds.
     """
 
     __slots__ = (
         "available",
         "handlers",
         "random",
+        "read_at",
         "revision",
         "store",
         "synced",
@@ -53,6 +57,7 @@
         self.revision: int | None = None
         self.synced = asyncio.Event()
         self.available = True
+        self.read_at = float("-inf")
 
     async def run(self) -> None:
         """Lists, then watches for ever; backs off while the store is down."""
@@ -64,6 +69,14 @@
             await asyncio.sleep(delay_s * self.random.uniform(0.5, 1.0))
             delay_s = min(2 * delay_s, LONGEST_DELAY_S)
 
+    async def refresh(self) -> None:
+        """Brings the objects up to date without waiting for a change."""
+        if self.revision is None:
+            return  # they are being listed
+        match await self.store.watch(CONFIG_PREFIX, self.revision, wait_s=0):
+            case Result(tag="ok", ok=batch):
+                self._take(batch)
+
     async def _step(self) -> bool:
         if self.revision is None:
             return await self._list()
@@ -84,9 +97,7 @@
     async def _watch(self, revision: int) -> bool:
         match await self.store.watch(CONFIG_PREFIX, revision):
             case Result(tag="ok", ok=batch):
-                self._handle([e.object for e in batch.events if not e.deleted])
-                self.revision = batch.revision
-                self._note_available()
+                self._take(batch)
                 return True
             case Result(error=RevisionExpired()):
                 self.revision = None
@@ -95,6 +106,12 @@
                 self._note_unavailable(error)
         return False
 
+    def _take(self, batch: WatchBatch) -> None:
+        self._handle([e.object for e in batch.events if not e.deleted])
+        if self.revision is not None:
+            self.revision = max(self.revision, batch.revision)
+        self._note_available()
+
     def _handle(self, items: list[StoredObject]) -> None:
         for item in items:
             for prefix, handler in self.handlers.items():
@@ -105,6 +122,7 @@
         if not self.available:
             log_event(EventId.STORE_RECOVERED)
         self.available = True
+        self.read_at = monotonic_s()
 
     def _note_unavailable(self, error: StoreUnavailable) -> None:
         if self.available:
--- a/src/auburnswitch/schema/events.py
+++ b/src/auburnswitch/schema/events.py
@@ -32,6 +32,10 @@
     MEMBER_REMOVED = 304
     ISOLATED = 305
     ISOLATION_ENDED = 306
+    STRICT_RIGHTS_WAITING = 330
+    STRICT_RIGHTS_RESUMED = 331
+    INSTANCE_NAME_SHARED = 332
+    PEER_STALLED = 333
     ENDPOINT_PHASE_CHANGED = 400
     ENDPOINT_UNREACHABLE = 401
     ORPHAN_FREED = 402
@@ -98,6 +102,22 @@
     EventId.ISOLATION_ENDED: Description(
         text="This daemon is no longer isolated.", options={"level": "info"}
     ),
+    EventId.STRICT_RIGHTS_WAITING: Description(
+        text="Strict rights wait: no majority of the roster acknowledges its epoch, and the silent members can't be shown to be gone.",
+        options={"level": "error"},
+    ),
+    EventId.STRICT_RIGHTS_RESUMED: Description(
+        text="A majority of the roster acknowledges its epoch again.",
+        options={"level": "info"},
+    ),
+    EventId.INSTANCE_NAME_SHARED: Description(
+        text="Another live daemon has this daemon's instance name.",
+        options={"level": "error"},
+    ),
+    EventId.PEER_STALLED: Description(
+        text="A peer does not read what is sent to it; its connection is dropped.",
+        options={"level": "warning"},
+    ),
     EventId.ENDPOINT_PHASE_CHANGED: Description(
         text="The phase of an endpoint changed.", options={"level": "info"}
     ),
--- a/src/auburnswitch/schema/peers.py
+++ b/src/auburnswitch/schema/peers.py
@@ -299,6 +299,8 @@
     store_age_s: float = 0.0
     leaving_endpoints: list[str] = field(default_factory=list)
     reads_instances: bool = False
+    former_ids: list[str] = field(default_factory=list)
+    quorum_ids: list[str] = field(default_factory=list)
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRUCT, "sender", Member, False),
@@ -314,6 +316,8 @@
         11: (TType.DOUBLE, "store_age_s", False),
         40: (TType.LIST, "leaving_endpoints", TType.STRING, False),
         41: (TType.BOOL, "reads_instances", False),
+        30: (TType.LIST, "former_ids", TType.STRING, False),
+        31: (TType.LIST, "quorum_ids", TType.STRING, False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("sender", None),
@@ -329,6 +333,8 @@
         ("store_age_s", None),
         ("leaving_endpoints", None),
         ("reads_instances", None),
+        ("former_ids", None),
+        ("quorum_ids", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -363,6 +369,14 @@
         "reads_instances": Description(
             text="Whether the sender read the instance list lately.", options={}
         ),
+        "former_ids": Description(
+            text="Former incarnations of the sender, which have ended.",
+            options={},
+        ),
+        "quorum_ids": Description(
+            text="Daemons that the sender's majority counts, if they aren't the roster.",
+            options={},
+        ),
     }
 
 
--- a/src/auburnswitch/schema/settings.py
+++ b/src/auburnswitch/schema/settings.py
@@ -147,6 +147,7 @@
     key_file: str = ""
     max_frame_bytes: int = 4194304
     call_timeout_s: float = 1.0
+    max_unsent_bytes: int = 1048576
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "host", False),
@@ -154,6 +155,7 @@
         3: (TType.STRING, "key_file", False),
         4: (TType.I32, "max_frame_bytes", False),
         5: (TType.DOUBLE, "call_timeout_s", False),
+        30: (TType.I64, "max_unsent_bytes", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("host", None),
@@ -161,6 +163,7 @@
         ("key_file", None),
         ("max_frame_bytes", None),
         ("call_timeout_s", None),
+        ("max_unsent_bytes", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -182,6 +185,10 @@
             text="Time to wait for a peer's answer.",
             options={"unit": "seconds", "min": "0.01", "max": "60"},
         ),
+        "max_unsent_bytes": Description(
+            text="Unsent bytes above which a connection to a peer that does not read is dropped.",
+            options={"unit": "bytes", "min": "65536", "max": "67108864"},
+        ),
     }
 
 
@@ -265,6 +272,7 @@
     reservation_ttl_s: float = 1.0
     isolated_after_s: float = 3.0
     seeds: str = ""
+    instances_lag_s: float = 10.0
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.DOUBLE, "heartbeat_interval_s", False),
@@ -274,6 +282,7 @@
         5: (TType.DOUBLE, "reservation_ttl_s", False),
         6: (TType.DOUBLE, "isolated_after_s", False),
         7: (TType.STRING, "seeds", False),
+        30: (TType.DOUBLE, "instances_lag_s", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("heartbeat_interval_s", None),
@@ -283,6 +292,7 @@
         ("reservation_ttl_s", None),
         ("isolated_after_s", None),
         ("seeds", None),
+        ("instances_lag_s", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -314,6 +324,10 @@
             text='Addresses of daemons to ask when the platform does not answer, as "host:port, host:port".',
             options={},
         ),
+        "instances_lag_s": Description(
+            text="Greatest lag of the platform's list of instances.",
+            options={"unit": "seconds", "min": "0", "max": "600"},
+        ),
     }
 
 
--- /dev/null
+++ b/tests/members/test_roster.py
@@ -0,0 +1,148 @@
+"""Tests of the roster in a whole fleet, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import unittest
+
+from auburnswitch.members.roster import ROSTER_KEY
+from auburnswitch.schema.events import EventId
+from tests.members.cuttable import (
+    agreed,
+    kill,
+    open_cuttable,
+    remove_instances,
+    start,
+    stored_ids,
+    until,
+)
+from tests.virtual_time import run_virtual
+
+
+class RosterTest(unittest.TestCase):
+    def test_nine_join_within_two_seconds(self):
+        async def scenario():
+            async with open_cuttable(9):
+                return asyncio.get_running_loop().time()
+
+        self.assertLess(run_virtual(scenario), 2)
+
+    def test_rest_makes_one_call_in_each_watch(self):
+        async def scenario():
+            async with open_cuttable(5) as (fleet, _):
+                await asyncio.sleep(60)
+                before = fleet.platform.calls.copy()
+                await asyncio.sleep(120)
+                return fleet.platform.calls - before
+
+        calls = run_virtual(scenario)
+        calls.pop("instances", None)  # the endpoints' own reading
+        self.assertEqual(dict(calls), {"watch": 5 * 4})
+
+    def test_silent_member_is_removed(self):
+        async def scenario():
+            async with open_cuttable(5) as (fleet, _):
+                await kill(fleet, [0])
+                return await until(lambda: agreed(fleet), 20)
+
+        self.assertLess(run_virtual(scenario), 12)
+
+    def test_member_heard_by_others_stays(self):
+        async def scenario():
+            async with open_cuttable(5) as (fleet, network):
+                network.cut(["entry-0"], ["entry-1"])
+                epoch = fleet.daemons["entry-0"].view.roster.epoch
+                await asyncio.sleep(60)
+                self.assertEqual(
+                    fleet.daemons["entry-0"].view.roster.epoch, epoch
+                )
+
+        run_virtual(scenario)
+
+    def test_minority_removes_nobody(self):
+        async def scenario():
+            async with open_cuttable(5) as (fleet, network):
+                network.cut(["entry-3", "entry-4"], ["entry-0", "entry-1"])
+                network.cut(["entry-3", "entry-4"], ["entry-2"])
+                network.cut_platform(["entry-0", "entry-1", "entry-2"])
+                await asyncio.sleep(60)
+                self.assertEqual(len(stored_ids(fleet)), 5)
+                network.heal()
+                await until(lambda: agreed(fleet), 10)
+
+        run_virtual(scenario)
+
+    def test_lost_zone_leaves(self):
+        async def scenario():
+            async with open_cuttable(9) as (fleet, _):
+                await kill(fleet, [0, 3, 6])
+                return await until(lambda: agreed(fleet), 20)
+
+        self.assertLess(run_virtual(scenario), 12)
+
+    def test_whole_roster_restarts(self):
+        async def scenario():
+            async with open_cuttable(9) as (fleet, _):
+                await kill(fleet, range(9))
+                await start(fleet, range(9))
+                return await until(lambda: agreed(fleet), 30)
+
+        self.assertLess(run_virtual(scenario), 10)
+
+    def test_whole_fleet_is_replaced(self):
+        async def scenario():
+            async with open_cuttable(9) as (fleet, _):
+                await kill(fleet, range(9))
+                remove_instances(fleet, range(9))
+                await start(fleet, range(9, 18))
+                return await until(lambda: agreed(fleet), 60)
+
+        self.assertLess(run_virtual(scenario), 20)
+
+    def test_whole_fleet_stops_gracefully(self):
+        async def scenario():
+            async with open_cuttable(9) as (fleet, _):
+                stops = [fleet.stop_daemon(number) for number in range(9)]
+                await asyncio.gather(*stops)
+                return stored_ids(fleet)
+
+        self.assertEqual(run_virtual(scenario), [])
+
+    def test_majority_lost_without_proof_waits_with_an_alarm(self):
+        async def scenario():
+            async with open_cuttable(5) as (fleet, _):
+                await kill(fleet, [0, 1, 2])
+                with self.assertLogs("auburnswitch", logging.ERROR) as logs:
+                    await asyncio.sleep(30)
+                self.assertEqual(len(stored_ids(fleet)), 5)
+                events = {record.event for record in logs.records}
+                self.assertIn(EventId.STRICT_RIGHTS_WAITING, events)
+                daemon = fleet.daemons["entry-3"]
+                self.assertIsNone(daemon.refuse_new())  # soft rights go on
+                remove_instances(fleet, [0, 1, 2])
+                return await until(lambda: agreed(fleet), 30)
+
+        self.assertLess(run_virtual(scenario), 10)
+
+    def test_lost_answers_are_read_back(self):
+        async def scenario():
+            async with open_cuttable(5) as (fleet, _):
+                fleet.platform.lose_answers = 3
+                await start(fleet, [5, 6])
+                await until(lambda: agreed(fleet), 10)
+                epochs = fleet.platform.store.objects[ROSTER_KEY].value["epoch"]
+                self.assertEqual(epochs, 7)  # each change was made once
+
+        run_virtual(scenario)
+
+    def test_removed_member_that_lives_comes_back(self):
+        async def scenario():
+            async with open_cuttable(5) as (fleet, network):
+                others = [f"entry-{number}" for number in range(1, 5)]
+                network.cut(["entry-0"], others)
+                await until(lambda: len(stored_ids(fleet)) == 4, 20)
+                network.heal()
+                return await until(lambda: agreed(fleet), 10)
+
+        self.assertLess(run_virtual(scenario), 8)
