--- a/tests/members/cuttable.py
+++ b/tests/members/cuttable.py
@@ -45,8 +45,9 @@
 
 
 def stored_ids(fleet: Fleet) -> list[str]:
-    value = fleet.platform.store.objects[ROSTER_KEY].value
-    return sorted(member["id"] for member in value["members"])
+    stored = fleet.platform.store.objects.get(ROSTER_KEY)
+    members = stored.value["members"] if stored is not None else []
+    return sorted(member["id"] for member in members)
 
 
 def agreed(fleet: Fleet) -> bool:
