Freeze, thaw and kill single daemons of a fleet in virtual time

Cause: pauses and kills are the failures that ownership must survive, and real signals on real processes are slow and never come at the same moment twice. The loop holds back every callback, timer and socket of a daemon's tasks, which are known by a context variable that they inherit.

Ruled out: cutting only a daemon's connections, since its timers then run.

--- a/src/auburnswitch/experiments/fleet.py
+++ b/src/auburnswitch/experiments/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import contextvars
 import hashlib
 import tempfile
 from dataclasses import dataclass, field
@@ -13,6 +14,7 @@
 import aiohttp
 
 from auburnswitch.daemon import Daemon, open_daemon
+from auburnswitch.experiments.parts import PART
 from auburnswitch.schema.base import to_json
 from auburnswitch.schema.objects import (
     AvailabilityZone,
@@ -79,6 +81,74 @@
     base_port: int = 0
 
 
+class RunningDaemon:
+    """A daemon in a task of its own.
+
+    Attributes:
+        part: Names the daemon's tasks, so that they can be frozen.
+        daemon: The daemon, once it has started.
+    """
+
+    __slots__ = ("daemon", "graceful", "part", "stopping", "task")
+
+    def __init__(self, *, part: str) -> None:
+        self.part = part
+        self.graceful = False
+        self.stopping = asyncio.Event()
+
+    async def start(
+        self, opening: contextlib.AbstractAsyncContextManager[Daemon]
+    ) -> None:
+        """Starts the daemon and waits until its listeners are open."""
+        started = asyncio.get_running_loop().create_future()
+        context = contextvars.copy_context()
+        context.run(PART.set, self.part)
+        self.task = asyncio.create_task(
+            self._run(opening, started), context=context
+        )
+        await asyncio.wait(
+            {self.task, started}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not started.done():
+            await self.task  # raises what stopped it
+        self.daemon: Daemon = started.result()
+
+    async def _run(
+        self,
+        opening: contextlib.AbstractAsyncContextManager[Daemon],
+        started: asyncio.Future[Daemon],
+    ) -> None:
+        async with opening as daemon:
+            started.set_result(daemon)
+            await self.stopping.wait()
+            if self.graceful:
+                await daemon.drain()
+            else:
+                _abort(daemon)
+
+    async def stop(self, *, graceful: bool) -> None:
+        """Stops the daemon and waits for its end."""
+        self.graceful = graceful
+        self.stopping.set()
+        await self.task
+
+    async def abandon(self) -> None:
+        """Ends the daemon, whatever state it is in."""
+        _abort(self.daemon)
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+
+def _abort(daemon: Daemon) -> None:
+    for server in (daemon.callers, daemon.operators):
+        if server is not None:
+            server.abort()
+
+
+def _freezable_loop() -> Any:
+    return asyncio.get_running_loop()
+
+
 class Fleet:
     """A running fleet.
 
@@ -93,15 +163,17 @@
     """
 
     __slots__ = (
-        "daemon_stacks",
         "daemons",
+        "dead",
         "engines",
         "folder",
         "history",
+        "incarnations",
         "next_ticket",
         "options",
         "plain",
         "platform",
+        "running",
         "session",
         "stack",
     )
@@ -125,7 +197,9 @@
         self.engines: dict[str, EngineStandIn] = {}
         self.plain: dict[str, PlainServiceStandIn] = {}
         self.daemons: dict[str, Daemon] = {}
-        self.daemon_stacks: dict[str, contextlib.AsyncExitStack] = {}
+        self.running: dict[str, RunningDaemon] = {}
+        self.dead: list[RunningDaemon] = []
+        self.incarnations = 0
         self.next_ticket = 1
 
     def zone(self, number: int) -> str:
@@ -155,25 +229,47 @@
     async def start_daemon(self, number: int) -> Daemon:
         """Starts the n-th daemon, or starts it again."""
         instance = f"entry-{number}"
-        stack = contextlib.AsyncExitStack()
-        daemon = await stack.enter_async_context(
+        self.incarnations += 1
+        running = RunningDaemon(part=f"{instance}#{self.incarnations}")
+        await running.start(
             open_daemon(
                 self.daemon_settings(number),
                 connector=self.options.connector,
                 strict_invariants=self.options.strict_invariants,
             )
         )
-        self.daemons[instance] = daemon
-        self.daemon_stacks[instance] = stack
-        return daemon
+        self.running[instance] = running
+        self.daemons[instance] = running.daemon
+        return running.daemon
 
     async def stop_daemon(self, number: int, *, graceful: bool = True) -> None:
-        """Stops the n-th daemon."""
+        """Stops the n-th daemon, in order or at once."""
+        instance = f"entry-{number}"
+        del self.daemons[instance]
+        await self.running.pop(instance).stop(graceful=graceful)
+
+    def kill_daemon(self, number: int) -> None:
+        """Ends the n-th daemon as SIGKILL does; needs a `FreezableLoop`."""
         instance = f"entry-{number}"
-        daemon = self.daemons.pop(instance)
-        if graceful:
-            await daemon.drain()
-        await self.daemon_stacks.pop(instance).aclose()
+        del self.daemons[instance]
+        running = self.running.pop(instance)
+        _freezable_loop().kill(running.part)
+        self.dead.append(running)
+
+    def freeze_daemon(self, number: int) -> None:
+        """Stops the n-th daemon as SIGSTOP does; needs a `FreezableLoop`."""
+        _freezable_loop().freeze(self.running[f"entry-{number}"].part)
+
+    def thaw_daemon(self, number: int) -> None:
+        """Lets a frozen daemon go on."""
+        _freezable_loop().thaw(self.running[f"entry-{number}"].part)
+
+    async def close(self) -> None:
+        """Ends all daemons, the killed ones included."""
+        for running in self.dead:
+            _freezable_loop().thaw(running.part)
+        for running in [*self.running.values(), *self.dead]:
+            await running.abandon()
 
     def daemon_settings(self, number: int) -> Settings:
         """Returns the settings of the n-th daemon."""
@@ -316,8 +412,7 @@
             await fleet.wait_in_force()
             yield fleet
         finally:
-            for daemon_stack in reversed(list(fleet.daemon_stacks.values())):
-                await daemon_stack.aclose()
+            await fleet.close()
 
 
 __all__ = [
--- /dev/null
+++ b/src/auburnswitch/experiments/parts.py
@@ -0,0 +1,12 @@
+"""Names the part of a fleet that a task belongs to."""
+
+from __future__ import annotations
+
+import contextvars
+from typing import Final
+
+PART: Final[contextvars.ContextVar[str]] = contextvars.ContextVar(
+    "part", default=""
+)
+
+__all__ = ["PART"]
--- /dev/null
+++ b/src/auburnswitch/experiments/virtual_time.py
@@ -0,0 +1,200 @@
+"""Runs coroutines on an event loop with virtual time and in-memory sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import selectors
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import aiohttp
+import async_solipsism
+from async_solipsism.selector import Selector
+from async_solipsism.socket import Queue, Socket
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+    from async_solipsism.clock import Clock
+
+MAX_SLEEP_S = asyncio.base_events.MAXIMUM_SELECT_TIMEOUT
+
+ResultT = TypeVar("ResultT")
+
+
+class IndexedSelector(Selector):
+    """Finds ready sockets faster than the library's own selector.
+
+    It looks at the receive queues of connections alone, which are nearly all
+    of what a run waits for, and asks the other sockets as the library does.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__(clock)
+        self._receiving: dict[int, tuple[Queue, selectors.SelectorKey]] = {}
+        self._others: dict[int, selectors.SelectorKey] = {}
+        self._held: dict[str, list[selectors.SelectorKey]] = {}
+
+    def hold(
+        self, name: str, chosen: Callable[[selectors.SelectorKey], bool]
+    ) -> None:
+        """Stops reporting some sockets until they are released."""
+        keys = [key for _, key in self._receiving.values()]
+        keys = [k for k in [*keys, *self._others.values()] if chosen(k)]
+        for key in keys:
+            self._remove(key)
+        self._held[name] = keys
+
+    def held(self, name: str) -> list[selectors.SelectorKey]:
+        """Returns the sockets that are held under a name."""
+        return self._held.get(name, [])
+
+    def release(self, name: str) -> None:
+        """Reports held sockets again that have not been closed."""
+        for key in self._held.pop(name, []):
+            if self.get_map().get(key.fileobj) is key:
+                self._add(key)
+
+    def register(
+        self, fileobj: Any, events: int, data: Any = None
+    ) -> selectors.SelectorKey:
+        """Starts to watch a socket."""
+        key = super().register(fileobj, events, data)
+        self._add(key)
+        return key
+
+    def unregister(self, fileobj: Any) -> selectors.SelectorKey:
+        """Stops watching a socket."""
+        key = super().unregister(fileobj)
+        self._remove(key)
+        return key
+
+    def modify(
+        self, fileobj: Any, events: int, data: Any = None
+    ) -> selectors.SelectorKey:
+        """Changes what a socket is watched for."""
+        key = super().modify(fileobj, events, data)
+        self._remove(key)
+        self._add(key)
+        return key
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        """Returns the ready sockets, else advances the clock."""
+        ready = [
+            (key, selectors.EVENT_READ)
+            for queue, key in self._receiving.values()
+            if queue._buffer or queue._eof
+        ]
+        ready += [
+            (key, events)
+            for key in self._others.values()
+            if (events := _ready_events(key))
+        ]
+        if ready:
+            return ready
+        if timeout is None or timeout >= MAX_SLEEP_S:
+            raise async_solipsism.SleepForeverError("nothing left to wait for")
+        if timeout > 0:
+            self.clock.advance(timeout)
+        return []
+
+    def _add(self, key: selectors.SelectorKey) -> None:
+        socket = key.fd.socket
+        if type(socket) is Socket and key.events == selectors.EVENT_READ:
+            self._receiving[id(socket)] = (socket._read_queue, key)
+        else:
+            self._others[id(socket)] = key
+
+    def _remove(self, key: selectors.SelectorKey) -> None:
+        self._receiving.pop(id(key.fd.socket), None)
+        self._others.pop(id(key.fd.socket), None)
+
+
+def _ready_events(key: selectors.SelectorKey) -> int:
+    socket = key.fd.socket
+    events = 0
+    if key.events & selectors.EVENT_READ and socket.read_ready():
+        events |= selectors.EVENT_READ
+    if key.events & selectors.EVENT_WRITE and socket.write_ready():
+        events |= selectors.EVENT_WRITE
+    return events
+
+
+class VirtualLoop(async_solipsism.EventLoop):
+    """An event loop with virtual time and in-memory sockets."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        own = self._selector
+        self._selector = IndexedSelector(own.clock)
+        own.close()
+
+
+class SimulatedConnector(aiohttp.TCPConnector):
+    """Opens connections on the running loop's in-memory network."""
+
+    async def _wrap_create_connection(
+        self,
+        protocol_factory: Callable[[], asyncio.Protocol],
+        *args: Any,
+        addr_infos: list[Any],
+        req: Any,
+        client_error: type[aiohttp.ClientConnectorError] = (
+            aiohttp.ClientConnectorError
+        ),
+        **kwargs: Any,
+    ) -> tuple[asyncio.BaseTransport, asyncio.Protocol]:
+        host, port = addr_infos[0][4][:2]
+        loop = asyncio.get_running_loop()
+        try:
+            return await loop.create_connection(protocol_factory, host, port)
+        except OSError as error:
+            raise client_error(req.connection_key, error) from error
+
+
+@contextlib.asynccontextmanager
+async def open_session(**options: Any) -> AsyncIterator[aiohttp.ClientSession]:
+    """Opens a client session on the in-memory network.
+
+    Unlike aiohttp's default, no call is sent twice when a kept connection
+    breaks, since tests count what stand-ins receive.
+    """
+    options.setdefault("connector", SimulatedConnector(limit=0))
+    async with aiohttp.ClientSession(**options) as session:
+        session._retry_connection = False
+        yield session
+
+
+def run_virtual(
+    function: Callable[[], Awaitable[ResultT]],
+    loop_class: type[VirtualLoop] = VirtualLoop,
+) -> ResultT:
+    """Runs a coroutine function to its end in virtual time.
+
+    Args:
+        function: Takes no arguments.
+        loop_class: Class of the event loop.
+
+    Returns:
+        What it returns.
+    """
+    loop = loop_class()
+    try:
+        with asyncio.Runner(loop_factory=lambda: loop) as runner:
+            return runner.run(_await(function))
+    finally:
+        asyncio.set_event_loop(None)
+
+
+async def _await(function: Callable[[], Awaitable[ResultT]]) -> ResultT:
+    return await function()
+
+
+__all__ = [
+    "SimulatedConnector",
+    "VirtualLoop",
+    "open_session",
+    "run_virtual",
+]
--- a/src/auburnswitch/http_server.py
+++ b/src/auburnswitch/http_server.py
@@ -42,6 +42,12 @@
         """Base URL of the server."""
         return f"http://{self.host}:{self.port}"
 
+    def abort(self) -> None:
+        """Breaks every connection; the server's end then waits for none."""
+        self.server.force_exit = True
+        for connection in list(self.server.server_state.connections):
+            connection.transport.abort()
+
 
 @contextlib.asynccontextmanager
 async def open_http_server(
--- /dev/null
+++ b/tests/experiments/test_freezing.py
@@ -0,0 +1,60 @@
+"""Tests of freezing, thawing and killing daemons in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import aiohttp
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.experiments.fleet import FleetOptions, open_fleet
+from auburnswitch.experiments.freezing import FreezableLoop
+from tests.virtual_time import SimulatedConnector, run_virtual
+
+OPTIONS = FleetOptions(engines=1, daemons=3, connector=SimulatedConnector)
+FREEZE_S = 30
+
+
+async def is_healthy(session: aiohttp.ClientSession, url: str) -> bool:
+    try:
+        async with asyncio.timeout(1), session.get(url + "/healthz") as reply:
+            return reply.status == 200
+    except TimeoutError:
+        return False
+
+
+class FreezingTest(unittest.TestCase):
+    def test_frozen_daemon_is_silent_then_goes_on(self):
+        async def scenario():
+            async with open_fleet(OPTIONS) as fleet:
+                daemon = fleet.daemons["entry-1"]
+                url = daemon.operators.url
+                fleet.freeze_daemon(1)
+                frozen_at = monotonic_s()
+                while_frozen = await is_healthy(fleet.session, url)
+                await asyncio.sleep(FREEZE_S)
+                live = fleet.daemons["entry-0"].view.live_ids()
+                self.assertNotIn(daemon.member.id, live)
+                fleet.thaw_daemon(1)
+                thawed = await is_healthy(fleet.session, url)
+                await fleet.wait_in_force()
+                return while_frozen, thawed, monotonic_s() - frozen_at
+
+        frozen, thawed, took_s = run_virtual(scenario, FreezableLoop)
+        self.assertEqual((frozen, thawed), (False, True))
+        self.assertGreater(took_s, FREEZE_S)
+
+    def test_killed_daemon_refuses_connections(self):
+        async def scenario():
+            async with open_fleet(OPTIONS) as fleet:
+                url = fleet.daemons["entry-2"].operators.url
+                fleet.kill_daemon(2)
+                with self.assertRaises(aiohttp.ClientConnectionError):
+                    await is_healthy(fleet.session, url)
+                await fleet.wait_in_force()
+                await fleet.start_daemon(2)
+                await fleet.wait_in_force()
+                return len(fleet.daemons["entry-0"].view.live_ids())
+
+        self.assertEqual(run_virtual(scenario, FreezableLoop), 3)
