Change and cancel bookings at the plain service stand-in

It now has both, and `lose_answers` breaks the connection after a run. The HTTP part is a module of its own.

--- a/src/auburnswitch/standins/plain_service.py
+++ b/src/auburnswitch/standins/plain_service.py
@@ -2,52 +2,33 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
 from typing import TYPE_CHECKING, Any, Final
 
-from starlette.applications import Starlette
-from starlette.responses import JSONResponse, Response
-from starlette.routing import Route
-
-from auburnswitch.standins.control import control_routes, set_switches
+from auburnswitch.standins.control import set_switches
 from auburnswitch.standins.history import History, HistoryKind
 from auburnswitch.standins.lagged import Lagged
 from auburnswitch.standins.listener import Listener, Pause, open_listener
+from auburnswitch.standins.plain_api import plain_app
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from starlette.requests import Request
-
-DEFAULT_SLOTS: Final = ("09:00", "09:30", "10:00", "10:30", "11:00", "11:30")
 DEFAULT_SERVICE_TIME_S: Final = 0.05
 DEFAULT_RESTART_S: Final = 2.0
 DEFAULT_LOAD_LAG_S: Final = 0.5
 SWITCHES: Final = frozenset(
-    {"service_time_s", "fail_next", "leaving", "restart_s", "restart_silent"}
+    {
+        "fail_next",
+        "leaving",
+        "lose_answers",
+        "restart_s",
+        "restart_silent",
+        "service_time_s",
+    }
 )
 
 
-class Booking:
-    """One booking.
-
-    Attributes:
-        booking_id: Its id.
-        details: What the caller sent.
-    """
-
-    __slots__ = ("booking_id", "details")
-
-    def __init__(self, *, booking_id: str, details: Any) -> None:
-        self.booking_id = booking_id
-        self.details = details
-
-    def to_json(self) -> dict[str, Any]:
-        """Returns the booking as the API shows it."""
-        return {"id": self.booking_id, "booking": self.details}
-
-
 class PlainServiceStandIn:
     """A booking service that runs every request it receives.
 
@@ -57,10 +38,13 @@
     Attributes:
         name: Actor in the history.
         history: Where it records each run.
-        bookings: Bookings by id; they outlive a crash.
+        booked: Count of bookings ever made.
+        bookings: What callers booked, by id; it outlives a crash.
         service_time_s: Time that each request takes.
         fail_next: Requests, from now on, that are answered 500 after they
             have run.
+        lose_answers: Requests, from now on, that run and whose connection
+            breaks before the answer.
         restart_s: Time that the service is down after a crash.
         restart_silent: Whether connections are left without an answer while
             it is down, instead of being refused.
@@ -68,18 +52,21 @@
         incarnation: Part of boot ids that tells processes apart.
         boot_id: Changes with every start.
         running: Requests that run.
+        load: Load reports, read with their lag.
     """
 
     __slots__ = (
         "_boots",
         "_leaving",
         "_listener",
-        "_load",
+        "booked",
         "bookings",
         "boot_id",
         "fail_next",
         "history",
         "incarnation",
+        "load",
+        "lose_answers",
         "name",
         "pause",
         "restart_s",
@@ -101,9 +88,11 @@
         self.name = name
         self.history = history if history is not None else History()
         self.incarnation = incarnation
-        self.bookings: dict[str, Booking] = {}
+        self.bookings: dict[str, Any] = {}
+        self.booked = 0
         self.service_time_s = service_time_s
         self.fail_next = 0
+        self.lose_answers = 0
         self.restart_s = restart_s
         self.restart_silent = False
         self.pause = Pause()
@@ -111,14 +100,19 @@
         self._leaving = False
         self._boots = 0
         self._listener: Listener | None = None
-        self._load: Lagged[dict[str, Any]] = Lagged(lag_s=load_lag_s)
+        self.load: Lagged[dict[str, Any]] = Lagged(lag_s=load_lag_s)
         self._boot()
 
     @property
     def url(self) -> str:
         """Base URL of the service."""
+        return self.listener.url
+
+    @property
+    def listener(self) -> Listener:
+        """The listener, once it has opened."""
         assert self._listener is not None
-        return self._listener.url
+        return self._listener
 
     @property
     def leaving(self) -> bool:
@@ -128,7 +122,7 @@
     @leaving.setter
     def leaving(self, value: bool) -> None:
         self._leaving = value
-        self._record_load()
+        self.record_load()
 
     def freeze(self, seconds: float) -> None:
         """Stops doing anything for a time; connections stay open."""
@@ -160,26 +154,17 @@
         if crash:
             self.crash()
 
-    def app(self) -> Starlette:
-        """Returns the API as an application."""
-        routes = [
-            Route("/slots", self._list_slots, methods=["GET"]),
-            Route("/bookings/{id}", self._show_booking, methods=["GET"]),
-            Route("/bookings", self._book, methods=["POST"]),
-            Route("/load", self._show_load, methods=["GET"]),
-        ]
-        return Starlette(routes=[*control_routes(self), *routes])
-
     def _boot(self) -> None:
         self._boots += 1
         self.running = 0
         self.boot_id = f"{self.name}-{self.incarnation}{self._boots}"
-        self._load.clear()
-        self._record_load()
+        self.load.clear()
+        self.record_load()
         self.history.add(self.name, HistoryKind.BOOTED, boot_id=self.boot_id)
 
-    def _record_load(self) -> None:
-        self._load.record(
+    def record_load(self) -> None:
+        """Records the load for later reports."""
+        self.load.record(
             {
                 "boot_id": self.boot_id,
                 "running": self.running,
@@ -187,67 +172,11 @@
             }
         )
 
-    @contextlib.asynccontextmanager
-    async def _run(self, request: Request) -> AsyncIterator[None]:
-        headers = request.headers
-        self.history.add(
-            self.name,
-            HistoryKind.PLAIN_RUN,
-            method=request.method,
-            path=request.url.path,
-            request_id=headers.get("x-request-id", ""),
-            attempt=headers.get("x-attempt", ""),
-            idempotency_key=headers.get("idempotency-key", ""),
-            leaving=self.leaving,
-        )
-        boot_id = self.boot_id
-        self.running += 1
-        self._record_load()
-        try:
-            await asyncio.sleep(self.service_time_s)
-            await self.pause.wait()
-            yield
-        finally:
-            if boot_id == self.boot_id:
-                self.running -= 1
-                self._record_load()
-
-    def _answer(self, content: dict[str, Any], status: int = 200) -> Response:
-        if self.fail_next > 0:
-            self.fail_next -= 1
-            return JSONResponse({"error": "failed"}, 500)
-        return JSONResponse(content, status)
-
-    async def _list_slots(self, request: Request) -> Response:
-        async with self._run(request):
-            return self._answer({"slots": list(DEFAULT_SLOTS)})
-
-    async def _show_booking(self, request: Request) -> Response:
-        async with self._run(request):
-            booking = self.bookings.get(request.path_params["id"])
-            if booking is None:
-                return self._answer({"error": "no such booking"}, 404)
-            return self._answer(booking.to_json())
-
-    async def _book(self, request: Request) -> Response:
-        try:
-            details = await request.json()
-        except ValueError as error:
-            return JSONResponse({"error": str(error)}, 400)
-        async with self._run(request):
-            booking_id = f"b{len(self.bookings) + 1}"
-            booking = Booking(booking_id=booking_id, details=details)
-            self.bookings[booking_id] = booking
-            return self._answer(booking.to_json(), 201)
-
-    async def _show_load(self, request: Request) -> Response:
-        return JSONResponse(self._load.read())
-
     @contextlib.asynccontextmanager
     async def serve(self, *, host: str, port: int) -> AsyncIterator[None]:
         """Listens until the context ends."""
         async with open_listener(
-            self.app(), host=host, port=port, pause=self.pause
+            plain_app(self), host=host, port=port, pause=self.pause
         ) as listener:
             self._listener = listener
             yield
@@ -279,4 +208,4 @@
         yield service
 
 
-__all__ = ["Booking", "PlainServiceStandIn", "open_plain_service"]
+__all__ = ["PlainServiceStandIn", "open_plain_service"]
--- a/src/auburnswitch/standins/platform_api.py
+++ b/src/auburnswitch/standins/platform_api.py
@@ -13,7 +13,7 @@
 
 from auburnswitch.standins.control import control_routes
 from auburnswitch.standins.history import HistoryKind
-from auburnswitch.standins.listener import Listener, wait_disconnected
+from auburnswitch.standins.lost_answer import LostAnswer
 from auburnswitch.standins.object_store import (
     CompactedError,
     ConditionFailedError,
@@ -22,7 +22,6 @@
 
 if TYPE_CHECKING:
     from starlette.requests import Request
-    from starlette.types import Receive, Scope, Send
 
     from auburnswitch.standins.platform import PlatformStandIn
 
@@ -198,24 +197,6 @@
         return self._answer({"key": key, "version": version})
 
 
-class LostAnswer(Response):
-    """Gives no answer: breaks the connection or leaves the caller waiting."""
-
-    def __init__(self, *, listener: Listener, hang: bool) -> None:
-        super().__init__()
-        self.listener = listener
-        self.hang = hang
-
-    async def __call__(
-        self, scope: Scope, receive: Receive, send: Send
-    ) -> None:
-        """Ends the request without an answer."""
-        if self.hang:
-            await wait_disconnected(receive)
-        else:
-            await self.listener.drop_request(scope, receive)
-
-
 def _expected(request: Request) -> int | None:
     if request.headers.get("if-none-match") == "*":
         return 0
--- a/tests/standins/test_plain_service.py
+++ b/tests/standins/test_plain_service.py
@@ -63,6 +63,29 @@
         self.assertEqual(load, expected)
         self.assertEqual(bookings, 1)
 
+    def test_change_with_a_lost_answer_takes_effect(self):
+        async def run():
+            async with (
+                open_session() as session,
+                open_plain_service() as service,
+            ):
+                url = service.url + "/bookings"
+                async with session.post(url, json="a") as response:
+                    await response.read()
+                service.lose_answers = 1
+                with self.assertRaises(aiohttp.ServerDisconnectedError):
+                    await session.put(url + "/b1", json="b")
+                changed = service.bookings["b1"]
+                statuses = []
+                for method in ("DELETE", "GET", "PUT"):
+                    async with session.request(
+                        method, url + "/b1", json="c"
+                    ) as response:
+                        statuses.append(response.status)
+                return changed, statuses
+
+        self.assertEqual(run_virtual(run), ("b", [200, 404, 404]))
+
 
 class WeightStoreTest(unittest.TestCase):
     def test_rate_limit(self):
