--- a/src/auburnswitch/routing/answer_stream.py
+++ b/src/auburnswitch/routing/answer_stream.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from auburnswitch.endpoints.client import Guard
     from auburnswitch.observe.metrics import Metrics
     from auburnswitch.routing.progress import Progress
     from auburnswitch.routing.request import RoutedRequest
@@ -54,9 +55,18 @@
         spec: The endpoint it runs on.
         attempt: Names the attempt.
         progress: What has been delivered.
+        guard: Called right before the first byte of the attempt; may raise.
     """
 
-    __slots__ = ("attempt", "client", "metrics", "progress", "request", "spec")
+    __slots__ = (
+        "attempt",
+        "client",
+        "guard",
+        "metrics",
+        "progress",
+        "request",
+        "spec",
+    )
 
     def __init__(
         self,
@@ -67,7 +77,9 @@
         spec: Endpoint,
         attempt: Attempt,
         progress: Progress,
+        guard: Guard,
     ) -> None:
+        self.guard = guard
         self.client = client
         self.metrics = metrics
         self.request = request
@@ -108,7 +120,9 @@
     def _start(self) -> AsyncIterator[list[Frame | ForeignFrame]]:
         request = self.request
         body = _engine_body(request, self.progress)
-        return self.client.stream(self.spec, request.path, body, self.attempt)
+        return self.client.stream(
+            self.spec, request.path, body, self.attempt, self.guard
+        )
 
     def _may_resume(self, error: EndpointFailureError, resumes: int) -> bool:
         started = self.progress.frames > 0
--- a/src/auburnswitch/routing/dispatcher.py
+++ b/src/auburnswitch/routing/dispatcher.py
@@ -134,6 +134,7 @@
                 spec=spec,
                 attempt=attempt,
                 progress=progress,
+                guard=self.placer.reservations.guard(held, attempt),
             )
             async with contextlib.aclosing(stream.parts()) as parts:
                 async for part in parts:
@@ -146,14 +147,35 @@
             finished = error.lost
             raise
         finally:
-            if not finished:
-                self.cleanups.start(
-                    self.client.cancel(spec, attempt), "cancel attempt"
-                )
-            release = self.placer.reservations.release(
-                held, succeeded=succeeded, endpoint_lost=lost
+            runs = not finished and held.dispatched_at is not None
+            end = self._end(
+                held,
+                attempt if runs else None,
+                succeeded=succeeded,
+                endpoint_lost=lost,
             )
-            self.cleanups.start(release, "release reservation")
+            self.cleanups.start(end, "end attempt")
+
+    async def _end(
+        self,
+        held: HeldReservation,
+        attempt: Attempt | None,
+        *,
+        succeeded: bool,
+        endpoint_lost: bool,
+    ) -> None:
+        """Cancels an attempt if there is one, then gives its room back."""
+        may_still_run = endpoint_lost
+        if attempt is not None:
+            spec = self.placer.owner_table.state.endpoints.get(held.endpoint)
+            freed = spec is not None and await self.client.cancel(spec, attempt)
+            may_still_run = not freed
+        await self.placer.reservations.release(
+            held,
+            succeeded=succeeded,
+            endpoint_lost=endpoint_lost,
+            may_still_run=may_still_run,
+        )
 
     def _note_prefilled(
         self, request: RoutedRequest, held: HeldReservation, started_at: float
