--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -197,6 +197,23 @@
   42: list<string> holders = []
 }
 
+// One attempt of a request.
+struct AttemptId {
+  1: string request_id = ""
+  2: i32 attempt = 0
+}
+
+// Asks a member which attempts on an endpoint it still has.
+struct ClaimsRequest {
+  1: string endpoint = ""
+  2: list<AttemptId> attempts = []
+}
+
+struct ClaimsReply {
+  // The attempts that the member still has.
+  1: list<AttemptId> attempts = []
+}
+
 // One frame of a peer connection; exactly one optional field is set.
 struct Envelope {
   // Pairs a reply with its call; 0 for messages without a reply.
@@ -213,4 +230,6 @@
   11: optional HandoverRequest handover
   12: optional Done done
   13: optional Hello hello
+  40: optional ClaimsRequest claims
+  41: optional ClaimsReply claims_reply
 }
--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -19,7 +19,9 @@
 from auburnswitch.callers.parse import RequestParser
 from auburnswitch.clock import WallClock, monotonic_s
 from auburnswitch.endpoints.client import EndpointClient, guard_trace
+from auburnswitch.endpoints.instances import InstanceReader
 from auburnswitch.endpoints.monitor import LoadMonitor
+from auburnswitch.endpoints.orphans import OrphanCollector
 from auburnswitch.endpoints.owner import OwnerTable
 from auburnswitch.endpoints.reservations import ReservationClient
 from auburnswitch.http_server import HttpServer, ListenError, open_http_server
@@ -110,7 +112,7 @@
         self.cleanups = TaskSet()
         self._build_members()
         self._build_endpoints(session)
-        self._build_routing(session, seed)
+        self._build_routing(seed)
         self._build_listeners()
 
     def _build_members(self) -> None:
@@ -143,25 +145,42 @@
             owner_table=self.owner_table, membership=self.membership
         )
         self.reservations.register(self.peer_server)
+        self.instances = InstanceReader(
+            store=self.store, owner_table=self.owner_table
+        )
         self.membership.heartbeat_sources += [
             self.owner_table.fill_heartbeat,
             self.reservations.fill_heartbeat,
+            self.instances.fill_heartbeat,
+        ]
+        self.membership.heartbeat_listeners += [
+            self.owner_table.note_heartbeat,
+            self.instances.note_heartbeat,
         ]
-        self.membership.heartbeat_listeners.append(
-            self.owner_table.note_heartbeat
+        self.membership.handover_sources.append(self.owner_table.fill_handover)
+        self.membership.handover_listeners.append(
+            self.owner_table.note_handover
         )
+        self.endpoint_client = EndpointClient(
+            session=session, settings=self.settings.endpoints
+        )
+        self.orphans = OrphanCollector(
+            owner_table=self.owner_table,
+            reservations=self.reservations,
+            client=self.endpoint_client,
+        )
+        self.orphans.register(self.peer_server)
         self.monitor = LoadMonitor(
             settings=self.settings,
             owner_table=self.owner_table,
             reservations=self.reservations,
+            orphans=self.orphans,
             session=session,
             tasks=self.tasks,
         )
 
-    def _build_routing(self, session: aiohttp.ClientSession, seed: int) -> None:
-        client = EndpointClient(
-            session=session, settings=self.settings.endpoints
-        )
+    def _build_routing(self, seed: int) -> None:
+        client = self.endpoint_client
         placer = Placer(
             owner_table=self.owner_table,
             reservations=self.reservations,
@@ -249,6 +268,7 @@
         self.tasks.start(self.roster.run(), "roster")
         self.tasks.start(self.membership.run(), "membership")
         self.tasks.start(self.monitor.run(), "load monitor")
+        self.tasks.start(self.instances.run(), "instance list")
 
     async def drain(self) -> None:
         """Refuses new work, finishes what runs and leaves the roster."""
--- a/src/auburnswitch/endpoints/ledger.py
+++ b/src/auburnswitch/endpoints/ledger.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.endpoints.phases import CLOSED_PHASES, Bounds, WarmUp
@@ -38,8 +38,8 @@
         granted_at: When it was granted, in seconds of loop time.
         reported_at: When its holder last reported it, in seconds of loop time.
         missing: Reports of its holder in a row that lack it.
-        lingering: Its holder has given it back, but the endpoint may still
-            run it.
+        lingering_since: Loop time at which its holder gave it back while the
+            endpoint may still run it, None before that.
         request: The request as asked, if this daemon granted it.
     """
 
@@ -51,7 +51,7 @@
         "granted_at",
         "id",
         "length_class",
-        "lingering",
+        "lingering_since",
         "member_id",
         "missing",
         "prefill_tokens",
@@ -93,9 +93,29 @@
         self.granted_at = monotonic_s()
         self.reported_at = self.granted_at
         self.missing = 0
-        self.lingering = False
+        self.lingering_since: float | None = None
         self.request: ReserveRequest | None = None
 
+    @property
+    def lingering(self) -> bool:
+        """Whether its holder has given it back and it may still run."""
+        return self.lingering_since is not None
+
+    def to_work(self, endpoint: str) -> RunningWork:
+        """Returns the reservation as its holder would report it."""
+        return RunningWork(
+            endpoint=endpoint,
+            reservation_id=self.id,
+            tokens=self.tokens,
+            prompt_tokens=self.prompt_tokens,
+            prefill_tokens=self.prefill_tokens,
+            length_class=self.length_class,
+            team=self.team,
+            fingerprint=self.fingerprint,
+            request_id=self.request_id,
+            attempt=self.attempt,
+        )
+
 
 class EndpointLedger:
     """The reservations and the phase of one endpoint.
@@ -106,16 +126,22 @@
         warm_up: What load the endpoint can bear.
         reservations: Granted room, by reservation id.
         ended: Ids of reservations that ended lately.
+        ended_attempts: Their requests and attempts.
+        uncovered: Tokens of the endpoint's work that no reservation covers, by
+            resource.
         load: Newest load report that this owner has read.
         load_failures: Load reports in a row that could not be read.
         opened_at: When this daemon became the owner, in seconds of loop time.
         listed_at: When the endpoint's streams were last compared, in seconds
             of loop time.
+        strict_since: When the present strict rights were first seen, in
+            seconds of loop time, None without them.
         settling: Peers may still have unreported work on the endpoint.
     """
 
     __slots__ = (
         "ended",
+        "ended_attempts",
         "listed_at",
         "load",
         "load_failures",
@@ -124,6 +150,8 @@
         "reservations",
         "settling",
         "spec",
+        "strict_since",
+        "uncovered",
         "warm_up",
     )
 
@@ -133,6 +161,9 @@
         self.warm_up = WarmUp()
         self.reservations: dict[str, Reservation] = {}
         self.ended: OrderedDict[str, None] = OrderedDict()
+        self.ended_attempts: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self.uncovered: dict[str, int] = {}
+        self.strict_since: float | None = None
         self.load: LoadReport | None = None
         self.load_failures = 0
         self.opened_at = monotonic_s()
@@ -174,24 +205,33 @@
 
     @property
     def unclaimed(self) -> int:
-        """Requests that the endpoint reports and no reservation covers.
+        """Requests on the endpoint that no reservation covers.
 
-        Counted while a take-over settles only, since reports lag behind.
+        Load reports count while a take-over settles only, since they lag.
         """
         if not self.settling or self.load is None:
-            return 0
+            return len(self.uncovered)
         reported = self.load.running + self.load.waiting
-        return max(0, reported - len(self.reservations))
+        return max(len(self.uncovered), reported - len(self.reservations))
+
+    @property
+    def is_surveyed(self) -> bool:
+        """Whether the endpoint's work was listed since rights are strict."""
+        if self.strict_since is None:
+            return False
+        return self.listed_at >= self.strict_since
 
     @property
     def prompt_tokens(self) -> int:
-        """Prompt tokens of the granted work."""
-        return sum(r.prompt_tokens for r in self.reservations.values())
+        """Prompt tokens of all work that is known."""
+        granted = sum(r.prompt_tokens for r in self.reservations.values())
+        return granted + sum(self.uncovered.values())
 
     @property
     def reserved_tokens(self) -> int:
-        """Memory granted, in tokens."""
-        return sum(r.tokens for r in self.reservations.values())
+        """Memory taken by all work that is known, in tokens."""
+        granted = sum(r.tokens for r in self.reservations.values())
+        return granted + sum(self.uncovered.values())
 
     @property
     def prefill_tokens(self) -> int:
@@ -202,6 +242,7 @@
         """Waits again for the reports of every live member."""
         self.opened_at = monotonic_s()
         self.settling = True
+        self.strict_since = None
 
     def bears(self, request: ReserveRequest) -> bool:
         """Tells whether the phase allows one more request."""
@@ -254,10 +295,12 @@
 
     def end(self, reservation_id: str) -> Reservation | None:
         """Ends a reservation; returns it if it had not ended before."""
-        self.ended[reservation_id] = None
-        if len(self.ended) > ENDED_KEPT:
-            self.ended.popitem(last=False)
-        return self.reservations.pop(reservation_id, None)
+        _remember(self.ended, reservation_id)
+        reservation = self.reservations.pop(reservation_id, None)
+        if reservation is not None:
+            attempt = (reservation.request_id, reservation.attempt)
+            _remember(self.ended_attempts, attempt)
+        return reservation
 
     def of_request(self, request: ReserveRequest) -> Reservation | None:
         """Returns the reservation granted to one call, if there is one."""
@@ -267,6 +310,12 @@
         return None
 
 
+def _remember(entries: OrderedDict[Any, None], key: Any) -> None:
+    entries[key] = None
+    if len(entries) > ENDED_KEPT:
+        entries.popitem(last=False)
+
+
 def _from_work(work: RunningWork, member_id: str, boot_id: str) -> Reservation:
     return Reservation(
         id=work.reservation_id,
--- a/src/auburnswitch/endpoints/monitor.py
+++ b/src/auburnswitch/endpoints/monitor.py
@@ -13,6 +13,7 @@
 from auburnswitch.schema.events import EventId
 
 if TYPE_CHECKING:
+    from auburnswitch.endpoints.orphans import OrphanCollector
     from auburnswitch.endpoints.owner import OwnerTable
     from auburnswitch.endpoints.reservations import ReservationClient
     from auburnswitch.observe.tasks import TaskSet
@@ -25,11 +26,13 @@
 
     Attributes:
         owner_table: Where the reports go.
+        orphans: Frees memory that no one claims.
         pollers: Running task of each owned endpoint.
         updated_at: Loop time of the last look at ownership, in seconds.
     """
 
     __slots__ = (
+        "orphans",
         "owner_table",
         "pollers",
         "reservations",
@@ -45,12 +48,14 @@
         settings: Settings,
         owner_table: OwnerTable,
         reservations: ReservationClient,
+        orphans: OrphanCollector,
         session: aiohttp.ClientSession,
         tasks: TaskSet,
     ) -> None:
         self.settings = settings
         self.owner_table = owner_table
         self.reservations = reservations
+        self.orphans = orphans
         self.session = session
         self.tasks = tasks
         self.pollers: dict[str, asyncio.Task[Any]] = {}
@@ -88,6 +93,7 @@
             await asyncio.sleep(self.settings.endpoints.load_interval_s)
 
     async def _read_load(self, name: str, spec: Endpoint) -> None:
+        asked_at = monotonic_s()
         url = f"http://{spec.host}:{spec.port}/load"
         try:
             async with (
@@ -106,7 +112,10 @@
             )
             self.owner_table.note_unreachable(name)
             return
-        self.owner_table.note_load(name, report)
+        self.owner_table.note_load(name, report, asked_at)
+        ledger = self.owner_table.ledgers.get(name)
+        if ledger is not None:
+            await self.orphans.compare(ledger)
 
 
 __all__ = ["LoadMonitor"]
--- a/src/auburnswitch/endpoints/owner.py
+++ b/src/auburnswitch/endpoints/owner.py
@@ -18,9 +18,11 @@
 from auburnswitch.endpoints.rebuild import Rebuilder
 from auburnswitch.endpoints.transitions import Transitions
 from auburnswitch.observe.invariants import Invariant, Invariants
+from auburnswitch.schema.objects import ServiceKind
 from auburnswitch.schema.peers import (
     EndpointHint,
     EndpointPhase,
+    HandoverRequest,
     Heartbeat,
     ReleaseRequest,
     ReserveReply,
@@ -90,6 +92,7 @@
         self.queues: dict[str, ReservationQueue] = {}
         self.hint_batch: tuple[float, list[EndpointHint]] = (-1.0, [])
         self.next_id = 0
+        state.listeners.append(self.note_state)
         self.transitions = Transitions(
             settings=settings.endpoints,
             hints=self.hints,
@@ -132,7 +135,8 @@
         ledger = self.ledgers.pop(endpoint, None)
         if ledger is None:
             return
-        self.hints.note(self._hint_of(ledger))
+        if ledger.phase is not EndpointPhase.UNKNOWN:
+            self.hints.note(self._hint_of(ledger))
         self.wake(endpoint)
         del self.queues[endpoint]
 
@@ -177,7 +181,7 @@
         if known is not None and request.used:
             self.transitions.note_outcome(ledger, known, request)
         if known is not None and request.may_still_run:
-            known.lingering = True
+            known.lingering_since = monotonic_s()
         else:
             ledger.end(request.reservation_id)
         self.wake(request.endpoint)
@@ -197,14 +201,27 @@
         self.transitions.note_first_token(ledger, reservation, first_token_s)
         self.wake(endpoint)
 
-    def note_load(self, endpoint: str, report: LoadReport) -> None:
-        """Takes a load report that the owner has read."""
+    def note_load(
+        self, endpoint: str, report: LoadReport, asked_at: float
+    ) -> None:
+        """Takes a load report that the owner has read.
+
+        Args:
+            endpoint: The endpoint's name.
+            report: The report.
+            asked_at: Loop time at which it was asked for, in seconds.
+        """
         ledger = self.ledger(endpoint)
         if ledger is None:
             return
         self.closings.note_engine(endpoint, leaving=report.leaving)
         self.transitions.note_load(ledger, report)
         self.rebuilder.note_load(ledger, report)
+        service = self.state.services.get(ledger.spec.service)
+        if service is not None and service.kind == ServiceKind.PLAIN:
+            # A plain service lists no work; its load report must do.
+            ledger.listed_at = asked_at - self.settings.endpoints.load_lag_s
+        self._is_strict(ledger)
         self.wake(endpoint)
 
     def note_unreachable(self, endpoint: str) -> None:
@@ -229,6 +246,39 @@
             self.hints.note(hint)
         self.rebuilder.note_report(heartbeat.sender.id, heartbeat.running)
 
+    def note_state(self) -> None:
+        """Turns what has been closed cold and refuses what waits for it."""
+        for name, ledger in list(self.ledgers.items()):
+            if self.is_closed(name):
+                self.transitions.note_closed(ledger)
+                self.wake(name)
+
+    def fill_handover(self, request: HandoverRequest) -> None:
+        """Adds what a successor must know of its new endpoints."""
+        for name in request.endpoints:
+            ledger = self.ledgers.get(name)
+            if ledger is None:
+                continue
+            request.states.append(self._hint_of(ledger))
+            for reservation in ledger.reservations.values():
+                request.running.append(reservation.to_work(name))
+                request.holders.append(reservation.member_id)
+
+    def note_handover(self, request: HandoverRequest) -> None:
+        """Takes over the endpoints of a leaving owner."""
+        status = self.view.peers.get(request.member_id)
+        if status is not None:
+            status.leaving = True
+        for hint in request.states:
+            self.hints.note(hint)
+            ledger = self.ledger(hint.endpoint)
+            if ledger is not None:
+                ledger.settling = False
+        for work, holder in zip(request.running, request.holders, strict=True):
+            ledger = self.ledger(work.endpoint)
+            if ledger is not None:
+                ledger.note_work(work, holder)
+
     def hint(self, endpoint: str) -> EndpointHint:
         """Returns what peers should know of an owned endpoint."""
         ledger = self.ledger(endpoint)
@@ -306,9 +356,21 @@
 
     def may_use_cold(self, ledger: EndpointLedger) -> bool:
         """Tells whether work may be granted on a cold endpoint now."""
-        if ledger.phase is EndpointPhase.UNKNOWN or ledger.settling:
+        if ledger.phase is EndpointPhase.UNKNOWN:
+            return False
+        return self._is_strict(ledger) and ledger.is_surveyed
+
+    def needs_survey(self, ledger: EndpointLedger) -> bool:
+        """Tells whether the endpoint's work must be listed first."""
+        return self._is_strict(ledger) and not ledger.is_surveyed
+
+    def _is_strict(self, ledger: EndpointLedger) -> bool:
+        if not self.rights.may_use(ledger.name):
+            ledger.strict_since = None
             return False
-        return self.rights.may_use(ledger.name)
+        if ledger.strict_since is None:
+            ledger.strict_since = monotonic_s()
+        return True
 
     def _check_grant(self, ledger: EndpointLedger) -> None:
         bounds = ledger.bounds
--- a/src/auburnswitch/endpoints/rebuild.py
+++ b/src/auburnswitch/endpoints/rebuild.py
@@ -63,7 +63,7 @@
         for reservation in list(ledger.reservations.values()):
             if reservation.lingering and reservation.boot_id != report.boot_id:
                 ledger.end(reservation.id)  # an earlier start ran it
-        unheld = [r for r in ledger.reservations.values() if self._unheld(r)]
+        unheld = [r for r in ledger.reservations.values() if self.is_unheld(r)]
         if not unheld:
             return
         held = len(ledger.reservations) - len(unheld)
@@ -112,11 +112,12 @@
     def _drop(self, ledger: EndpointLedger, reservation: Reservation) -> None:
         """Drops a reservation that its living holder does not have."""
         if reservation.attempt:
-            reservation.lingering = True  # its release was lost
+            reservation.lingering_since = monotonic_s()  # release was lost
         else:
             ledger.end(reservation.id)
 
-    def _unheld(self, reservation: Reservation) -> bool:
+    def is_unheld(self, reservation: Reservation) -> bool:
+        """Tells whether no living daemon is known to hold a reservation."""
         if reservation.lingering:
             return True
         if reservation.member_id == self.view.me.id:
--- a/src/auburnswitch/endpoints/transitions.py
+++ b/src/auburnswitch/endpoints/transitions.py
@@ -58,6 +58,8 @@
         with _logged(ledger):
             if request.endpoint_lost:
                 ledger.warm_up.note_cold(ledger.boot_id)
+            elif reservation.granted_at < ledger.warm_up.cold_at:
+                return  # it ran before the endpoint turned cold
             elif request.succeeded:
                 ledger.warm_up.note_success(ledger.spec)
             else:
@@ -104,6 +106,12 @@
             with _logged(ledger):
                 ledger.warm_up.note_down()
 
+    def note_closed(self, ledger: EndpointLedger) -> None:
+        """Takes note that an endpoint is out or leaving; it returns cold."""
+        if ledger.phase is not EndpointPhase.UNKNOWN:
+            with _logged(ledger):
+                ledger.warm_up.note_cold(ledger.boot_id)
+
     def note_paused(self, ledger: EndpointLedger) -> None:
         """Distrusts what was known before this daemon was paused."""
         with _logged(ledger):
--- a/src/auburnswitch/members/frames.py
+++ b/src/auburnswitch/members/frames.py
@@ -18,6 +18,8 @@
 from thriftpy2.utils import deserialize, serialize
 
 from auburnswitch.schema.peers import (
+    ClaimsReply,
+    ClaimsRequest,
     Done,
     Envelope,
     HandoverRequest,
@@ -54,6 +56,8 @@
     HandoverRequest: "handover",
     Done: "done",
     Hello: "hello",
+    ClaimsRequest: "claims",
+    ClaimsReply: "claims_reply",
 }
 
 
--- a/src/auburnswitch/members/service.py
+++ b/src/auburnswitch/members/service.py
@@ -40,10 +40,14 @@
         links: Connection to each peer, by member id.
         heartbeat_sources: Called to fill a heartbeat for one peer.
         heartbeat_listeners: Called with each heartbeat received.
+        handover_sources: Called to fill a hand-over to a successor.
+        handover_listeners: Called with each hand-over received.
         store_age_s: Tells the age of the last answer of the store.
     """
 
     __slots__ = (
+        "handover_listeners",
+        "handover_sources",
         "heartbeat_listeners",
         "heartbeat_sources",
         "link_tasks",
@@ -79,6 +83,8 @@
         self.link_tasks: dict[str, list[asyncio.Task[Any]]] = {}
         self.heartbeat_sources: list[Callable[[Heartbeat, str], None]] = []
         self.heartbeat_listeners: list[Callable[[Heartbeat], None]] = []
+        self.handover_sources: list[Callable[[HandoverRequest], None]] = []
+        self.handover_listeners: list[Callable[[HandoverRequest], None]] = []
 
     def register(self, server: PeerServer) -> None:
         """Registers the handlers of this service's messages."""
@@ -214,6 +220,9 @@
     async def hand_over(self) -> None:
         """Gives up all strict rights and tells the successors."""
         requests = self.strict_rights.hand_over(self.state.endpoints)
+        for request in requests.values():
+            for source in self.handover_sources:
+                source(request)
         calls = [
             self._tell(self.links[member_id], request)
             for member_id, request in requests.items()
@@ -230,6 +239,8 @@
     async def _on_handover(self, request: Any, peer_id: str) -> Done:
         if request.member_id == peer_id:
             self.strict_rights.note_handover(request)
+            for listener in self.handover_listeners:
+                listener(request)
         return Done()
 
     async def _on_state_request(self, _: Any, __: str) -> StateReply:
--- a/src/auburnswitch/schema/peers.py
+++ b/src/auburnswitch/schema/peers.py
@@ -701,6 +701,68 @@
     }
 
 
+@dataclass(slots=True, kw_only=True)
+class AttemptId(Struct):
+    """One attempt of a request."""
+
+    request_id: str = ""
+    attempt: int = 0
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.STRING, "request_id", False),
+        2: (TType.I32, "attempt", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("request_id", None),
+        ("attempt", None),
+    ]
+    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
+    descriptions: ClassVar[dict[str, Description]] = {
+        "request_id": Description(text="", options={}),
+        "attempt": Description(text="", options={}),
+    }
+
+
+@dataclass(slots=True, kw_only=True)
+class ClaimsRequest(Struct):
+    """Asks a member which attempts on an endpoint it still has."""
+
+    endpoint: str = ""
+    attempts: list[AttemptId] = field(default_factory=list)
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.STRING, "endpoint", False),
+        2: (TType.LIST, "attempts", (TType.STRUCT, AttemptId), False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("endpoint", None),
+        ("attempts", None),
+    ]
+    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
+    descriptions: ClassVar[dict[str, Description]] = {
+        "endpoint": Description(text="", options={}),
+        "attempts": Description(text="", options={}),
+    }
+
+
+@dataclass(slots=True, kw_only=True)
+class ClaimsReply(Struct):
+    """Generated from the schema."""
+
+    attempts: list[AttemptId] = field(default_factory=list)
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.LIST, "attempts", (TType.STRUCT, AttemptId), False)
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [("attempts", None)]
+    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
+    descriptions: ClassVar[dict[str, Description]] = {
+        "attempts": Description(
+            text="The attempts that the member still has.", options={}
+        ),
+    }
+
+
 @dataclass(slots=True, kw_only=True)
 class Envelope(Struct):
     """One frame of a peer connection; exactly one optional field is set."""
@@ -718,6 +780,8 @@
     handover: HandoverRequest | None = None
     done: Done | None = None
     hello: Hello | None = None
+    claims: ClaimsRequest | None = None
+    claims_reply: ClaimsReply | None = None
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "call_id", False),
@@ -733,6 +797,8 @@
         11: (TType.STRUCT, "handover", HandoverRequest, False),
         12: (TType.STRUCT, "done", Done, False),
         13: (TType.STRUCT, "hello", Hello, False),
+        40: (TType.STRUCT, "claims", ClaimsRequest, False),
+        41: (TType.STRUCT, "claims_reply", ClaimsReply, False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("call_id", None),
@@ -748,6 +814,8 @@
         ("handover", None),
         ("done", None),
         ("hello", None),
+        ("claims", None),
+        ("claims_reply", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -767,10 +835,15 @@
         "handover": Description(text="", options={}),
         "done": Description(text="", options={}),
         "hello": Description(text="", options={}),
+        "claims": Description(text="", options={}),
+        "claims_reply": Description(text="", options={}),
     }
 
 
 __all__ = [
+    "AttemptId",
+    "ClaimsReply",
+    "ClaimsRequest",
     "Done",
     "ENDPOINTPHASE_INFO",
     "EndpointHint",
--- a/tests/endpoints/owners.py
+++ b/tests/endpoints/owners.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from auburnswitch.clock import monotonic_s
 from auburnswitch.endpoints.load import LoadReport
 from auburnswitch.endpoints.owner import OwnerTable
 from auburnswitch.endpoints.reservations import ReservationClient
@@ -79,8 +80,10 @@
         invariants=Invariants(strict=True),
         rights=FakeRights(),
     )
-    table.note_load(ENGINE, LoadReport(boot_id="b1"))
-    table.ledgers[ENGINE].settling = not settled
+    table.note_load(ENGINE, LoadReport(boot_id="b1"), monotonic_s())
+    ledger = table.ledgers[ENGINE]
+    ledger.settling = not settled
+    ledger.listed_at = monotonic_s() if settled else float("-inf")
     return table
 
 
