--- /dev/null
+++ b/src/auburnswitch/experiments/checker.py
@@ -0,0 +1,231 @@
+"""Checks the history of a run against what must always hold."""
+
+from __future__ import annotations
+
+import collections
+import enum
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Final
+
+from auburnswitch.standins.history import HistoryKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from auburnswitch.experiments.calls import CallRecord
+    from auburnswitch.standins.history import History, HistoryRecord
+
+CLOSED_BOUND_S: Final = 3.0  # from a ticket's acceptance to the last new work
+DEADLINE_SLACK_S: Final = 1.0
+OVERLOAD_CAUSE: Final = "overload"
+RUN_KINDS: Final = (HistoryKind.REQUEST_STARTED, HistoryKind.PLAIN_RUN)
+
+
+class Rule(enum.Enum):
+    """What a history must satisfy."""
+
+    AT_MOST_ONCE = "a non-idempotent request runs at most once"
+    WHOLE_ANSWER = "a caller receives the whole answer to its own request"
+    NOT_RUN = "a request refused as not run was not run"
+    ENDS_IN_TIME = "an admitted request ends within its time"
+    ANSWERED = "a request gets a final answer unless its daemon was lost"
+    CLOSED = "an endpoint out of service or leaving receives no new work"
+    COLD_BOUND = "a cold endpoint receives no more than it can bear"
+    MEMORY_FREED = "an engine loses no memory for good"
+    STATE_MONOTONIC = "a configuration in force never reverts"
+
+
+@dataclass(slots=True, kw_only=True)
+class Violation:
+    """A broken rule and where it broke."""
+
+    rule: Rule
+    detail: str
+
+
+@dataclass(slots=True, kw_only=True)
+class Closing:
+    """A time in which an endpoint was to receive no new work.
+
+    Attributes:
+        endpoint: The endpoint.
+        accepted_at: Loop time of the ticket's acceptance, in seconds.
+        reopened_at: Loop time at which it could receive work again.
+    """
+
+    endpoint: str
+    accepted_at: float
+    reopened_at: float = float("inf")
+
+
+@dataclass(slots=True, kw_only=True)
+class StateSample:
+    """Ticket numbers by object as one daemon had them in force."""
+
+    member_id: str
+    numbers: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True, kw_only=True)
+class RunHistory:
+    """Everything that is known of a run.
+
+    Attributes:
+        history: What the stand-ins did.
+        calls: What callers sent and saw.
+        closings: When endpoints were closed.
+        samples: Configuration states, in order of time.
+        lost_daemons: Instances that were killed or frozen in the run.
+        ended: The run has come to rest, so that all memory must be free.
+    """
+
+    history: History
+    calls: list[CallRecord]
+    closings: list[Closing] = field(default_factory=list)
+    samples: list[StateSample] = field(default_factory=list)
+    lost_daemons: set[str] = field(default_factory=set)
+    ended: bool = True
+
+
+def check_run(run: RunHistory) -> list[Violation]:
+    """Returns every violation found in a run."""
+    checks = (
+        _check_at_most_once,
+        _check_whole_answers,
+        _check_not_run,
+        _check_ends,
+        _check_closed,
+        _check_cold_bound,
+        _check_memory,
+        _check_states,
+    )
+    return [violation for check in checks for violation in check(run)]
+
+
+def _runs(run: RunHistory) -> Iterator[HistoryRecord]:
+    return run.history.select(*RUN_KINDS)
+
+
+def _caller_id(record: HistoryRecord) -> str:
+    """Returns the caller's part of a request id."""
+    return str(record.fields.get("request_id", "")).partition(".")[0]
+
+
+def _check_at_most_once(run: RunHistory) -> Iterator[Violation]:
+    by_key: collections.Counter[str] = collections.Counter()
+    by_call: collections.Counter[str] = collections.Counter()
+    calls = {call.id: call for call in run.calls if not call.idempotent}
+    for record in run.history.select(HistoryKind.PLAIN_RUN):
+        call = calls.get(_caller_id(record))
+        if call is None:
+            continue
+        by_call[call.id] += 1
+        if call.key:
+            by_key[call.key] += 1
+    for name, count in [*by_key.items(), *by_call.items()]:
+        if count > 1:
+            detail = f"{name} ran {count} times"
+            yield Violation(rule=Rule.AT_MOST_ONCE, detail=detail)
+
+
+def _check_whole_answers(run: RunHistory) -> Iterator[Violation]:
+    for call in run.calls:
+        outcome = call.outcome
+        if outcome is None or not call.expected:
+            continue
+        whole = outcome.text == call.expected
+        if outcome.result == "ok" and not whole:
+            detail = f"{call.id} got {outcome.text[:40]!r}"
+            yield Violation(rule=Rule.WHOLE_ANSWER, detail=detail)
+        elif not call.expected.startswith(outcome.text):
+            detail = f"{call.id} got a part that is not its own"
+            yield Violation(rule=Rule.WHOLE_ANSWER, detail=detail)
+
+
+def _check_not_run(run: RunHistory) -> Iterator[Violation]:
+    ran = {_caller_id(record) for record in _runs(run)}
+    for call in run.calls:
+        if call.outcome and call.outcome.ran == "no" and call.id in ran:
+            detail = f"{call.id} was refused as {call.outcome.result}"
+            yield Violation(rule=Rule.NOT_RUN, detail=detail)
+
+
+def _check_ends(run: RunHistory) -> Iterator[Violation]:
+    for call in run.calls:
+        lost = call.daemon in run.lost_daemons
+        if call.outcome is None:
+            detail = f"{call.id} has no answer"
+            yield Violation(rule=Rule.ANSWERED, detail=detail)
+        elif call.outcome.result == "broken" and not lost:
+            detail = f"{call.id} broke at {call.daemon}"
+            yield Violation(rule=Rule.ANSWERED, detail=detail)
+        elif (
+            not lost
+            and call.outcome.total_s > call.deadline_s + DEADLINE_SLACK_S
+        ):
+            detail = f"{call.id} took {call.outcome.total_s:.1f} s"
+            yield Violation(rule=Rule.ENDS_IN_TIME, detail=detail)
+
+
+def _check_closed(run: RunHistory) -> Iterator[Violation]:
+    for closing in run.closings:
+        first_s = closing.accepted_at + CLOSED_BOUND_S
+        for record in _runs(run):
+            late = first_s < record.time_s < closing.reopened_at
+            if record.actor == closing.endpoint and late:
+                after_s = record.time_s - closing.accepted_at
+                detail = f"{closing.endpoint} got work {after_s:.1f} s later"
+                yield Violation(rule=Rule.CLOSED, detail=detail)
+
+
+def _check_cold_bound(run: RunHistory) -> Iterator[Violation]:
+    for record in run.history.select(HistoryKind.CRASHED):
+        if record.fields.get("cause") == OVERLOAD_CAUSE:
+            detail = f"{record.actor} was overloaded at {record.time_s:.1f} s"
+            yield Violation(rule=Rule.COLD_BOUND, detail=detail)
+
+
+def _check_memory(run: RunHistory) -> Iterator[Violation]:
+    if not run.ended:
+        return
+    held: dict[str, dict[Any, HistoryRecord]] = {}
+    kinds = (
+        HistoryKind.MEMORY_TAKEN,
+        HistoryKind.MEMORY_FREED,
+        HistoryKind.CRASHED,
+    )
+    for record in run.history.select(*kinds):
+        memory = held.setdefault(record.actor, {})
+        name = (record.fields.get("request_id"), record.fields.get("attempt"))
+        match record.kind:
+            case HistoryKind.MEMORY_TAKEN:
+                memory[name] = record
+            case HistoryKind.MEMORY_FREED:
+                memory.pop(name, None)
+            case HistoryKind.CRASHED:
+                memory.clear()
+    for actor, memory in held.items():
+        for name in memory:
+            detail = f"{actor} still holds {name}"
+            yield Violation(rule=Rule.MEMORY_FREED, detail=detail)
+
+
+def _check_states(run: RunHistory) -> Iterator[Violation]:
+    newest: dict[tuple[str, str], int] = {}
+    for sample in run.samples:
+        for name, number in sample.numbers.items():
+            key = (sample.member_id, name)
+            if number < newest.get(key, 0):
+                detail = f"{sample.member_id} went back to {number} for {name}"
+                yield Violation(rule=Rule.STATE_MONOTONIC, detail=detail)
+            newest[key] = number
+
+
+__all__ = [
+    "Closing",
+    "Rule",
+    "RunHistory",
+    "StateSample",
+    "Violation",
+    "check_run",
+]
--- /dev/null
+++ b/tests/experiments/test_checker.py
@@ -0,0 +1,120 @@
+"""Tests that the checker finds each kind of broken history."""
+
+from __future__ import annotations
+
+import unittest
+
+from auburnswitch.experiments.caller import CallOutcome
+from auburnswitch.experiments.calls import CallRecord
+from auburnswitch.experiments.checker import (
+    Closing,
+    Rule,
+    RunHistory,
+    StateSample,
+    check_run,
+)
+from auburnswitch.standins.history import History, HistoryKind, HistoryRecord
+
+
+def call(name="call-1", **values):
+    outcome = values.pop("outcome", CallOutcome(result="ok", text="ab"))
+    defaults = {"deadline_s": 10, "started_at": 0, "daemon": "entry-0"}
+    return CallRecord(id=name, outcome=outcome, **defaults | values)
+
+
+def history(*records):
+    result = History()
+    for time_s, actor, kind, fields in records:
+        record = HistoryRecord(
+            time_s=time_s, actor=actor, kind=kind, fields=fields
+        )
+        result.records.append(record)
+    return result
+
+
+def plain_run(name, time_s=1.0):
+    return (time_s, "b", HistoryKind.PLAIN_RUN, {"request_id": f"{name}.1f"})
+
+
+def taken(name, kind=HistoryKind.MEMORY_TAKEN):
+    return (1.0, "e", kind, {"request_id": name, "attempt": 1})
+
+
+class CheckerTest(unittest.TestCase):
+    def rules(self, records=(), calls=(), **values):
+        run = RunHistory(history=history(*records), calls=list(calls), **values)
+        return [violation.rule for violation in check_run(run)]
+
+    def test_good_history(self):
+        booking = call("call-2", idempotent=False, key="k")
+        records = [
+            plain_run("call-2"),
+            taken("x.1"),
+            taken("x.1", HistoryKind.MEMORY_FREED),
+        ]
+        calls = [call(expected="ab"), booking]
+        self.assertEqual(self.rules(records, calls), [])
+
+    def test_second_run_of_a_key(self):
+        calls = [
+            call(name, idempotent=False, key="k")
+            for name in ("call-1", "call-2")
+        ]
+        records = [plain_run("call-1"), plain_run("call-2")]
+        self.assertEqual(self.rules(records, calls), [Rule.AT_MOST_ONCE])
+
+    def test_second_run_without_a_key(self):
+        records = [plain_run("call-1"), plain_run("call-1")]
+        calls = [call(idempotent=False)]
+        self.assertEqual(self.rules(records, calls), [Rule.AT_MOST_ONCE])
+
+    def test_partial_or_foreign_answer(self):
+        for text in ("a", "abb", "xy"):
+            outcome = CallOutcome(result="ok", text=text)
+            calls = [call(expected="ab", outcome=outcome)]
+            self.assertEqual(self.rules((), calls), [Rule.WHOLE_ANSWER])
+        outcome = CallOutcome(result="stream_broken", text="x")
+        calls = [call(expected="ab", outcome=outcome)]
+        self.assertEqual(self.rules((), calls), [Rule.WHOLE_ANSWER])
+
+    def test_refused_as_not_run_but_ran(self):
+        outcome = CallOutcome(result="queue_full", ran="no")
+        rules = self.rules([plain_run("call-1")], [call(outcome=outcome)])
+        self.assertEqual(rules, [Rule.NOT_RUN])
+
+    def test_late_missing_or_broken_answer(self):
+        late = CallOutcome(result="ok", total_s=12)
+        broken = CallOutcome(result="broken", ran="unknown")
+        cases = [
+            (late, Rule.ENDS_IN_TIME),
+            (None, Rule.ANSWERED),
+            (broken, Rule.ANSWERED),
+        ]
+        for outcome, rule in cases:
+            self.assertEqual(self.rules((), [call(outcome=outcome)]), [rule])
+        lost = {"entry-0"}
+        rules = self.rules((), [call(outcome=broken)], lost_daemons=lost)
+        self.assertEqual(rules, [])
+
+    def test_work_on_a_closed_endpoint(self):
+        closing = Closing(endpoint="b", accepted_at=10, reopened_at=50)
+        for time_s, expected in ((12, []), (14, [Rule.CLOSED]), (51, [])):
+            records = [plain_run("call-9", time_s)]
+            rules = self.rules(records, closings=[closing])
+            self.assertEqual(rules, expected)
+
+    def test_overloaded_cold_endpoint(self):
+        crash = (1.0, "e", HistoryKind.CRASHED, {"cause": "overload"})
+        self.assertEqual(self.rules([crash]), [Rule.COLD_BOUND])
+
+    def test_memory_kept(self):
+        self.assertEqual(self.rules([taken("x.1")]), [Rule.MEMORY_FREED])
+        crash = (2.0, "e", HistoryKind.CRASHED, {"cause": "switch"})
+        self.assertEqual(self.rules([taken("x.1"), crash]), [])
+
+    def test_reverted_state(self):
+        samples = [
+            StateSample(member_id="m", numbers={"zone/a": number})
+            for number in (1, 3, 2)
+        ]
+        self.assertEqual(self.rules(samples=samples), [Rule.STATE_MONOTONIC])
