Count an answer whose reader stops at its end as a success

Cause: a caller without streaming closes the generator at the answer's end, so the line that set succeeded never ran and no endpoint ever warmed up: after 400 answered requests in 20 s all three engines were still cold (red). With the success taken from the end frame all three are warm (green), and the most work on a cold engine stays at its bound of 2.

The listener stand-in slept for less than the virtual clock's resolution and never woke (a scenario with a crashing engine hung); it sleeps 1 ms or more.

--- a/src/auburnswitch/routing/dispatcher.py
+++ b/src/auburnswitch/routing/dispatcher.py
@@ -123,7 +123,7 @@
             member_id=self.member_id,
         )
         started_at = monotonic_s()
-        succeeded = lost = finished = False
+        lost = finished = False
         progress.start_attempt()
         try:
             request.dispatched = True
@@ -141,7 +141,6 @@
                     finished = isinstance(part, AnswerEnd)
                     yield part
                     self._note_prefilled(request, held, started_at)
-            succeeded = True
         except EndpointFailureError as error:
             lost = error.lost
             finished = error.lost
@@ -151,7 +150,7 @@
             end = self._end(
                 held,
                 attempt if runs else None,
-                succeeded=succeeded,
+                succeeded=finished and not lost,
                 endpoint_lost=lost,
             )
             self.cleanups.start(end, "end attempt")
--- a/src/auburnswitch/standins/listener.py
+++ b/src/auburnswitch/standins/listener.py
@@ -14,6 +14,7 @@
     from starlette.types import ASGIApp, Receive, Scope, Send
 
 MAX_HEADER_BYTES: Final = 65536
+SHORTEST_SLEEP_S: Final = 0.001  # less may not advance a virtual clock
 
 
 class Pause:
@@ -37,7 +38,7 @@
         """Returns once the pause is over."""
         loop = asyncio.get_running_loop()
         while (left_s := self.until_s - loop.time()) > 0:
-            await asyncio.sleep(left_s)
+            await asyncio.sleep(max(left_s, SHORTEST_SLEEP_S))
 
 
 class Listener:
@@ -173,7 +174,7 @@
                 return
             loop = asyncio.get_running_loop()
             while (left_s := self._up_at_s - loop.time()) > 0:
-                await asyncio.sleep(left_s)
+                await asyncio.sleep(max(left_s, SHORTEST_SLEEP_S))
 
     async def _listen_once(self, started: asyncio.Future[None]) -> None:
         self._down.clear()
--- /dev/null
+++ b/tests/endpoints/bench.py
@@ -0,0 +1,207 @@
+"""A fleet under load whose engines note the work that they get."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING, Any
+
+from auburnswitch.experiments.fleet import (
+    CALLER_KEY,
+    MODEL,
+    Fleet,
+    FleetOptions,
+    open_fleet,
+)
+from auburnswitch.standins.history import HistoryKind
+from tests.endpoints.freezing import Freezer, install
+from tests.virtual_time import SimulatedConnector
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from auburnswitch.standins.engine import EngineStandIn
+
+AUTHORIZATION = {"Authorization": f"Bearer {CALLER_KEY}"}
+BYTES_PER_TOKEN = 4
+
+
+class ColdWatch:
+    """Notes the most work that an engine had while it was cold.
+
+    Attributes:
+        running: Most requests at one time.
+        tokens: Most prompt tokens at one time.
+    """
+
+    def __init__(self, engine: EngineStandIn) -> None:
+        self.engine = engine
+        self.running = 0
+        self.tokens = 0
+        engine.batch.observer = WatchedEngine(engine, self)
+
+    def note(self) -> None:
+        """Notes the work if the engine is cold."""
+        if not self.engine.cold:
+            return
+        jobs = self.engine.batch.jobs()
+        self.running = max(self.running, len(jobs))
+        tokens = sum(j.prompt_tokens for j in jobs)
+        self.tokens = max(self.tokens, tokens)
+
+
+class WatchedEngine:
+    """Passes what a batch tells its engine on, and watches it."""
+
+    def __init__(self, engine: EngineStandIn, watch: ColdWatch) -> None:
+        self.engine = engine
+        self.watch = watch
+
+    def __getattr__(self, name: str) -> Any:
+        if name == "on_changed":
+            self.watch.note()
+        return getattr(self.engine, name)
+
+
+class Bench:
+    """A fleet, its freezers and its callers.
+
+    Attributes:
+        fleet: The fleet.
+        freezers: Freezer of each daemon, by instance.
+        watches: Cold work of each engine.
+        statuses: HTTP status of each answered request, 0 for a lost one.
+    """
+
+    def __init__(self, fleet: Fleet, freezers: dict[str, Freezer]) -> None:
+        self.fleet = fleet
+        self.freezers = freezers
+        self.watches = {n: ColdWatch(e) for n, e in fleet.engines.items()}
+        self.statuses: list[int] = []
+        self.tasks: set[asyncio.Task[Any]] = set()
+
+    def send(
+        self, instance: str, *, tokens: int = 1000, answer: int = 16
+    ) -> asyncio.Task[Any]:
+        """Starts a request through one daemon."""
+        task = asyncio.create_task(self._send(instance, tokens, answer))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def load(
+        self, seconds: float, per_second: float, **options: Any
+    ) -> None:
+        """Sends requests at a steady rate through every daemon in turn."""
+        loop = asyncio.get_running_loop()
+        end_at = loop.time() + seconds
+        number = 0
+        while loop.time() < end_at:
+            instances = sorted(self.fleet.daemons)
+            self.send(instances[number % len(instances)], **options)
+            number += 1
+            await asyncio.sleep(1 / per_second)
+
+    async def finish(self) -> None:
+        """Waits for all requests."""
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def owner_of(self, endpoint: str) -> str:
+        """Returns the instance whose daemon owns an endpoint."""
+        for instance, daemon in self.fleet.daemons.items():
+            if daemon.owner_table.owns(endpoint):
+                return instance
+        raise LookupError(endpoint)
+
+    def phase(self, endpoint: str) -> str:
+        """Returns the phase that the owner sees."""
+        daemon = self.fleet.daemons[self.owner_of(endpoint)]
+        return daemon.owner_table.best_hint(endpoint).phase.name
+
+    async def wait_phase(self, endpoint: str, *names: str) -> None:
+        """Waits until the owner sees one of some phases."""
+        async with asyncio.timeout(120):
+            while self.phase(endpoint) not in names:
+                await asyncio.sleep(0.05)
+
+    async def warm_up(self) -> None:
+        """Sends requests until every engine is warm."""
+        async with asyncio.timeout(300):
+            while any(self.phase(n) != "WARM" for n in self.fleet.engines):
+                await self.load(1, 8)
+            await self.finish()
+
+    async def kill(self, instance: str) -> None:
+        """Ends a daemon at once: nothing more is sent or received by it."""
+        self.freezers[instance].freeze()
+        daemon = self.fleet.daemons.pop(instance)
+        for server in (daemon.callers, daemon.operators):
+            for connection in list(server.server.server_state.connections):
+                connection.transport.abort()
+            for listener in server.server.servers:
+                listener.close()
+        for writer in list(daemon.peer_server.connections):
+            writer.transport.abort()
+        for link in daemon.membership.links.values():
+            if link.connection is not None:
+                link.connection.writer.transport.abort()
+        connector = daemon.endpoint_client.session.connector
+        for protocol in list(connector._acquired):
+            if protocol.transport is not None:
+                protocol.transport.abort()
+        await asyncio.sleep(0)
+
+    def crashes(self) -> list[str]:
+        """Returns the engines that crashed from load while cold."""
+        return [
+            record.actor
+            for record in self.fleet.history.select(HistoryKind.CRASHED)
+            if record.fields["cause"] == "cold overload"
+        ]
+
+    async def _send(self, instance: str, tokens: int, answer: int) -> None:
+        body = {
+            "model": MODEL,
+            "prompt": "word" * tokens,
+            "max_tokens": answer,
+            "stream": False,
+        }
+        url = self.fleet.caller_url(instance) + "/v1/completions"
+        try:
+            async with self.fleet.session.post(
+                url, json=body, headers=AUTHORIZATION
+            ) as response:
+                await response.read()
+                self.statuses.append(response.status)
+        except OSError:
+            self.statuses.append(0)
+
+
+@contextlib.asynccontextmanager
+async def open_bench(**options: Any) -> AsyncIterator[Bench]:
+    """Opens a fleet in virtual time with a freezer for each daemon."""
+    install()
+    freezers: dict[str, Freezer] = {}
+    start_daemon = Fleet.start_daemon
+
+    async def start_frozen(fleet: Fleet, number: int) -> Any:
+        freezer = freezers[f"entry-{number}"] = Freezer()
+        with freezer.joined():
+            return await start_daemon(fleet, number)
+
+    options.setdefault("plain_services", 0)
+    fleet_options = FleetOptions(connector=SimulatedConnector, **options)
+    Fleet.start_daemon = start_frozen
+    try:
+        async with open_fleet(fleet_options) as fleet:
+            bench = Bench(fleet, freezers)
+            try:
+                yield bench
+            finally:
+                for freezer in freezers.values():
+                    freezer.thaw()
+    finally:
+        Fleet.start_daemon = start_daemon
+
+
+__all__ = ["Bench", "open_bench"]
