--- a/src/auburnswitch/standins/listener.py
+++ b/src/auburnswitch/standins/listener.py
@@ -12,6 +12,7 @@
     from collections.abc import AsyncIterator
 
     from starlette.types import ASGIApp, Receive, Scope, Send
+    from uvicorn.protocols.http.h11_impl import H11Protocol
 
 MAX_HEADER_BYTES: Final = 65536
 SHORTEST_SLEEP_S: Final = 0.001  # less may not advance a virtual clock
@@ -74,7 +75,7 @@
         self.pause = pause
         self._server: HttpServer | None = None
         self._open = False
-        self._requests: set[asyncio.Task[None]] = set()
+        self._requests: dict[asyncio.Task[None], None] = {}  # keeps order
         self._aborted: set[asyncio.Task[None]] = set()
         self._down = asyncio.Event()
         self._up_at_s = 0.0
@@ -85,26 +86,21 @@
         """Base URL of the listener."""
         return f"http://{self.host}:{self.port}"
 
-    @property
-    def up(self) -> bool:
-        """Whether requests are accepted and run."""
-        now_s = asyncio.get_running_loop().time()
-        return self._open and now_s >= self._silent_until_s
-
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
         """Runs one request as an ASGI application."""
         task = asyncio.current_task()
         assert task is not None
-        self._requests.add(task)
+        self._requests[task] = None
         try:
             await self._run(scope, receive, send)
         except asyncio.CancelledError:
             if task not in self._aborted:
                 raise
+            await wait_disconnected(receive)  # the server must see it first
         finally:
-            self._requests.discard(task)
+            del self._requests[task]
             self._aborted.discard(task)
 
     async def _run(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -143,8 +139,8 @@
     def abort_connections(self) -> None:
         """Breaks every connection and cancels its request."""
         if self._server is not None:
-            state = self._server.server.server_state
-            for connection in list(state.connections):
+            connections = self._server.server.server_state.connections
+            for connection in sorted(connections, key=_client_address):
                 connection.transport.abort()
         for task in list(self._requests):
             self._aborted.add(task)
@@ -192,6 +188,10 @@
             await self._down.wait()
 
 
+def _client_address(connection: H11Protocol) -> tuple[str, int]:
+    return connection.client or ("", 0)
+
+
 @contextlib.asynccontextmanager
 async def open_listener(
     app: ASGIApp, *, host: str, port: int, pause: Pause | None = None
