--- a/src/auburnswitch/endpoints/ledger.py
+++ b/src/auburnswitch/endpoints/ledger.py
@@ -34,6 +34,7 @@
         request_id: Request it is for.
         attempt: Attempt that was dispatched, 0 if none is known.
         boot_id: Start of the endpoint that it was granted on.
+        generation: How often the endpoint had turned cold before the grant.
         expected_s: Expected time to the first token, in seconds.
         granted_at: When it was granted, in seconds of loop time.
         reported_at: When its holder last reported it, in seconds of loop time.
@@ -48,6 +49,7 @@
         "boot_id",
         "expected_s",
         "fingerprint",
+        "generation",
         "granted_at",
         "id",
         "length_class",
@@ -77,6 +79,7 @@
         request_id: str = "",
         attempt: int = 0,
         boot_id: str = "",
+        generation: int = 0,
     ) -> None:
         self.id = id
         self.member_id = member_id
@@ -89,6 +92,7 @@
         self.request_id = request_id
         self.attempt = attempt
         self.boot_id = boot_id
+        self.generation = generation
         self.expected_s = 0.0
         self.granted_at = monotonic_s()
         self.reported_at = self.granted_at
@@ -275,6 +279,7 @@
             fingerprint=request.fingerprint,
             request_id=request.request_id,
             boot_id=self.boot_id,
+            generation=self.warm_up.generation,
         )
         reservation.request = request
         self.reservations[reservation_id] = reservation
@@ -286,7 +291,7 @@
             return  # the report crossed its release
         known = self.reservations.get(work.reservation_id)
         if known is None:
-            known = _from_work(work, member_id, self.boot_id)
+            known = _from_work(work, member_id, self.warm_up)
             self.reservations[known.id] = known
         known.attempt = work.attempt or known.attempt
         known.prefill_tokens = min(known.prefill_tokens, work.prefill_tokens)
@@ -316,7 +321,9 @@
         entries.popitem(last=False)
 
 
-def _from_work(work: RunningWork, member_id: str, boot_id: str) -> Reservation:
+def _from_work(
+    work: RunningWork, member_id: str, warm_up: WarmUp
+) -> Reservation:
     return Reservation(
         id=work.reservation_id,
         member_id=member_id,
@@ -328,7 +335,8 @@
         fingerprint=work.fingerprint,
         request_id=work.request_id,
         attempt=work.attempt,
-        boot_id=boot_id,
+        boot_id=warm_up.boot_id,
+        generation=warm_up.generation,
     )
 
 
--- a/src/auburnswitch/endpoints/phases.py
+++ b/src/auburnswitch/endpoints/phases.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from auburnswitch.clock import monotonic_s
 from auburnswitch.schema.peers import EndpointHint, EndpointPhase
 
 if TYPE_CHECKING:
@@ -43,7 +42,7 @@
     Attributes:
         phase: What load the endpoint can bear.
         boot_id: The endpoint's present start.
-        cold_at: Loop time at which it last turned cold, in seconds.
+        generation: How often it has turned cold.
         successes: Requests that succeeded since it was cold.
         window: Requests that may run at one time while load rises.
         record: Usual first-token time over the expected one.
@@ -53,8 +52,8 @@
 
     __slots__ = (
         "boot_id",
-        "cold_at",
         "empty_reports",
+        "generation",
         "phase",
         "record",
         "slow_answers",
@@ -65,7 +64,7 @@
     def __init__(self) -> None:
         self.phase = EndpointPhase.UNKNOWN
         self.boot_id = ""
-        self.cold_at = float("-inf")
+        self.generation = 0
         self.record = 0.0
         self._reset()
 
@@ -119,7 +118,7 @@
         """Takes note of a new start, or of the signs of one."""
         self._reset()
         self.boot_id = boot_id
-        self.cold_at = monotonic_s()
+        self.generation += 1
         self.phase = EndpointPhase.COLD
 
     def note_down(self) -> None:
--- a/src/auburnswitch/endpoints/reservations.py
+++ b/src/auburnswitch/endpoints/reservations.py
@@ -222,6 +222,8 @@
             return "the reservation has expired"
         if held.work.attempt not in (0, attempt.number):
             return "the reservation is in use"
+        if self.membership.is_isolated():
+            return "this daemon may have missed changes"
         if self.owner_table.is_closed(held.endpoint):
             return "the endpoint receives no new work"
         if self.owner_table.best_hint(held.endpoint).phase in CLOSED_PHASES:
--- a/src/auburnswitch/endpoints/transitions.py
+++ b/src/auburnswitch/endpoints/transitions.py
@@ -58,7 +58,7 @@
         with _logged(ledger):
             if request.endpoint_lost:
                 ledger.warm_up.note_cold(ledger.boot_id)
-            elif reservation.granted_at < ledger.warm_up.cold_at:
+            elif reservation.generation != ledger.warm_up.generation:
                 return  # it ran before the endpoint turned cold
             elif request.succeeded:
                 ledger.warm_up.note_success(ledger.spec)
--- a/tests/endpoints/bench.py
+++ b/tests/endpoints/bench.py
@@ -6,6 +6,8 @@
 import contextlib
 from typing import TYPE_CHECKING, Any
 
+import aiohttp
+
 from auburnswitch.experiments.fleet import (
     CALLER_KEY,
     MODEL,
@@ -14,7 +16,6 @@
     open_fleet,
 )
 from auburnswitch.standins.history import HistoryKind
-from tests.endpoints.freezing import Freezer, install
 from tests.virtual_time import SimulatedConnector
 
 if TYPE_CHECKING:
@@ -64,18 +65,16 @@
 
 
 class Bench:
-    """A fleet, its freezers and its callers.
+    """A fleet and its callers.
 
     Attributes:
         fleet: The fleet.
-        freezers: Freezer of each daemon, by instance.
         watches: Cold work of each engine.
         statuses: HTTP status of each answered request, 0 for a lost one.
     """
 
-    def __init__(self, fleet: Fleet, freezers: dict[str, Freezer]) -> None:
+    def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
-        self.freezers = freezers
         self.watches = {n: ColdWatch(e) for n, e in fleet.engines.items()}
         self.statuses: list[int] = []
         self.tasks: set[asyncio.Task[Any]] = set()
@@ -84,7 +83,8 @@
         self, instance: str, *, tokens: int = 1000, answer: int = 16
     ) -> asyncio.Task[Any]:
         """Starts a request through one daemon."""
-        task = asyncio.create_task(self._send(instance, tokens, answer))
+        url = self.fleet.caller_url(instance) + "/v1/completions"
+        task = asyncio.create_task(self._send(url, tokens, answer))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         return task
@@ -131,26 +131,6 @@
                 await self.load(1, 8)
             await self.finish()
 
-    async def kill(self, instance: str) -> None:
-        """Ends a daemon at once: nothing more is sent or received by it."""
-        self.freezers[instance].freeze()
-        daemon = self.fleet.daemons.pop(instance)
-        for server in (daemon.callers, daemon.operators):
-            for connection in list(server.server.server_state.connections):
-                connection.transport.abort()
-            for listener in server.server.servers:
-                listener.close()
-        for writer in list(daemon.peer_server.connections):
-            writer.transport.abort()
-        for link in daemon.membership.links.values():
-            if link.connection is not None:
-                link.connection.writer.transport.abort()
-        connector = daemon.endpoint_client.session.connector
-        for protocol in list(connector._acquired):
-            if protocol.transport is not None:
-                protocol.transport.abort()
-        await asyncio.sleep(0)
-
     def crashes(self) -> list[str]:
         """Returns the engines that crashed from load while cold."""
         return [
@@ -159,49 +139,35 @@
             if record.fields["cause"] == "cold overload"
         ]
 
-    async def _send(self, instance: str, tokens: int, answer: int) -> None:
+    async def _send(self, url: str, tokens: int, answer: int) -> None:
         body = {
             "model": MODEL,
             "prompt": "word" * tokens,
             "max_tokens": answer,
             "stream": False,
         }
-        url = self.fleet.caller_url(instance) + "/v1/completions"
         try:
             async with self.fleet.session.post(
                 url, json=body, headers=AUTHORIZATION
             ) as response:
                 await response.read()
                 self.statuses.append(response.status)
-        except OSError:
+        except (OSError, aiohttp.ClientError):
             self.statuses.append(0)
 
 
 @contextlib.asynccontextmanager
 async def open_bench(**options: Any) -> AsyncIterator[Bench]:
-    """Opens a fleet in virtual time with a freezer for each daemon."""
-    install()
-    freezers: dict[str, Freezer] = {}
-    start_daemon = Fleet.start_daemon
-
-    async def start_frozen(fleet: Fleet, number: int) -> Any:
-        freezer = freezers[f"entry-{number}"] = Freezer()
-        with freezer.joined():
-            return await start_daemon(fleet, number)
-
+    """Opens a fleet in virtual time; needs a `FreezableLoop`."""
     options.setdefault("plain_services", 0)
     fleet_options = FleetOptions(connector=SimulatedConnector, **options)
-    Fleet.start_daemon = start_frozen
-    try:
-        async with open_fleet(fleet_options) as fleet:
-            bench = Bench(fleet, freezers)
-            try:
-                yield bench
-            finally:
-                for freezer in freezers.values():
-                    freezer.thaw()
-    finally:
-        Fleet.start_daemon = start_daemon
-
-
-__all__ = ["Bench", "open_bench"]
+    async with open_fleet(fleet_options) as fleet:
+        yield Bench(fleet)
+
+
+def number_of(instance: str) -> int:
+    """Returns the number of a daemon from its instance's name."""
+    return int(instance.rpartition("-")[2])
+
+
+__all__ = ["Bench", "number_of", "open_bench"]
--- a/tests/endpoints/owners.py
+++ b/tests/endpoints/owners.py
@@ -50,6 +50,11 @@
     def __init__(self) -> None:
         self.links: dict[str, Any] = {}
         self.tasks: Any = None
+        self.isolated = False
+
+    def is_isolated(self) -> bool:
+        """Tells whether the daemon is alone."""
+        return self.isolated
 
 
 def endpoint(**values: Any) -> Endpoint:
--- /dev/null
+++ b/tests/endpoints/test_cold_bound.py
@@ -0,0 +1,86 @@
+"""Tests of the cold bound over all daemons, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from auburnswitch.experiments.freezing import FreezableLoop
+from auburnswitch.standins.engine_model import EngineOptions
+from tests.endpoints.bench import Bench, number_of, open_bench
+from tests.virtual_time import run_virtual
+
+BOUND = 2
+ENGINE = "engine-0"
+NEVER_WARM = 100_000
+ANSWER_TOKENS = 100  # 2.5 s at the engine's decode step
+TAKE_OVER_S = 25  # removal from the roster, strict wait, survey
+
+
+def stay_cold() -> dict:
+    """Returns options of a fleet whose engines stay cold."""
+    return {
+        "daemons": 5,
+        "engines": 2,
+        "engine": EngineOptions(warm_after=NEVER_WARM),
+        "endpoint": {"warm_after": NEVER_WARM},
+    }
+
+
+class ColdBoundTest(unittest.TestCase):
+    def check(self, bench: Bench) -> None:
+        """Checks that the bound was reached and never passed."""
+        self.assertEqual(bench.crashes(), [])
+        self.assertEqual(bench.watches[ENGINE].running, BOUND)
+        self.assertGreater(bench.statuses.count(200), 0)
+
+    def run_cold(self, scenario) -> None:
+        """Runs a scenario on a fleet with cold engines under load."""
+
+        async def run():
+            async with open_bench(**stay_cold()) as bench:
+                await bench.load(10, 2, answer=ANSWER_TOKENS)
+                await scenario(bench)
+                served = bench.statuses.count(200)
+                await bench.load(10, 2, answer=ANSWER_TOKENS)
+                await bench.finish()
+                self.assertGreater(bench.statuses.count(200), served)
+                self.check(bench)
+
+        run_virtual(run, FreezableLoop)
+
+    def test_steady_load(self):
+        async def scenario(bench):
+            await bench.load(10, 2, answer=ANSWER_TOKENS)
+
+        self.run_cold(scenario)
+
+    def test_owner_is_killed(self):
+        async def scenario(bench):
+            owner = bench.owner_of(ENGINE)
+            bench.fleet.kill_daemon(number_of(owner))
+            await bench.load(TAKE_OVER_S, 2, answer=ANSWER_TOKENS)
+
+        self.run_cold(scenario)
+
+    def test_paused_owner_thaws_in_a_take_over(self):
+        async def scenario(bench):
+            owner = bench.owner_of(ENGINE)
+            for pause_s in (2.5, 6, 14):
+                for _ in range(4):
+                    bench.send(owner, answer=ANSWER_TOKENS)
+                bench.fleet.freeze_daemon(number_of(owner))
+                await bench.load(pause_s, 2, answer=ANSWER_TOKENS)
+                bench.fleet.thaw_daemon(number_of(owner))
+                await bench.load(5, 2, answer=ANSWER_TOKENS)
+
+        self.run_cold(scenario)
+
+    def test_owner_stops_in_order(self):
+        async def scenario(bench):
+            owner = bench.owner_of(ENGINE)
+            load = asyncio.create_task(bench.load(8, 2, answer=ANSWER_TOKENS))
+            await bench.fleet.stop_daemon(number_of(owner))
+            await load
+
+        self.run_cold(scenario)
--- /dev/null
+++ b/tests/endpoints/test_orphans.py
@@ -0,0 +1,129 @@
+"""Tests of freeing engine memory that no daemon claims, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.experiments.freezing import FreezableLoop
+from auburnswitch.standins.history import HistoryKind
+from tests.endpoints.bench import Bench, number_of, open_bench
+from tests.virtual_time import run_virtual
+
+ENGINE = "engine-0"
+LONG_ANSWER = 1600  # 40 s at the engine's decode step
+FREED_WITHIN_S = 30.0  # removal, strict wait, two rounds and the lag
+KV_CACHE = {"request_id": "gone", "attempt": 1, "prompt": "word" * 500}
+
+
+async def wait_empty(bench: Bench) -> float:
+    """Returns the time until the engine's memory is free, in seconds."""
+    start = monotonic_s()
+    engine = bench.fleet.engines[ENGINE]
+    async with asyncio.timeout(FREED_WITHIN_S):
+        while engine.batch.memory_used:
+            await asyncio.sleep(0.1)
+    return monotonic_s() - start
+
+
+async def hold_work(bench: Bench, entry: str) -> None:
+    """Waits until two long answers run that came through one daemon."""
+    for _ in range(2):
+        bench.send(entry, answer=LONG_ANSWER)
+    while len(bench.fleet.engines[ENGINE].batch.jobs()) < 2:
+        await asyncio.sleep(0.1)
+
+
+def entry_apart_from(owner: str) -> str:
+    """Returns a daemon that is not the owner."""
+    return "entry-0" if owner != "entry-0" else "entry-1"
+
+
+class OrphanTest(unittest.TestCase):
+    def run_bench(self, scenario, **options):
+        """Runs a scenario on one engine and five daemons."""
+
+        async def run():
+            async with open_bench(daemons=5, engines=1, **options) as bench:
+                return await scenario(bench)
+
+        return run_virtual(run, FreezableLoop)
+
+    def test_entry_daemon_is_killed(self):
+        async def scenario(bench):
+            entry = entry_apart_from(bench.owner_of(ENGINE))
+            await hold_work(bench, entry)
+            bench.fleet.kill_daemon(number_of(entry))
+            return await wait_empty(bench)
+
+        self.assertLess(self.run_bench(scenario), FREED_WITHIN_S)
+
+    def test_entry_daemon_and_owner_are_killed_together(self):
+        async def scenario(bench):
+            owner = bench.owner_of(ENGINE)
+            entry = entry_apart_from(owner)
+            await hold_work(bench, entry)
+            bench.fleet.kill_daemon(number_of(entry))
+            bench.fleet.kill_daemon(number_of(owner))
+            load = asyncio.create_task(bench.load(30, 2))
+            took_s = await wait_empty_of(bench, entry)
+            await load
+            self.assertEqual(bench.crashes(), [])
+            return took_s
+
+        self.assertLess(self.run_bench(scenario), FREED_WITHIN_S)
+
+    def test_unclaimed_kv_cache(self):
+        async def scenario(bench):
+            await asyncio.sleep(8)
+            url = bench.fleet.engines[ENGINE].url + "/v1/prefill"
+            headers = {"X-Member-Id": "entry-9.gone", "X-Request-Id": "gone"}
+            async with bench.fleet.session.post(
+                url, json=KV_CACHE, headers=headers | {"X-Attempt": "1"}
+            ) as response:
+                self.assertEqual(response.status, 200)
+            return await wait_empty(bench)
+
+        self.assertLess(self.run_bench(scenario), 10)
+
+    def test_slow_heartbeats_lose_no_work(self):
+        def tune(settings):
+            settings.members.heartbeat_interval_s = 5
+            settings.members.suspect_after_s = 11
+            settings.members.strict_lease_s = 11
+            settings.members.remove_after_s = 30
+
+        async def scenario(bench):
+            await asyncio.sleep(30)
+            entry = entry_apart_from(bench.owner_of(ENGINE))
+            await hold_work(bench, entry)
+            await bench.finish()
+            cancelled = bench.fleet.history.select(
+                HistoryKind.REQUEST_CANCELLED
+            )
+            return bench.statuses, list(cancelled)
+
+        self.assertEqual(self.run_bench(scenario, tune=tune), ([200, 200], []))
+
+    def test_frozen_daemon_keeps_its_work_while_it_is_a_member(self):
+        async def scenario(bench):
+            entry = entry_apart_from(bench.owner_of(ENGINE))
+            await hold_work(bench, entry)
+            bench.fleet.freeze_daemon(number_of(entry))
+            await asyncio.sleep(8)
+            bench.fleet.thaw_daemon(number_of(entry))
+            await bench.finish()
+            return bench.statuses
+
+        self.assertEqual(self.run_bench(scenario), [200, 200])
+
+
+async def wait_empty_of(bench: Bench, entry: str) -> float:
+    """Returns the time until no stream of a daemon is left, in seconds."""
+    start = monotonic_s()
+    engine = bench.fleet.engines[ENGINE]
+    async with asyncio.timeout(FREED_WITHIN_S):
+        while any(j.member_id.startswith(entry) for j in engine.batch.jobs()):
+            await asyncio.sleep(0.1)
+    return monotonic_s() - start
