--- a/src/auburnswitch/experiments/fleet.py
+++ b/src/auburnswitch/experiments/fleet.py
@@ -67,6 +67,7 @@
         connector: Makes the connectors of HTTP clients.
         strict_invariants: Raise when an invariant does not hold.
         base_port: First port of the daemons; 0 takes free ones.
+        keep_frames: Keep the engines' records of sent frames.
     """
 
     engines: int = 2
@@ -79,6 +80,7 @@
     connector: Callable[[], aiohttp.BaseConnector] | None = None
     strict_invariants: bool = True
     base_port: int = 0
+    keep_frames: bool = False
 
 
 class RunningDaemon:
@@ -389,7 +391,7 @@
         session = await stack.enter_async_context(
             aiohttp.ClientSession(connector=connector)
         )
-        history = History()
+        history = History(keep_frames=options.keep_frames)
         platform = await stack.enter_async_context(
             open_platform(host=HOST, history=history)
         )
