Send orders under fencing numbers, by the strict owner only

An endpoint's model_version and role are what its owner makes the engine match: it reads GET /v1/orders, takes a number by conditional update of the endpoint's FencingRecord, checks its strict rights right before the first byte and reads the result back every 30 s and after each start. Strict rights begin after every earlier owner's have run out, so an engine that ignores numbers gets no order of an old owner. Loads are admitted by a bucket with the daemon's share of weight_loads_per_second, then by the weight store.

--- a/schema/events.thrift
+++ b/schema/events.thrift
@@ -39,6 +39,8 @@
   ORPHAN_FREED = 402
   // A request was in flight when its endpoint crashed. @level warning
   CRASH_STRIKE = 403
+  // An order was sent to an engine. @level info
+  ORDER_SENT = 440
   // A ticket was accepted. @level info
   TICKET_ACCEPTED = 500
   // A ticket was refused. @level warning
--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -18,12 +18,15 @@
 from auburnswitch.callers.in_flight import InFlightCounter
 from auburnswitch.callers.parse import RequestParser
 from auburnswitch.clock import WallClock, monotonic_s
-from auburnswitch.endpoints.client import EndpointClient, guard_trace
+from auburnswitch.endpoints.client import EndpointClient
+from auburnswitch.endpoints.fencing import FencingNumbers
 from auburnswitch.endpoints.instances import InstanceReader
 from auburnswitch.endpoints.monitor import LoadMonitor
+from auburnswitch.endpoints.orders import OrderKeeper
 from auburnswitch.endpoints.orphans import OrphanCollector
 from auburnswitch.endpoints.owner import OwnerTable
 from auburnswitch.endpoints.reservations import ReservationClient
+from auburnswitch.endpoints.weights import LoadAdmission
 from auburnswitch.http_server import HttpServer, ListenError, open_http_server
 from auburnswitch.members.roster import ROSTER_KEY, RosterKeeper
 from auburnswitch.members.server import PeerServer
@@ -145,6 +148,20 @@
             owner_table=self.owner_table, membership=self.membership
         )
         self.reservations.register(self.peer_server)
+        self.endpoint_client = EndpointClient(
+            session=session, settings=self.settings.endpoints
+        )
+        self.orders = OrderKeeper(
+            owner_table=self.owner_table,
+            client=self.endpoint_client,
+            numbers=FencingNumbers(store=self.store, member_id=self.member.id),
+            admission=LoadAdmission(
+                settings=self.settings.endpoints,
+                session=session,
+                count_daemons=lambda: len(self.view.live_ids()),
+            ),
+            tasks=self.tasks,
+        )
         self.instances = InstanceReader(
             store=self.store, owner_table=self.owner_table
         )
@@ -161,9 +178,6 @@
         self.membership.handover_listeners.append(
             self.owner_table.note_handover
         )
-        self.endpoint_client = EndpointClient(
-            session=session, settings=self.settings.endpoints
-        )
         self.orphans = OrphanCollector(
             owner_table=self.owner_table,
             reservations=self.reservations,
@@ -269,6 +283,7 @@
         self.tasks.start(self.membership.run(), "membership")
         self.tasks.start(self.monitor.run(), "load monitor")
         self.tasks.start(self.instances.run(), "instance list")
+        self.tasks.start(self.orders.run(), "orders")
 
     async def drain(self) -> None:
         """Refuses new work, finishes what runs and leaves the roster."""
@@ -305,7 +320,6 @@
     """
     session = aiohttp.ClientSession(
         connector=connector() if connector else aiohttp.TCPConnector(limit=0),
-        trace_configs=[guard_trace()],
     )
     async with session, open_task_set() as tasks:
         daemon = Daemon(
--- a/src/auburnswitch/endpoints/client.py
+++ b/src/auburnswitch/endpoints/client.py
@@ -83,7 +83,7 @@
         self.status = status
 
 
-def guard_trace() -> aiohttp.TraceConfig:
+def _guard_trace() -> aiohttp.TraceConfig:
     """Returns a trace that asks a request's guard before its first byte.
 
     The guard is called once the connection is ready, with no ``await``
@@ -92,6 +92,7 @@
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_end.append(_ask_guard)
     trace.on_connection_reuseconn.append(_ask_guard)
+    trace.freeze()
     return trace
 
 
@@ -116,6 +117,7 @@
     ) -> None:
         self.session = session
         self.settings = settings
+        session.trace_configs.append(_guard_trace())
 
     @contextlib.asynccontextmanager
     async def request(
@@ -301,5 +303,4 @@
     "EndpointFailureError",
     "ForeignFrame",
     "Frame",
-    "guard_trace",
 ]
--- /dev/null
+++ b/src/auburnswitch/endpoints/fencing.py
@@ -0,0 +1,88 @@
+"""Fencing numbers of orders, kept in the platform's store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from expression import Error, Ok, Result
+
+from auburnswitch.platform.store import (
+    ABSENT,
+    StoredObject,
+    StoreUnavailable,
+    VersionConflict,
+)
+from auburnswitch.schema.base import SchemaError, from_json, to_json
+from auburnswitch.schema.objects import FencingRecord
+
+if TYPE_CHECKING:
+    from auburnswitch.platform.store import ObjectStore
+
+FENCING_PREFIX: Final = "fencing/"
+
+
+class FencingNumbers:
+    """Takes numbers by conditional update, so that no two are equal.
+
+    Attributes:
+        store: The platform's store.
+        member_id: This daemon's incarnation.
+    """
+
+    __slots__ = ("member_id", "store")
+
+    def __init__(self, *, store: ObjectStore, member_id: str) -> None:
+        self.store = store
+        self.member_id = member_id
+
+    async def next_number(
+        self, endpoint: str, *, above: int = 0
+    ) -> Result[int, str]:
+        """Takes the next number of an endpoint.
+
+        Args:
+            endpoint: The endpoint's name.
+            above: Number that the engine has seen, if it told.
+
+        Returns:
+            The number, or why there is none.
+        """
+        key = FENCING_PREFIX + endpoint
+        match await self.store.get(key):
+            case Result(tag="ok", ok=stored):
+                record, version = _decode(stored)
+            case Result(error=error):
+                return Error(error.reason)
+        number = max(record.number, above) + 1
+        new = FencingRecord(number=number, member_id=self.member_id)
+        put = await self.store.put(key, to_json(new), expected_version=version)
+        match put:
+            case Result(tag="ok"):
+                return Ok(number)
+            case Result(error=VersionConflict()):
+                return Error("another daemon took a number")
+            case Result(error=StoreUnavailable(outcome_unknown=True)):
+                return await self._read_back(key, number)
+            case _:
+                return Error("the store is unavailable")
+
+    async def _read_back(self, key: str, number: int) -> Result[int, str]:
+        match await self.store.get(key):
+            case Result(tag="ok", ok=stored):
+                record, _ = _decode(stored)
+                mine = record.member_id == self.member_id
+                if mine and record.number == number:
+                    return Ok(number)
+        return Error("the outcome of taking a number is not known")
+
+
+def _decode(stored: StoredObject | None) -> tuple[FencingRecord, int]:
+    if stored is None:
+        return FencingRecord(), ABSENT
+    try:
+        return from_json(FencingRecord, stored.value), stored.version
+    except SchemaError:
+        return FencingRecord(), stored.version
+
+
+__all__ = ["FENCING_PREFIX", "FencingNumbers"]
--- a/src/auburnswitch/endpoints/owner.py
+++ b/src/auburnswitch/endpoints/owner.py
@@ -224,6 +224,11 @@
         self._is_strict(ledger)
         self.wake(endpoint)
 
+    def note_reloaded(self, ledger: EndpointLedger) -> None:
+        """Takes note that an engine was told to load a model."""
+        self.transitions.note_closed(ledger)
+        self.wake(ledger.name)
+
     def note_unreachable(self, endpoint: str) -> None:
         """Takes note of a load report that could not be read."""
         ledger = self.ledger(endpoint)
--- a/src/auburnswitch/schema/events.py
+++ b/src/auburnswitch/schema/events.py
@@ -36,6 +36,7 @@
     ENDPOINT_UNREACHABLE = 401
     ORPHAN_FREED = 402
     CRASH_STRIKE = 403
+    ORDER_SENT = 440
     TICKET_ACCEPTED = 500
     TICKET_REFUSED = 501
     STATE_CHANGED = 502
@@ -113,6 +114,9 @@
         text="A request was in flight when its endpoint crashed.",
         options={"level": "warning"},
     ),
+    EventId.ORDER_SENT: Description(
+        text="An order was sent to an engine.", options={"level": "info"}
+    ),
     EventId.TICKET_ACCEPTED: Description(
         text="A ticket was accepted.", options={"level": "info"}
     ),
--- /dev/null
+++ b/tests/endpoints/test_orders.py
@@ -0,0 +1,187 @@
+"""Tests of orders to engines under fencing numbers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import unittest
+
+from expression import Ok
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.endpoints.client import EndpointClient
+from auburnswitch.endpoints.fencing import FencingNumbers
+from auburnswitch.endpoints.orders import OrderKeeper
+from auburnswitch.endpoints.weights import LoadAdmission
+from auburnswitch.experiments.fleet import MODEL, FleetOptions
+from auburnswitch.experiments.freezing import FreezableLoop
+from auburnswitch.observe.tasks import open_task_set
+from auburnswitch.platform.store import ObjectStore
+from auburnswitch.schema.objects import Change, Endpoint, ObjectKind
+from auburnswitch.schema.settings import EndpointsSettings, PlatformSettings
+from auburnswitch.standins.engine import open_engine
+from auburnswitch.standins.engine_model import EngineOptions
+from auburnswitch.standins.history import HistoryKind
+from auburnswitch.standins.platform import open_platform
+from auburnswitch.standins.weights import open_weight_store
+from tests.endpoints.bench import Bench, number_of, open_bench
+from tests.endpoints.owners import ENGINE, open_table
+from tests.virtual_time import open_session, run_virtual
+
+ZONE = FleetOptions().zones[0]
+
+
+def want(bench: Bench, version: str) -> Change:
+    """Returns the change that asks for a model version."""
+    engine = bench.fleet.engines[ENGINE]
+    host, _, port = engine.url.removeprefix("http://").partition(":")
+    spec = Endpoint(
+        service=MODEL,
+        zone=ZONE,
+        host=host,
+        port=int(port),
+        model_version=version,
+    )
+    return Change(kind=ObjectKind.ENDPOINT, name=ENGINE, endpoint=spec)
+
+
+async def wait_version(bench: Bench, version: str) -> None:
+    """Waits until the engine has loaded a version."""
+    async with asyncio.timeout(60):
+        while bench.fleet.engines[ENGINE].orders.version != version:
+            await asyncio.sleep(0.1)
+
+
+class RevokingNumbers:
+    """Numbers whose taking outlasts the strict rights, as a pause does."""
+
+    def __init__(self, rights) -> None:
+        self.rights = rights
+
+    async def next_number(self, _, *, above=0):
+        """Takes a number and loses the rights."""
+        self.rights.strict = False
+        return Ok(above + 1)
+
+
+@contextlib.asynccontextmanager
+async def open_keeper(numbers_of, *, weight_url="", **engine_options):
+    """Opens an engine and the order keeper of a lone owner."""
+    options = EngineOptions(**engine_options)
+    async with (
+        open_session() as session,
+        open_engine(options=options, name=ENGINE) as engine,
+        open_task_set() as tasks,
+    ):
+        port = engine.url.rpartition(":")[2]
+        table = open_table(model_version="v2", port=int(port))
+        settings = EndpointsSettings(weight_store_url=weight_url)
+        keeper = OrderKeeper(
+            owner_table=table,
+            client=EndpointClient(session=session, settings=settings),
+            numbers=numbers_of(table, session),
+            admission=LoadAdmission(
+                settings=settings, session=session, count_daemons=lambda: 1
+            ),
+            tasks=tasks,
+        )
+        tasks.start(keeper.run(), "orders")
+        yield engine, keeper
+
+
+class OrderTest(unittest.TestCase):
+    def test_numbers_rise_over_a_take_over(self):
+        async def scenario():
+            async with open_bench(daemons=4, engines=1) as bench:
+                ticket = bench.fleet.ticket([want(bench, "v2")])
+                await bench.fleet.apply(ticket)
+                await wait_version(bench, "v2")
+                owner = bench.owner_of(ENGINE)
+                bench.fleet.freeze_daemon(number_of(owner))
+                await asyncio.sleep(20)
+                other = next(i for i in bench.fleet.daemons if i != owner)
+                ticket = bench.fleet.ticket([want(bench, "v3")])
+                await bench.fleet.apply(ticket, other)
+                await wait_version(bench, "v3")
+                bench.fleet.thaw_daemon(number_of(owner))
+                await asyncio.sleep(40)
+                version = bench.fleet.engines[ENGINE].orders.version
+                applied = bench.fleet.history.select(HistoryKind.ORDER_APPLIED)
+                return version, [r.fields["fencing_number"] for r in applied]
+
+        version, numbers = run_virtual(scenario, FreezableLoop)
+        self.assertEqual(version, "v3")
+        self.assertEqual(numbers, [1, 2])
+
+    def test_no_order_once_the_rights_have_run_out(self):
+        async def scenario():
+            def numbers_of(table, _):
+                return RevokingNumbers(table.rights)
+
+            async with open_keeper(numbers_of, checks_fencing=False) as (
+                engine,
+                _,
+            ):
+                await asyncio.sleep(10)
+                return engine.orders.fencing_number
+
+        self.assertEqual(run_virtual(scenario), 0)
+
+    def test_lost_answer_of_the_store_and_a_higher_number(self):
+        async def scenario():
+            async with open_platform() as platform, open_session() as session:
+                settings = PlatformSettings(url=platform.url)
+                store = ObjectStore(settings=settings, session=session)
+                numbers = FencingNumbers(store=store, member_id="me")
+                async with open_keeper(lambda *_: numbers) as (engine, _):
+                    engine.orders.fencing_number = 7
+                    await asyncio.sleep(10)
+                    found = engine.orders.version, engine.orders.fencing_number
+                    platform.lose_answers = 1
+                    taken = await numbers.next_number(ENGINE)
+                    return *found, taken
+
+        version, number, taken = run_virtual(scenario)
+        self.assertEqual((version, number), ("v2", 8))
+        self.assertEqual(taken, Ok(9))
+
+    def test_foreign_order_is_read_back_and_corrected(self):
+        async def scenario():
+            class Numbers:
+                number = 0
+
+                async def next_number(self, _, *, above=0):
+                    self.number += 1
+                    return Ok(self.number)
+
+            async with open_keeper(
+                lambda *_: Numbers(), checks_fencing=False
+            ) as (engine, _):
+                await asyncio.sleep(10)
+                first = engine.orders.version
+                engine.orders.version = "v1"  # an old order came late
+                await asyncio.sleep(60)
+                return first, engine.orders.version
+
+        self.assertEqual(run_virtual(scenario), ("v2", "v2"))
+
+    def test_loads_are_admitted_by_the_weight_store(self):
+        async def scenario():
+            async with open_weight_store(burst_loads=1) as weights:
+                async with open_session() as session:
+                    settings = EndpointsSettings(weight_store_url=weights.url)
+                    admission = LoadAdmission(
+                        settings=settings,
+                        session=session,
+                        count_daemons=lambda: 3,
+                    )
+                    granted = 0
+                    end_at = monotonic_s() + 60
+                    while monotonic_s() < end_at:
+                        granted += await admission.may_load("m", "v2")
+                        await asyncio.sleep(0.5)
+                return granted, weights.refused
+
+        granted, refused = run_virtual(scenario)
+        self.assertEqual(granted, 8)  # 0.4 loads/s shared by three daemons
+        self.assertEqual(refused, 0)
--- a/tests/endpoints/test_orphans.py
+++ b/tests/endpoints/test_orphans.py
@@ -107,16 +107,19 @@
         self.assertEqual(self.run_bench(scenario, tune=tune), ([200, 200], []))
 
     def test_frozen_daemon_keeps_its_work_while_it_is_a_member(self):
+        def tune(settings):
+            settings.members.remove_after_s = 60
+
         async def scenario(bench):
             entry = entry_apart_from(bench.owner_of(ENGINE))
             await hold_work(bench, entry)
             bench.fleet.freeze_daemon(number_of(entry))
-            await asyncio.sleep(8)
+            await asyncio.sleep(25)
             bench.fleet.thaw_daemon(number_of(entry))
             await bench.finish()
             return bench.statuses
 
-        self.assertEqual(self.run_bench(scenario), [200, 200])
+        self.assertEqual(self.run_bench(scenario, tune=tune), [200, 200])
 
 
 async def wait_empty_of(bench: Bench, entry: str) -> float:
