Run a fleet under random faults and check its history

Cause: the promises must hold under kills, freezes, outages, lost answers, cold turns, zone moves and racing tickets, two at a time.

Found on the way: the in-memory clock stands still for waits below its resolution, so that a loop waiting for a moment never ended.

--- a/src/auburnswitch/experiments/chaos.py
+++ b/src/auburnswitch/experiments/chaos.py
@@ -50,7 +50,7 @@
         caller: Sends calls and records them.
     """
 
-    __slots__ = ("caller", "down", "fleet", "frozen", "run", "tasks")
+    __slots__ = ("caller", "down", "fleet", "frozen", "moving", "run", "tasks")
 
     def __init__(self, *, fleet: Fleet) -> None:
         self.fleet = fleet
@@ -59,6 +59,7 @@
         self.tasks: set[asyncio.Task[Any]] = set()
         self.down: set[int] = set()
         self.frozen: set[int] = set()
+        self.moving: set[str] = set()
 
     async def apply(self, action: actions.Action) -> None:
         """Applies one action; one that makes no sense now does nothing."""
@@ -226,11 +227,19 @@
 
     async def _move_zone(self, action: actions.MoveZone) -> None:
         zone = self.fleet.options.zones[action.zone]
+        if zone in self.moving:
+            return
+        self.moving.add(zone)
         taken_out = await self._apply_change(
             self.fleet.zone_change(zone, out=True), action.daemon
         )
-        if taken_out is None:
-            return
+        if taken_out is not None:
+            await self._bring_back(action, zone, taken_out)
+        self.moving.discard(zone)
+
+    async def _bring_back(
+        self, action: actions.MoveZone, zone: str, taken_out: float
+    ) -> None:
         closings = [
             Closing(endpoint=name, accepted_at=taken_out)
             for name in self._endpoints_in(zone)
--- a/src/auburnswitch/experiments/virtual_time.py
+++ b/src/auburnswitch/experiments/virtual_time.py
@@ -97,7 +97,8 @@
         if timeout is None or timeout >= MAX_SLEEP_S:
             raise async_solipsism.SleepForeverError("nothing left to wait for")
         if timeout > 0:
-            self.clock.advance(timeout)
+            step_s = max(timeout, self.clock.resolution)  # never stands still
+            self.clock.advance(step_s)
         return []
 
     def _add(self, key: selectors.SelectorKey) -> None:
