End a freeze with a crash and read cache events by position

An engine that crashed while frozen came back and did nothing until the old freeze would have ended; a restarted process is not stopped, so a crash now ends the freeze. Each read of cache events went through all kept events, up to 20,000, for every poll; visible ones are now found by bisection. Accepted writes say in the history whether they were a put or a delete.

--- a/src/auburnswitch/standins/engine.py
+++ b/src/auburnswitch/standins/engine.py
@@ -150,6 +150,7 @@
             self._listener.take_down(
                 self.options.restart_s, silent=self.options.restart_silent
             )
+        self.pause.end()
         self.batch.lose_all()
         self.jobs.clear()
         self.cache.clear(publish=False)
--- a/src/auburnswitch/standins/engine_cache.py
+++ b/src/auburnswitch/standins/engine_cache.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
 import collections
 import enum
 import hashlib
@@ -75,19 +76,19 @@
     """
 
     __slots__ = (
-        "_events",
         "_last_visible_s",
+        "_pending",
         "_random",
         "_sequence",
+        "_visible",
         "options",
     )
 
     def __init__(self, *, options: EngineOptions) -> None:
         self.options = options
         self._random = random.Random(options.seed)
-        self._events: collections.deque[CacheEvent] = collections.deque(
-            maxlen=MAX_KEPT_EVENTS
-        )
+        self._pending: collections.deque[CacheEvent] = collections.deque()
+        self._visible: list[CacheEvent] = []
         self._sequence = 0
         self._last_visible_s = 0.0
 
@@ -103,7 +104,7 @@
         visible_at_s = now_s + options.cache_event_delay_s
         visible_at_s = max(visible_at_s + jitter_s, self._last_visible_s)
         self._last_visible_s = visible_at_s  # events stay in order
-        self._events.append(
+        self._pending.append(
             CacheEvent(
                 sequence=sequence,
                 kind=kind,
@@ -114,22 +115,29 @@
 
     def read(self, since: int) -> tuple[list[CacheEvent], int]:
         """Returns the visible events from a number on, and the next number."""
-        now_s = asyncio.get_running_loop().time()
-        found = []
-        next_sequence = 0
-        for event in self._events:
-            if event.visible_at_s > now_s:
-                break
-            next_sequence = event.sequence + 1
-            if event.sequence >= since:
-                found.append(event)
-        return found, next_sequence
+        self._reveal()
+        if not self._visible:
+            return [], 0
+        first = bisect.bisect_left(self._visible, since, key=_sequence)
+        return self._visible[first:], self._visible[-1].sequence + 1
 
     def clear(self) -> None:
         """Starts again from sequence number 0, as a restart does."""
-        self._events.clear()
+        self._pending.clear()
+        self._visible.clear()
         self._sequence = 0
 
+    def _reveal(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        while self._pending and self._pending[0].visible_at_s <= now_s:
+            self._visible.append(self._pending.popleft())
+        if len(self._visible) > MAX_KEPT_EVENTS:
+            del self._visible[: MAX_KEPT_EVENTS // 2]
+
+
+def _sequence(event: CacheEvent) -> int:
+    return event.sequence
+
 
 class PrefixCache:
     """Prefix blocks, of which the least recently used is removed first.
--- a/src/auburnswitch/standins/listener.py
+++ b/src/auburnswitch/standins/listener.py
@@ -24,21 +24,29 @@
         until_s: End of the pause on the event loop's clock.
     """
 
-    __slots__ = ("until_s",)
+    __slots__ = ("_ended", "until_s")
 
     def __init__(self) -> None:
         self.until_s = 0.0
+        self._ended = asyncio.Event()
 
     def extend(self, seconds: float) -> None:
         """Pauses for some seconds from now."""
         now_s = asyncio.get_running_loop().time()
         self.until_s = max(self.until_s, now_s + seconds)
+        self._ended.clear()
+
+    def end(self) -> None:
+        """Ends the pause at once, as a new process does."""
+        self.until_s = 0.0
+        self._ended.set()
 
     async def wait(self) -> None:
         """Returns once the pause is over."""
         loop = asyncio.get_running_loop()
         while (left_s := self.until_s - loop.time()) > 0:
-            await asyncio.sleep(left_s)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._ended.wait(), left_s)
 
 
 class Listener:
--- a/src/auburnswitch/standins/plain_service.py
+++ b/src/auburnswitch/standins/plain_service.py
@@ -138,6 +138,7 @@
         self.history.add(self.name, HistoryKind.CRASHED, boot_id=self.boot_id)
         if self._listener is not None:
             self._listener.take_down(self.restart_s, silent=self.restart_silent)
+        self.pause.end()
         self._boot()
 
     def apply_control(self, switches: dict[str, Any]) -> None:
--- a/src/auburnswitch/standins/platform_api.py
+++ b/src/auburnswitch/standins/platform_api.py
@@ -92,7 +92,7 @@
             return self._answer({"error": str(error)}, 400)
         except ConditionFailedError as error:
             return self._answer({"version": error.version}, 412)
-        return self._write_answer(key, written.version)
+        return self._write_answer("put", key, written.version)
 
     async def delete(self, request: Request) -> Response:
         """Deletes an object."""
@@ -109,7 +109,7 @@
             return self._answer({"version": error.version}, 412)
         if not existed:
             return self._answer({"error": "no such object"}, 404)
-        return self._write_answer(key, platform.store.revision)
+        return self._write_answer("delete", key, platform.store.revision)
 
     async def watch(self, request: Request) -> Response:
         """Waits for changes under a prefix after a revision."""
@@ -184,10 +184,16 @@
         self.platform.statuses[status] += 1
         return JSONResponse(content, status, headers)
 
-    def _write_answer(self, key: str, version: int) -> Response:
+    def _write_answer(self, operation: str, key: str, version: int) -> Response:
         platform = self.platform
         history, name = platform.history, platform.name
-        history.add(name, HistoryKind.WRITE_ACCEPTED, key=key, version=version)
+        history.add(
+            name,
+            HistoryKind.WRITE_ACCEPTED,
+            operation=operation,
+            key=key,
+            version=version,
+        )
         if platform.lose_answers > 0:
             platform.lose_answers -= 1
             history.add(name, HistoryKind.ANSWER_LOST, key=key, version=version)
--- a/tests/standins/test_engine_faults.py
+++ b/tests/standins/test_engine_faults.py
@@ -136,6 +136,20 @@
         self.assertEqual(count, 40)
         self.assertTrue(10.5 < took_s < 12)
 
+    def test_crash_ends_a_freeze(self):
+        async def run():
+            async with open_client(restart_s=1) as client:
+                client.engine.freeze(60)
+                task = asyncio.create_task(client.complete("x"))
+                await asyncio.sleep(2)
+                client.engine.crash()
+                with self.assertRaises(aiohttp.ClientError):
+                    await task
+                await asyncio.sleep(1.5)
+                return await asyncio.wait_for(client.complete("x"), 5)
+
+        self.assertEqual(run_virtual(run)[0], 200)
+
 
 class RandomRunTest(unittest.TestCase):
     def test_memory_is_exact_under_random_work(self):
