Measure placement policies on the same arrivals in virtual time

Adds the experiment (two-choices, owner, oracle), seeded arrivals whose offered load is exact, and the two-choices policy to the product as a match variant. The load report's queued tokens go into hints (field 50).

--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -44,6 +44,8 @@
   7: i32 max_running = 0
   // Identifies one start of the endpoint.
   8: string boot_id = ""
+  // Prompt tokens still to prefill by the endpoint's own last load report.
+  50: i64 reported_prefill_tokens = 0
 }
 
 // Work that a daemon has running on an endpoint.
--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -40,6 +40,7 @@
 from auburnswitch.routing.dispatcher import Dispatcher
 from auburnswitch.routing.placement import Placer
 from auburnswitch.routing.plain import PlainRouter
+from auburnswitch.routing.policy import make_policy
 from auburnswitch.schema.events import EventId
 from auburnswitch.schema.objects import Member
 from auburnswitch.schema.results import ResultCode
@@ -157,6 +158,7 @@
         placer = Placer(
             owner_table=self.owner_table,
             reservations=self.reservations,
+            policy=make_policy(self.settings.routing),
             seed=seed,
         )
         self.dispatcher = Dispatcher(
--- a/src/auburnswitch/endpoints/ledger.py
+++ b/src/auburnswitch/endpoints/ledger.py
@@ -75,6 +75,7 @@
         boot_id: The endpoint's present start.
         successes: Requests that succeeded since it was cold.
         reservations: Granted room, by reservation id.
+        reported_prefill_tokens: Tokens still to prefill by the last report.
     """
 
     __slots__ = (
@@ -82,6 +83,7 @@
         "load_failures",
         "name",
         "phase",
+        "reported_prefill_tokens",
         "reservations",
         "spec",
         "successes",
@@ -94,6 +96,7 @@
         self.boot_id = ""
         self.successes = 0
         self.load_failures = 0
+        self.reported_prefill_tokens = 0
         self.reservations: dict[str, Reservation] = {}
 
     @property
--- a/src/auburnswitch/endpoints/monitor.py
+++ b/src/auburnswitch/endpoints/monitor.py
@@ -72,6 +72,7 @@
             ):
                 report = await response.json()
             boot_id = str(report["boot_id"])
+            queued = int(report.get("prefill_queued_tokens", 0))
         except (
             aiohttp.ClientError,
             OSError,
@@ -84,6 +85,7 @@
             self.owner_table.note_unreachable(name)
             return
         self.owner_table.note_boot(name, boot_id)
+        self.owner_table.note_queued(name, queued)
 
 
 __all__ = ["LoadMonitor"]
--- a/src/auburnswitch/endpoints/owner.py
+++ b/src/auburnswitch/endpoints/owner.py
@@ -155,6 +155,12 @@
             self._note_phase(ledger, lambda: ledger.note_cold(boot_id))
             self._wake(endpoint)
 
+    def note_queued(self, endpoint: str, prefill_tokens: int) -> None:
+        """Takes note of the work that a load report speaks of."""
+        ledger = self.ledger(endpoint)
+        if ledger is not None:
+            ledger.reported_prefill_tokens = prefill_tokens
+
     def note_unreachable(self, endpoint: str) -> None:
         """Takes note of a load report that could not be read."""
         ledger = self.ledger(endpoint)
@@ -197,6 +203,7 @@
             running=len(ledger.reservations),
             max_running=ledger.max_running,
             boot_id=ledger.boot_id,
+            reported_prefill_tokens=ledger.reported_prefill_tokens,
         )
 
     def best_hint(self, endpoint: str) -> EndpointHint:
--- /dev/null
+++ b/src/auburnswitch/experiments/oracle.py
@@ -0,0 +1,125 @@
+"""A placement that sees every engine's true state; for comparison only."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.endpoints.reservations import HeldReservation
+from auburnswitch.results import Refusal, refusal
+from auburnswitch.routing.placement import Placer
+from auburnswitch.schema.peers import LengthClass, RunningWork
+from auburnswitch.schema.results import ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from auburnswitch.routing.request import RoutedRequest
+    from auburnswitch.standins.engine import EngineStandIn
+
+RETRY_S: Final = 0.01
+SHORT_MEMORY_SHARE: Final = 0.1
+
+
+class OraclePlacer(Placer):
+    """Chooses the engine whose true state promises the first token soonest.
+
+    Attributes:
+        engines: Engine stand-ins by endpoint name.
+        closed: Zones that take no work.
+        pending: Requests placed that an engine has not seen yet, by endpoint.
+    """
+
+    __slots__ = ("engines", "pending")
+
+    def __init__(
+        self,
+        *,
+        placer: Placer,
+        engines: Mapping[str, EngineStandIn],
+        pending: dict[str, dict[str, RoutedRequest]],
+    ) -> None:
+        super().__init__(
+            owner_table=placer.owner_table,
+            reservations=placer.reservations,
+            policy=placer.policy,
+            seed=0,
+        )
+        self.random = placer.random
+        self.engines = engines
+        self.pending = pending
+
+    async def place(
+        self, request: RoutedRequest, excluded: set[str]
+    ) -> HeldReservation | Refusal:
+        """Returns the engine with the least work before the request."""
+        while request.time_left_s() > 0:
+            names = [
+                name
+                for name in self.engines
+                if name not in excluded
+                and not self.owner_table.is_closed(name)
+                and self.engines[name].up
+                and self._has_room(name, request)
+            ]
+            if names:
+                self.random.shuffle(names)
+                best = min(names, key=lambda n: self._work_before(n, request))
+                self.pending[best][request.id] = request
+                return _unreserved(best, request)
+            await asyncio.sleep(RETRY_S)
+        return refusal(ResultCode.DEADLINE_EXCEEDED)
+
+    def _in_transit(self, name: str) -> list[RoutedRequest]:
+        arrived = {job.request_id for job in self.engines[name].batch.jobs()}
+        arrived |= {key[0] for key in self.engines[name].streams}
+        waiting = self.pending[name]
+        for request_id in arrived & waiting.keys():
+            del waiting[request_id]
+        return list(waiting.values())
+
+    def _has_room(self, name: str, request: RoutedRequest) -> bool:
+        engine = self.engines[name]
+        used = engine.batch.memory_used
+        used += sum(job.memory_tokens for job in engine.batch.waiting)
+        used += sum(
+            r.prompt_tokens + r.answer_tokens for r in self._in_transit(name)
+        )
+        limit = float(engine.options.memory_tokens)
+        if request.length_class is LengthClass.LONG:
+            limit *= 1 - SHORT_MEMORY_SHARE
+        needed = request.prompt_tokens + request.answer_tokens
+        return used + needed <= limit
+
+    def _work_before(
+        self, name: str, request: RoutedRequest
+    ) -> tuple[int, ...]:
+        jobs = self.engines[name].batch.jobs()
+        transit = self._in_transit(name)
+        length = int(request.length_class)
+        first = sum(j.prefill_left for j in jobs if j.priority <= length)
+        first += sum(
+            r.prompt_tokens for r in transit if int(r.length_class) <= length
+        )
+        total = sum(j.prefill_left for j in jobs)
+        total += sum(r.prompt_tokens for r in transit)
+        return (first, total)
+
+
+def _unreserved(name: str, request: RoutedRequest) -> HeldReservation:
+    work = RunningWork(
+        endpoint=name,
+        reservation_id=f"oracle/{request.id}/{request.attempts}",
+        prefill_tokens=request.prompt_tokens,
+    )
+    return HeldReservation(
+        endpoint=name,
+        owner_id="",
+        use_before=monotonic_s() + 1,
+        boot_id="",
+        work=work,
+    )
+
+
+__all__ = ["OraclePlacer"]
--- /dev/null
+++ b/src/auburnswitch/experiments/placement.py
@@ -0,0 +1,275 @@
+"""Measures placement policies on the same arrivals, in virtual time.
+
+Run ``python -m auburnswitch.experiments.placement run --help``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import concurrent.futures
+import json
+import multiprocessing
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING, Final
+
+import fire
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.experiments.arrivals import Arrival, make_arrivals
+from auburnswitch.experiments.caller import stream_completion
+from auburnswitch.experiments.fleet import (
+    CALLER_KEY,
+    MODEL,
+    Fleet,
+    FleetOptions,
+    open_fleet,
+)
+from auburnswitch.experiments.oracle import OraclePlacer
+from auburnswitch.experiments.report import (
+    RunSummary,
+    Sample,
+    comparison_lines,
+    summarize_lengths,
+    table_lines,
+)
+from auburnswitch.schema.peers import EndpointPhase, LengthClass
+from auburnswitch.standins.engine_model import EngineOptions
+
+if TYPE_CHECKING:
+    from auburnswitch.schema.settings import Settings
+
+ENGINES: Final = 20
+DAEMONS: Final = 9
+ANSWER_TOKENS: Final = 16
+PREFILL_TOKENS_PER_S: Final = 20_000
+RAMP_S: Final = 30.0
+WARM_AFTER: Final = 2
+WARM_UP_TOKENS: Final = 1_000
+WARM_UP_LIMIT_S: Final = 120.0
+BASELINE_LOAD_INTERVAL_S: Final = 0.5  # reports are a second old on average
+POLICIES: Final = ("two-choices", "owner", "oracle")
+LOADS: Final = (0.5, 0.9)
+AUTHORIZATION: Final = {"Authorization": f"Bearer {CALLER_KEY}"}
+
+
+@dataclass(slots=True, kw_only=True)
+class RunOptions:
+    """One run of one policy.
+
+    Attributes:
+        policy: Name of the policy.
+        load: Offered share of the prefill capacity.
+        shared: Whether long prompts are among the requests.
+        seed: Seed of the arrivals.
+        duration_s: Time over which requests arrive, in seconds; the first
+            ones, until the queues are full, are not counted.
+    """
+
+    policy: str
+    load: float
+    shared: bool = True
+    seed: int = 1
+    duration_s: float = 300.0
+
+
+def run_policy(options: RunOptions) -> RunSummary:
+    """Runs one policy in virtual time."""
+    # a development dependency, which daemons and tools do without
+    from auburnswitch.experiments.virtual_time import run_virtual
+
+    started_at = time.perf_counter()
+    summary = run_virtual(lambda: _run(options))
+    summary.took_s = round(time.perf_counter() - started_at, 1)
+    return summary
+
+
+async def _run(options: RunOptions) -> RunSummary:
+    arrivals = make_arrivals(
+        seed=options.seed,
+        load=options.load,
+        capacity=ENGINES * PREFILL_TOKENS_PER_S,
+        daemons=DAEMONS,
+        duration_s=RAMP_S + options.duration_s,
+    )
+    if not options.shared:
+        arrivals = [a for a in arrivals if a.length is not LengthClass.LONG]
+    async with open_fleet(fleet_options(options.policy)) as fleet:
+        await warm_up(fleet)
+        if options.policy == "oracle":
+            install_oracle(fleet)
+        samples = await send_all(fleet, arrivals)
+        summary = RunSummary(
+            policy=options.policy, load=options.load, shared=options.shared
+        )
+        summary.lengths = summarize_lengths(
+            [sample for sample in samples if sample.at_s >= RAMP_S]
+        )
+    return summary
+
+
+def fleet_options(policy: str) -> FleetOptions:
+    """Returns the fleet of the experiment under a policy."""
+    # a development dependency, which daemons and tools do without
+    from auburnswitch.experiments.virtual_time import SimulatedConnector
+
+    def tune(settings: Settings) -> None:
+        if policy == "two-choices":
+            settings.routing.policy = policy
+            settings.endpoints.load_interval_s = BASELINE_LOAD_INTERVAL_S
+
+    engine = EngineOptions(
+        starts_warm=True, prefill_tokens_per_second=PREFILL_TOKENS_PER_S
+    )
+    return FleetOptions(
+        engines=ENGINES,
+        daemons=DAEMONS,
+        plain_services=0,
+        engine=engine,
+        endpoint={
+            "warm_after": WARM_AFTER,
+            "prefill_tokens_per_second": PREFILL_TOKENS_PER_S,
+        },
+        tune=tune,
+        connector=SimulatedConnector,
+    )
+
+
+async def warm_up(fleet: Fleet) -> None:
+    """Sends short requests until owners count every engine as warm.
+
+    Raises:
+        TimeoutError: It took too long.
+    """
+    number = 0
+    async with asyncio.timeout(WARM_UP_LIMIT_S):
+        while not _all_warm(fleet):
+            batch = []
+            for entry in range(DAEMONS):
+                arrival = Arrival(
+                    at_s=0,
+                    length=LengthClass.SHORT,
+                    tokens=WARM_UP_TOKENS,
+                    entry=entry,
+                    name=f"warm-up/{number}",
+                )
+                number += 1
+                batch.append(send(fleet, arrival, monotonic_s()))
+            await asyncio.gather(*batch)
+
+
+def _all_warm(fleet: Fleet) -> bool:
+    return all(
+        daemon.owner_table.hint(name).phase is EndpointPhase.WARM
+        for daemon in fleet.daemons.values()
+        for name in daemon.owner_table.owned()
+    )
+
+
+def install_oracle(fleet: Fleet) -> None:
+    """Lets every daemon see the true state of every engine."""
+    pending = {name: {} for name in fleet.engines}
+    for daemon in fleet.daemons.values():
+        daemon.dispatcher.placer = OraclePlacer(
+            placer=daemon.dispatcher.placer,
+            engines=fleet.engines,
+            pending=pending,
+        )
+
+
+async def send_all(fleet: Fleet, arrivals: list[Arrival]) -> list[Sample]:
+    """Sends every request at its time and waits for all answers."""
+    started_at = monotonic_s()
+    async with asyncio.TaskGroup() as group:
+        tasks = []
+        for arrival in arrivals:
+            await asyncio.sleep(started_at + arrival.at_s - monotonic_s())
+            tasks.append(group.create_task(send(fleet, arrival, started_at)))
+    return [task.result() for task in tasks]
+
+
+async def send(fleet: Fleet, arrival: Arrival, started_at: float) -> Sample:
+    """Sends one request and returns what its caller saw."""
+    sent_at = monotonic_s()
+    outcome = await stream_completion(
+        fleet.session,
+        fleet.caller_url(f"entry-{arrival.entry}"),
+        {
+            "model": MODEL,
+            "prompt": arrival.prompt(),
+            "max_tokens": ANSWER_TOKENS,
+        },
+        AUTHORIZATION,
+    )
+    return Sample(
+        at_s=sent_at - started_at,
+        length=arrival.length,
+        result=outcome.result,
+        first_token_s=outcome.first_token_s,
+    )
+
+
+def run(
+    *,
+    seed: int = 1,
+    duration_s: float = 300.0,
+    loads: tuple[float, ...] = LOADS,
+    policies: tuple[str, ...] = POLICIES,
+    processes: int = 3,
+    save: str = "",
+) -> None:
+    """Runs each policy at each load and prints the comparison.
+
+    Args:
+        seed: Seed of the arrivals.
+        duration_s: Time over which counted requests arrive, in seconds.
+        loads: Offered shares of the prefill capacity.
+        policies: Names of policies.
+        processes: Runs at one time.
+        save: File for the results in JSON; empty saves nothing.
+    """
+    plan = [
+        RunOptions(
+            policy=policy,
+            load=load,
+            shared=shared,
+            seed=seed,
+            duration_s=duration_s,
+        )
+        for load in sorted(loads, reverse=True)
+        for shared in (True, False)
+        for policy in policies
+    ]
+    runs = run_all(plan, processes)
+    for line in [*table_lines(runs), "", *comparison_lines(runs)]:
+        print(line)
+    if save:
+        text = json.dumps([summary.to_json() for summary in runs], indent=1)
+        Path(save).write_text(text + "\n", "utf-8")
+
+
+def run_all(plan: list[RunOptions], processes: int) -> list[RunSummary]:
+    """Runs a plan in separate processes, one for each run."""
+    with concurrent.futures.ProcessPoolExecutor(
+        processes,
+        mp_context=multiprocessing.get_context("spawn"),
+        max_tasks_per_child=1,
+    ) as pool:
+        return list(pool.map(run_policy, plan))
+
+
+if __name__ == "__main__":
+    fire.Fire({"run": run}, serialize=lambda _: None)
+
+
+__all__ = [
+    "RunOptions",
+    "fleet_options",
+    "install_oracle",
+    "run_all",
+    "run_policy",
+    "send",
+    "send_all",
+    "warm_up",
+]
--- a/src/auburnswitch/routing/placement.py
+++ b/src/auburnswitch/routing/placement.py
@@ -12,11 +12,17 @@
     ReservationClient,
 )
 from auburnswitch.results import Refusal, refusal
+from auburnswitch.routing.policy import (
+    OwnerReservations,
+    PlacementPolicy,
+    TwoChoices,
+)
 from auburnswitch.schema.peers import (
     EndpointHint,
     EndpointPhase,
     ReserveReply,
     ReserveRequest,
+    RunningWork,
 )
 from auburnswitch.schema.results import Ran, ResultCode
 
@@ -34,18 +40,21 @@
     Attributes:
         owner_table: Hints and ownership.
         reservations: This daemon's reservations.
+        policy: How the endpoint is chosen.
     """
 
-    __slots__ = ("owner_table", "random", "reservations")
+    __slots__ = ("owner_table", "policy", "random", "reservations")
 
     def __init__(
         self,
         *,
         owner_table: OwnerTable,
         reservations: ReservationClient,
+        policy: PlacementPolicy,
         seed: int,
     ) -> None:
         self.owner_table = owner_table
+        self.policy = policy
         self.reservations = reservations
         self.random = random.Random(seed)
 
@@ -61,6 +70,41 @@
         Returns:
             The reservation, or why there is none.
         """
+        match self.policy:
+            case TwoChoices(choices=choices):
+                return self._choose(request, excluded, choices)
+            case OwnerReservations():
+                return await self._ask_owners(request, excluded)
+
+    def _choose(
+        self, request: RoutedRequest, excluded: set[str], choices: int
+    ) -> HeldReservation | Refusal:
+        names = self._candidates(request, excluded)
+        if not names:
+            return refusal(
+                ResultCode.NO_ENDPOINT, ran=_ran(request), retry_after_s=1
+            )
+        sample = self.random.sample(names, min(choices, len(names)))
+        best = min(sample, key=self._reported_tokens)
+        work = RunningWork(
+            endpoint=best,
+            reservation_id=f"{request.id}/{request.attempts}",
+            prefill_tokens=request.prompt_tokens,
+        )
+        return HeldReservation(
+            endpoint=best,
+            owner_id="",
+            use_before=request.deadline_at,
+            boot_id="",
+            work=work,
+        )
+
+    def _reported_tokens(self, name: str) -> int:
+        return self.owner_table.best_hint(name).reported_prefill_tokens
+
+    async def _ask_owners(
+        self, request: RoutedRequest, excluded: set[str]
+    ) -> HeldReservation | Refusal:
         last = refusal(
             ResultCode.NO_ENDPOINT, ran=_ran(request), retry_after_s=1
         )
--- a/src/auburnswitch/schema/peers.py
+++ b/src/auburnswitch/schema/peers.py
@@ -104,6 +104,7 @@
     running: int = 0
     max_running: int = 0
     boot_id: str = ""
+    reported_prefill_tokens: int = 0
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "endpoint", False),
@@ -114,6 +115,7 @@
         6: (TType.I32, "running", False),
         7: (TType.I32, "max_running", False),
         8: (TType.STRING, "boot_id", False),
+        50: (TType.I64, "reported_prefill_tokens", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("endpoint", None),
@@ -124,6 +126,7 @@
         ("running", None),
         ("max_running", None),
         ("boot_id", None),
+        ("reported_prefill_tokens", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {
         "phase": EndpointPhase
@@ -144,6 +147,10 @@
         "boot_id": Description(
             text="Identifies one start of the endpoint.", options={}
         ),
+        "reported_prefill_tokens": Description(
+            text="Prompt tokens still to prefill by the endpoint's own last load report.",
+            options={},
+        ),
     }
 
 
