--- a/src/auburnswitch/experiments/virtual_time.py
+++ b/src/auburnswitch/experiments/virtual_time.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING, Any, TypeVar
 
 import aiohttp
-import async_solipsism
+
+from auburnswitch.experiments.virtual_loop import VirtualLoop
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -59,7 +60,7 @@
     Returns:
         What it returns.
     """
-    loop = async_solipsism.EventLoop()
+    loop = VirtualLoop()
     try:
         with asyncio.Runner(loop_factory=lambda: loop) as runner:
             return runner.run(_await(function))
