--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -15,16 +15,20 @@
 from expression import Result
 
 from auburnswitch.callers.app import CallerApp
+from auburnswitch.callers.in_flight import InFlightCounter
 from auburnswitch.callers.parse import RequestParser
 from auburnswitch.clock import WallClock, monotonic_s
-from auburnswitch.endpoints.client import EndpointClient
+from auburnswitch.endpoints.client import EndpointClient, guard_trace
+from auburnswitch.endpoints.instances import InstanceReader
 from auburnswitch.endpoints.monitor import LoadMonitor
+from auburnswitch.endpoints.orphans import OrphanCollector
 from auburnswitch.endpoints.owner import OwnerTable
 from auburnswitch.endpoints.reservations import ReservationClient
 from auburnswitch.http_server import HttpServer, ListenError, open_http_server
 from auburnswitch.members.roster import ROSTER_KEY, RosterKeeper
 from auburnswitch.members.server import PeerServer
 from auburnswitch.members.service import Membership
+from auburnswitch.members.strict import StrictRights
 from auburnswitch.members.view import MemberView
 from auburnswitch.observe.invariants import Invariants
 from auburnswitch.observe.logs import configure_logs, log_event
@@ -52,6 +56,7 @@
     from auburnswitch.schema.settings import Settings
 
 DRAIN_POLL_S: Final = 0.05
+HEADER_MARGIN_BYTES: Final = 65536  # so that the refusal is a numbered one
 EXIT_OK: Final = 0
 EXIT_BAD_SETTINGS: Final = 2
 EXIT_CANNOT_LISTEN: Final = 3
@@ -101,12 +106,14 @@
         self.tickets = TicketStore(store=self.store, state=self.state)
         self.watcher = StoreWatcher(store=self.store, seed=seed)
         self.view = MemberView(me=self.member, settings=settings.members)
+        self.strict_rights = StrictRights(view=self.view)
         self.roster = RosterKeeper(store=self.store, view=self.view)
         self.watcher.handlers[TICKETS_PREFIX] = self.tickets.handle_object
         self.watcher.handlers[ROSTER_KEY] = self.roster.handle_object
+        self.cleanups = TaskSet()
         self._build_members()
         self._build_endpoints(session)
-        self._build_routing(session, seed)
+        self._build_routing(seed)
         self._build_listeners()
 
     def _build_members(self) -> None:
@@ -120,6 +127,7 @@
             settings=self.settings,
             shared_key=shared_key,
             view=self.view,
+            strict_rights=self.strict_rights,
             state=self.state,
             tasks=self.tasks,
             store_age_s=lambda: monotonic_s() - self.store.last_success_at,
@@ -132,29 +140,48 @@
             view=self.view,
             state=self.state,
             invariants=self.invariants,
+            rights=self.strict_rights,
         )
         self.reservations = ReservationClient(
             owner_table=self.owner_table, membership=self.membership
         )
         self.reservations.register(self.peer_server)
+        self.instances = InstanceReader(
+            store=self.store, owner_table=self.owner_table
+        )
         self.membership.heartbeat_sources += [
             self.owner_table.fill_heartbeat,
             self.reservations.fill_heartbeat,
+            self.instances.fill_heartbeat,
+        ]
+        self.membership.heartbeat_listeners += [
+            self.owner_table.note_heartbeat,
+            self.instances.note_heartbeat,
         ]
-        self.membership.heartbeat_listeners.append(
-            self.owner_table.note_heartbeat
+        self.membership.handover_sources.append(self.owner_table.fill_handover)
+        self.membership.handover_listeners.append(
+            self.owner_table.note_handover
+        )
+        self.endpoint_client = EndpointClient(
+            session=session, settings=self.settings.endpoints
         )
+        self.orphans = OrphanCollector(
+            owner_table=self.owner_table,
+            reservations=self.reservations,
+            client=self.endpoint_client,
+        )
+        self.orphans.register(self.peer_server)
         self.monitor = LoadMonitor(
-            settings=self.settings.endpoints,
+            settings=self.settings,
             owner_table=self.owner_table,
+            reservations=self.reservations,
+            orphans=self.orphans,
             session=session,
             tasks=self.tasks,
         )
 
-    def _build_routing(self, session: aiohttp.ClientSession, seed: int) -> None:
-        client = EndpointClient(
-            session=session, settings=self.settings.endpoints
-        )
+    def _build_routing(self, seed: int) -> None:
+        client = self.endpoint_client
         placer = Placer(
             owner_table=self.owner_table,
             reservations=self.reservations,
@@ -166,6 +193,7 @@
             client=client,
             metrics=self.metrics,
             member_id=self.member.id,
+            cleanups=self.cleanups,
         )
         claims = ClaimStore(
             store=self.store,
@@ -189,6 +217,7 @@
             metrics=self.metrics,
             refuse_new=self.refuse_new,
         )
+        self.in_flight = InFlightCounter(app=self.caller_app.build())
         key_file = self.settings.operators.key_file
         self.operator_app = OperatorApp(
             key=read_secret(key_file) if key_file else b"",
@@ -226,7 +255,7 @@
             "roster": self.view.roster_ids(),
             "live": self.view.live_ids(),
             "owned_endpoints": self.owner_table.owned(),
-            "in_flight": self.caller_app.in_flight,
+            "in_flight": self.in_flight.count,
             "store_available": self.watcher.available,
             "store_calls": self.store.calls,
             "violations": {
@@ -241,14 +270,17 @@
         self.tasks.start(self.roster.run(), "roster")
         self.tasks.start(self.membership.run(), "membership")
         self.tasks.start(self.monitor.run(), "load monitor")
+        self.tasks.start(self.instances.run(), "instance list")
 
     async def drain(self) -> None:
         """Refuses new work, finishes what runs and leaves the roster."""
         self.stopping = True
         log_event(EventId.DAEMON_STOPPING, member=self.member.id)
-        while self.caller_app.in_flight:
+        await self.in_flight.idle.wait()
+        while self.cleanups.tasks:
             await asyncio.sleep(DRAIN_POLL_S)
         self.view.leaving = True
+        await self.membership.hand_over()
         await asyncio.sleep(self.settings.members.heartbeat_interval_s)
         await self.roster.leave()
 
@@ -274,7 +306,8 @@
         ListenError: A listener's address cannot be bound.
     """
     session = aiohttp.ClientSession(
-        connector=connector() if connector else aiohttp.TCPConnector(limit=0)
+        connector=connector() if connector else aiohttp.TCPConnector(limit=0),
+        trace_configs=[guard_trace()],
     )
     async with session, open_task_set() as tasks:
         daemon = Daemon(
@@ -291,10 +324,12 @@
                 port=settings.operators.port,
             ) as daemon.operators,
             open_http_server(
-                daemon.caller_app.build(),
+                daemon.in_flight,
                 host=settings.callers.host,
                 port=settings.callers.port,
-                max_header_bytes=settings.callers.max_header_bytes,
+                max_header_bytes=(
+                    settings.callers.max_header_bytes + HEADER_MARGIN_BYTES
+                ),
             ) as daemon.callers,
         ):
             daemon.member.port = daemon.peer_server.port
@@ -309,6 +344,7 @@
             try:
                 yield daemon
             finally:
+                await daemon.cleanups.cancel()
                 daemon.metrics.close()
 
 
--- a/src/auburnswitch/experiments/oracle.py
+++ b/src/auburnswitch/experiments/oracle.py
@@ -5,16 +5,15 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
-from auburnswitch.clock import monotonic_s
-from auburnswitch.endpoints.reservations import HeldReservation
 from auburnswitch.results import Refusal, refusal
-from auburnswitch.routing.placement import Placer
-from auburnswitch.schema.peers import LengthClass, RunningWork
+from auburnswitch.routing.placement import Placer, unreserved_work
+from auburnswitch.schema.peers import LengthClass
 from auburnswitch.schema.results import ResultCode
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from auburnswitch.endpoints.reservations import HeldReservation
     from auburnswitch.routing.request import RoutedRequest
     from auburnswitch.standins.engine import EngineStandIn
 
@@ -27,7 +26,6 @@
 
     Attributes:
         engines: Engine stand-ins by endpoint name.
-        closed: Zones that take no work.
         pending: Requests placed that an engine has not seen yet, by endpoint.
     """
 
@@ -67,7 +65,8 @@
                 self.random.shuffle(names)
                 best = min(names, key=lambda n: self._work_before(n, request))
                 self.pending[best][request.id] = request
-                return _unreserved(best, request)
+                work = unreserved_work(best, request)
+                return self.reservations.hold_unasked(work, request.deadline_at)
             await asyncio.sleep(RETRY_S)
         return refusal(ResultCode.DEADLINE_EXCEEDED)
 
@@ -107,19 +106,4 @@
         return (first, total)
 
 
-def _unreserved(name: str, request: RoutedRequest) -> HeldReservation:
-    work = RunningWork(
-        endpoint=name,
-        reservation_id=f"oracle/{request.id}/{request.attempts}",
-        prefill_tokens=request.prompt_tokens,
-    )
-    return HeldReservation(
-        endpoint=name,
-        owner_id="",
-        use_before=monotonic_s() + 1,
-        boot_id="",
-        work=work,
-    )
-
-
 __all__ = ["OraclePlacer"]
--- a/src/auburnswitch/routing/placement.py
+++ b/src/auburnswitch/routing/placement.py
@@ -86,18 +86,8 @@
             )
         sample = self.random.sample(names, min(choices, len(names)))
         best = min(sample, key=self._reported_tokens)
-        work = RunningWork(
-            endpoint=best,
-            reservation_id=f"{request.id}/{request.attempts}",
-            prefill_tokens=request.prompt_tokens,
-        )
-        return HeldReservation(
-            endpoint=best,
-            owner_id="",
-            use_before=request.deadline_at,
-            boot_id="",
-            work=work,
-        )
+        work = unreserved_work(best, request)
+        return self.reservations.hold_unasked(work, request.deadline_at)
 
     def _reported_tokens(self, name: str) -> int:
         return self.owner_table.best_hint(name).reported_prefill_tokens
@@ -169,6 +159,20 @@
     return table.view.roster.epoch
 
 
+def unreserved_work(endpoint: str, request: RoutedRequest) -> RunningWork:
+    """Returns work of a request that no owner has granted."""
+    return RunningWork(
+        endpoint=endpoint,
+        reservation_id=f"{request.id}/{request.attempts}",
+        tokens=request.prompt_tokens + request.answer_tokens,
+        prompt_tokens=request.prompt_tokens,
+        prefill_tokens=request.prompt_tokens,
+        length_class=request.length_class,
+        team=request.team,
+        fingerprint=request.fingerprint,
+    )
+
+
 def _cost(hint: EndpointHint) -> float:
     filled = hint.running / max(1, hint.max_running)
     unknown = hint.phase is EndpointPhase.UNKNOWN
@@ -179,4 +183,4 @@
     return Ran.UNKNOWN if request.dispatched else Ran.NO
 
 
-__all__ = ["Placer"]
+__all__ = ["Placer", "unreserved_work"]
--- a/src/auburnswitch/schema/peers.py
+++ b/src/auburnswitch/schema/peers.py
@@ -105,6 +105,8 @@
     max_running: int = 0
     boot_id: str = ""
     reported_prefill_tokens: int = 0
+    successes: int = 0
+    window: int = 0
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "endpoint", False),
@@ -116,6 +118,8 @@
         7: (TType.I32, "max_running", False),
         8: (TType.STRING, "boot_id", False),
         50: (TType.I64, "reported_prefill_tokens", False),
+        40: (TType.I32, "successes", False),
+        41: (TType.I32, "window", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("endpoint", None),
@@ -127,6 +131,8 @@
         ("max_running", None),
         ("boot_id", None),
         ("reported_prefill_tokens", None),
+        ("successes", None),
+        ("window", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {
         "phase": EndpointPhase
@@ -151,6 +157,14 @@
             text="Prompt tokens still to prefill by the endpoint's own last load report.",
             options={},
         ),
+        "successes": Description(
+            text="Requests that succeeded since the endpoint was cold.",
+            options={},
+        ),
+        "window": Description(
+            text="Requests that may run at one time while load is rising.",
+            options={},
+        ),
     }
 
 
@@ -165,6 +179,9 @@
     length_class: LengthClass = LengthClass.SHORT
     team: str = ""
     fingerprint: str = ""
+    prompt_tokens: int = 0
+    request_id: str = ""
+    attempt: int = 0
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "endpoint", False),
@@ -174,6 +191,9 @@
         5: (TType.I32, "length_class", False),
         6: (TType.STRING, "team", False),
         7: (TType.STRING, "fingerprint", False),
+        40: (TType.I64, "prompt_tokens", False),
+        41: (TType.STRING, "request_id", False),
+        42: (TType.I32, "attempt", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("endpoint", None),
@@ -183,6 +203,9 @@
         ("length_class", None),
         ("team", None),
         ("fingerprint", None),
+        ("prompt_tokens", None),
+        ("request_id", None),
+        ("attempt", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {
         "length_class": LengthClass
@@ -197,6 +220,14 @@
         "length_class": Description(text="", options={}),
         "team": Description(text="", options={}),
         "fingerprint": Description(text="", options={}),
+        "prompt_tokens": Description(
+            text="Prompt tokens, prefilled or not.", options={}
+        ),
+        "request_id": Description(text="", options={}),
+        "attempt": Description(
+            text="Number of the attempt that was dispatched; 0 before the dispatch.",
+            options={},
+        ),
     }
 
 
@@ -273,6 +304,8 @@
     usage: list[TeamUsage] = field(default_factory=list)
     heard: list[str] = field(default_factory=list)
     store_age_s: float = 0.0
+    leaving_endpoints: list[str] = field(default_factory=list)
+    reads_instances: bool = False
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRUCT, "sender", Member, False),
@@ -286,6 +319,8 @@
         9: (TType.LIST, "usage", (TType.STRUCT, TeamUsage), False),
         10: (TType.LIST, "heard", TType.STRING, False),
         11: (TType.DOUBLE, "store_age_s", False),
+        40: (TType.LIST, "leaving_endpoints", TType.STRING, False),
+        41: (TType.BOOL, "reads_instances", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("sender", None),
@@ -299,6 +334,8 @@
         ("usage", None),
         ("heard", None),
         ("store_age_s", None),
+        ("leaving_endpoints", None),
+        ("reads_instances", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -326,6 +363,13 @@
             text="Seconds since the sender last read the platform's store.",
             options={},
         ),
+        "leaving_endpoints": Description(
+            text="Endpoints that the platform's instance list says are leaving.",
+            options={},
+        ),
+        "reads_instances": Description(
+            text="Whether the sender read the instance list lately.", options={}
+        ),
     }
 
 
@@ -452,6 +496,7 @@
     retry_after_s: float = 0.0
     alternatives: list[str] = field(default_factory=list)
     boot_id: str = ""
+    waited_s: float = 0.0
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I32, "code", False),
@@ -459,6 +504,7 @@
         3: (TType.DOUBLE, "retry_after_s", False),
         4: (TType.LIST, "alternatives", TType.STRING, False),
         5: (TType.STRING, "boot_id", False),
+        40: (TType.DOUBLE, "waited_s", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("code", None),
@@ -466,6 +512,7 @@
         ("retry_after_s", None),
         ("alternatives", None),
         ("boot_id", None),
+        ("waited_s", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {"code": ResultCode}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -478,6 +525,10 @@
             text="Endpoints that the owner believes have more room.", options={}
         ),
         "boot_id": Description(text="", options={}),
+        "waited_s": Description(
+            text="Seconds from the arrival of the request to its grant.",
+            options={},
+        ),
     }
 
 
@@ -491,6 +542,7 @@
     succeeded: bool = False
     first_token_s: float = 0.0
     endpoint_lost: bool = False
+    may_still_run: bool = False
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "endpoint", False),
@@ -499,6 +551,7 @@
         4: (TType.BOOL, "succeeded", False),
         5: (TType.DOUBLE, "first_token_s", False),
         6: (TType.BOOL, "endpoint_lost", False),
+        40: (TType.BOOL, "may_still_run", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("endpoint", None),
@@ -507,6 +560,7 @@
         ("succeeded", None),
         ("first_token_s", None),
         ("endpoint_lost", None),
+        ("may_still_run", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -522,6 +576,9 @@
             text="The endpoint refused the connection or dropped it.",
             options={},
         ),
+        "may_still_run": Description(
+            text="The endpoint may still run the attempt.", options={}
+        ),
     }
 
 
@@ -531,19 +588,25 @@
 
     endpoint: str = ""
     reservation_id: str = ""
+    first_token_s: float = 0.0
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "endpoint", False),
         2: (TType.STRING, "reservation_id", False),
+        40: (TType.DOUBLE, "first_token_s", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("endpoint", None),
         ("reservation_id", None),
+        ("first_token_s", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
         "endpoint": Description(text="", options={}),
         "reservation_id": Description(text="", options={}),
+        "first_token_s": Description(
+            text="Seconds from dispatch to first token.", options={}
+        ),
     }
 
 
@@ -608,22 +671,102 @@
     member_id: str = ""
     epoch: int = 0
     endpoints: list[str] = field(default_factory=list)
+    states: list[EndpointHint] = field(default_factory=list)
+    running: list[RunningWork] = field(default_factory=list)
+    holders: list[str] = field(default_factory=list)
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "member_id", False),
         2: (TType.I64, "epoch", False),
         3: (TType.LIST, "endpoints", TType.STRING, False),
+        40: (TType.LIST, "states", (TType.STRUCT, EndpointHint), False),
+        41: (TType.LIST, "running", (TType.STRUCT, RunningWork), False),
+        42: (TType.LIST, "holders", TType.STRING, False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("member_id", None),
         ("epoch", None),
         ("endpoints", None),
+        ("states", None),
+        ("running", None),
+        ("holders", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
         "member_id": Description(text="", options={}),
         "epoch": Description(text="", options={}),
         "endpoints": Description(text="", options={}),
+        "states": Description(
+            text="What the sender knows of each of these endpoints.", options={}
+        ),
+        "running": Description(
+            text="Work that the sender has granted on them.", options={}
+        ),
+        "holders": Description(
+            text="Member that holds each entry of running.", options={}
+        ),
+    }
+
+
+@dataclass(slots=True, kw_only=True)
+class AttemptId(Struct):
+    """One attempt of a request."""
+
+    request_id: str = ""
+    attempt: int = 0
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.STRING, "request_id", False),
+        2: (TType.I32, "attempt", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("request_id", None),
+        ("attempt", None),
+    ]
+    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
+    descriptions: ClassVar[dict[str, Description]] = {
+        "request_id": Description(text="", options={}),
+        "attempt": Description(text="", options={}),
+    }
+
+
+@dataclass(slots=True, kw_only=True)
+class ClaimsRequest(Struct):
+    """Asks a member which attempts on an endpoint it still has."""
+
+    endpoint: str = ""
+    attempts: list[AttemptId] = field(default_factory=list)
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.STRING, "endpoint", False),
+        2: (TType.LIST, "attempts", (TType.STRUCT, AttemptId), False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("endpoint", None),
+        ("attempts", None),
+    ]
+    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
+    descriptions: ClassVar[dict[str, Description]] = {
+        "endpoint": Description(text="", options={}),
+        "attempts": Description(text="", options={}),
+    }
+
+
+@dataclass(slots=True, kw_only=True)
+class ClaimsReply(Struct):
+    """Generated from the schema."""
+
+    attempts: list[AttemptId] = field(default_factory=list)
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.LIST, "attempts", (TType.STRUCT, AttemptId), False)
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [("attempts", None)]
+    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
+    descriptions: ClassVar[dict[str, Description]] = {
+        "attempts": Description(
+            text="The attempts that the member still has.", options={}
+        ),
     }
 
 
@@ -644,6 +787,8 @@
     handover: HandoverRequest | None = None
     done: Done | None = None
     hello: Hello | None = None
+    claims: ClaimsRequest | None = None
+    claims_reply: ClaimsReply | None = None
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "call_id", False),
@@ -659,6 +804,8 @@
         11: (TType.STRUCT, "handover", HandoverRequest, False),
         12: (TType.STRUCT, "done", Done, False),
         13: (TType.STRUCT, "hello", Hello, False),
+        40: (TType.STRUCT, "claims", ClaimsRequest, False),
+        41: (TType.STRUCT, "claims_reply", ClaimsReply, False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("call_id", None),
@@ -674,6 +821,8 @@
         ("handover", None),
         ("done", None),
         ("hello", None),
+        ("claims", None),
+        ("claims_reply", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -693,10 +842,15 @@
         "handover": Description(text="", options={}),
         "done": Description(text="", options={}),
         "hello": Description(text="", options={}),
+        "claims": Description(text="", options={}),
+        "claims_reply": Description(text="", options={}),
     }
 
 
 __all__ = [
+    "AttemptId",
+    "ClaimsReply",
+    "ClaimsRequest",
     "Done",
     "ENDPOINTPHASE_INFO",
     "EndpointHint",
