--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -44,6 +44,8 @@
   7: i32 max_running = 0
   // Identifies one start of the endpoint.
   8: string boot_id = ""
+  // Prompt tokens still to prefill by the endpoint's own last load report.
+  50: i64 reported_prefill_tokens = 0
   // Requests that succeeded since the endpoint was cold.
   40: i32 successes = 0
   // Requests that may run at one time while load is rising.
--- a/src/auburnswitch/routing/placement.py
+++ b/src/auburnswitch/routing/placement.py
@@ -12,11 +12,17 @@
     ReservationClient,
 )
 from auburnswitch.results import Refusal, refusal
+from auburnswitch.routing.policy import (
+    OwnerReservations,
+    PlacementPolicy,
+    TwoChoices,
+)
 from auburnswitch.schema.peers import (
     EndpointHint,
     EndpointPhase,
     ReserveReply,
     ReserveRequest,
+    RunningWork,
 )
 from auburnswitch.schema.results import Ran, ResultCode
 
@@ -34,18 +40,21 @@
     Attributes:
         owner_table: Hints and ownership.
         reservations: This daemon's reservations.
+        policy: How the endpoint is chosen.
     """
 
-    __slots__ = ("owner_table", "random", "reservations")
+    __slots__ = ("owner_table", "policy", "random", "reservations")
 
     def __init__(
         self,
         *,
         owner_table: OwnerTable,
         reservations: ReservationClient,
+        policy: PlacementPolicy,
         seed: int,
     ) -> None:
         self.owner_table = owner_table
+        self.policy = policy
         self.reservations = reservations
         self.random = random.Random(seed)
 
@@ -61,6 +70,31 @@
         Returns:
             The reservation, or why there is none.
         """
+        match self.policy:
+            case TwoChoices(choices=choices):
+                return self._choose(request, excluded, choices)
+            case OwnerReservations():
+                return await self._ask_owners(request, excluded)
+
+    def _choose(
+        self, request: RoutedRequest, excluded: set[str], choices: int
+    ) -> HeldReservation | Refusal:
+        names = self._candidates(request, excluded)
+        if not names:
+            return refusal(
+                ResultCode.NO_ENDPOINT, ran=_ran(request), retry_after_s=1
+            )
+        sample = self.random.sample(names, min(choices, len(names)))
+        best = min(sample, key=self._reported_tokens)
+        work = unreserved_work(best, request)
+        return self.reservations.hold_unasked(work, request.deadline_at)
+
+    def _reported_tokens(self, name: str) -> int:
+        return self.owner_table.best_hint(name).reported_prefill_tokens
+
+    async def _ask_owners(
+        self, request: RoutedRequest, excluded: set[str]
+    ) -> HeldReservation | Refusal:
         last = refusal(
             ResultCode.NO_ENDPOINT, ran=_ran(request), retry_after_s=1
         )
@@ -125,6 +159,20 @@
     return table.view.roster.epoch
 
 
+def unreserved_work(endpoint: str, request: RoutedRequest) -> RunningWork:
+    """Returns work of a request that no owner has granted."""
+    return RunningWork(
+        endpoint=endpoint,
+        reservation_id=f"{request.id}/{request.attempts}",
+        tokens=request.prompt_tokens + request.answer_tokens,
+        prompt_tokens=request.prompt_tokens,
+        prefill_tokens=request.prompt_tokens,
+        length_class=request.length_class,
+        team=request.team,
+        fingerprint=request.fingerprint,
+    )
+
+
 def _cost(hint: EndpointHint) -> float:
     filled = hint.running / max(1, hint.max_running)
     unknown = hint.phase is EndpointPhase.UNKNOWN
@@ -135,4 +183,4 @@
     return Ran.UNKNOWN if request.dispatched else Ran.NO
 
 
-__all__ = ["Placer"]
+__all__ = ["Placer", "unreserved_work"]
--- a/src/auburnswitch/schema/peers.py
+++ b/src/auburnswitch/schema/peers.py
@@ -104,6 +104,7 @@
     running: int = 0
     max_running: int = 0
     boot_id: str = ""
+    reported_prefill_tokens: int = 0
     successes: int = 0
     window: int = 0
 
@@ -116,6 +117,7 @@
         6: (TType.I32, "running", False),
         7: (TType.I32, "max_running", False),
         8: (TType.STRING, "boot_id", False),
+        50: (TType.I64, "reported_prefill_tokens", False),
         40: (TType.I32, "successes", False),
         41: (TType.I32, "window", False),
     }
@@ -128,6 +130,7 @@
         ("running", None),
         ("max_running", None),
         ("boot_id", None),
+        ("reported_prefill_tokens", None),
         ("successes", None),
         ("window", None),
     ]
@@ -150,6 +153,10 @@
         "boot_id": Description(
             text="Identifies one start of the endpoint.", options={}
         ),
+        "reported_prefill_tokens": Description(
+            text="Prompt tokens still to prefill by the endpoint's own last load report.",
+            options={},
+        ),
         "successes": Description(
             text="Requests that succeeded since the endpoint was cold.",
             options={},
