--- a/src/auburnswitch/endpoints/owner.py
+++ b/src/auburnswitch/endpoints/owner.py
@@ -313,6 +313,7 @@
     def _hint_of(self, ledger: EndpointLedger) -> EndpointHint:
         closed = self.closings.phase(ledger.name)
         wait_s = predicted_wait_s(ledger)
+        load = ledger.load
         return EndpointHint(
             endpoint=ledger.name,
             phase=ledger.phase if closed is None else closed,
@@ -324,6 +325,7 @@
             boot_id=ledger.boot_id,
             successes=ledger.warm_up.successes,
             window=ledger.warm_up.window,
+            reported_prefill_tokens=load.prefill_queued_tokens if load else 0,
         )
 
     def _try_reserve(
--- a/src/auburnswitch/experiments/fleet.py
+++ b/src/auburnswitch/experiments/fleet.py
@@ -65,6 +65,8 @@
         endpoint: Endpoint values that differ from the defaults.
         tune: Changes each daemon's settings before it starts.
         connector: Makes the connectors of HTTP clients.
+        daemon_options: Returns further arguments of ``open_daemon`` for an
+            instance.
         strict_invariants: Raise when an invariant does not hold.
         base_port: First port of the daemons; 0 takes free ones.
         keep_frames: Keep the engines' records of sent frames.
@@ -78,6 +80,7 @@
     endpoint: dict[str, Any] = field(default_factory=dict)
     tune: Callable[[Settings], None] = lambda settings: None
     connector: Callable[[], aiohttp.BaseConnector] | None = None
+    daemon_options: Callable[[str], dict[str, Any]] = lambda instance: {}
     strict_invariants: bool = True
     base_port: int = 0
     keep_frames: bool = False
@@ -231,14 +234,16 @@
     async def start_daemon(self, number: int) -> Daemon:
         """Starts the n-th daemon, or starts it again."""
         instance = f"entry-{number}"
+        self.platform.instances.set(instance, self.zone(number))
+        options: dict[str, Any] = {
+            "connector": self.options.connector,
+            "strict_invariants": self.options.strict_invariants,
+            **self.options.daemon_options(instance),
+        }
         self.incarnations += 1
         running = RunningDaemon(part=f"{instance}#{self.incarnations}")
         await running.start(
-            open_daemon(
-                self.daemon_settings(number),
-                connector=self.options.connector,
-                strict_invariants=self.options.strict_invariants,
-            )
+            open_daemon(self.daemon_settings(number), **options)
         )
         self.running[instance] = running
         self.daemons[instance] = running.daemon
--- a/src/auburnswitch/schema/peers.py
+++ b/src/auburnswitch/schema/peers.py
@@ -104,6 +104,7 @@
     running: int = 0
     max_running: int = 0
     boot_id: str = ""
+    reported_prefill_tokens: int = 0
     successes: int = 0
     window: int = 0
 
@@ -116,6 +117,7 @@
         6: (TType.I32, "running", False),
         7: (TType.I32, "max_running", False),
         8: (TType.STRING, "boot_id", False),
+        50: (TType.I64, "reported_prefill_tokens", False),
         40: (TType.I32, "successes", False),
         41: (TType.I32, "window", False),
     }
@@ -128,6 +130,7 @@
         ("running", None),
         ("max_running", None),
         ("boot_id", None),
+        ("reported_prefill_tokens", None),
         ("successes", None),
         ("window", None),
     ]
@@ -150,6 +153,10 @@
         "boot_id": Description(
             text="Identifies one start of the endpoint.", options={}
         ),
+        "reported_prefill_tokens": Description(
+            text="Prompt tokens still to prefill by the endpoint's own last load report.",
+            options={},
+        ),
         "successes": Description(
             text="Requests that succeeded since the endpoint was cold.",
             options={},
@@ -299,6 +306,8 @@
     store_age_s: float = 0.0
     leaving_endpoints: list[str] = field(default_factory=list)
     reads_instances: bool = False
+    former_ids: list[str] = field(default_factory=list)
+    quorum_ids: list[str] = field(default_factory=list)
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRUCT, "sender", Member, False),
@@ -314,6 +323,8 @@
         11: (TType.DOUBLE, "store_age_s", False),
         40: (TType.LIST, "leaving_endpoints", TType.STRING, False),
         41: (TType.BOOL, "reads_instances", False),
+        30: (TType.LIST, "former_ids", TType.STRING, False),
+        31: (TType.LIST, "quorum_ids", TType.STRING, False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("sender", None),
@@ -329,6 +340,8 @@
         ("store_age_s", None),
         ("leaving_endpoints", None),
         ("reads_instances", None),
+        ("former_ids", None),
+        ("quorum_ids", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -363,6 +376,14 @@
         "reads_instances": Description(
             text="Whether the sender read the instance list lately.", options={}
         ),
+        "former_ids": Description(
+            text="Former incarnations of the sender, which have ended.",
+            options={},
+        ),
+        "quorum_ids": Description(
+            text="Daemons that the sender's majority counts, if they aren't the roster.",
+            options={},
+        ),
     }
 
 
