Reserve parts of several endpoints, all or none

A part is asked for with hold: its room is kept until it is released instead of expiring, heartbeats report it like any other, and it is granted and used only on an endpoint that is not cold. reserve_group asks in the order of the endpoints' names and gives back every part on a refusal or a cancellation.

--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -140,6 +140,8 @@
   13: i64 epoch = 0
   // How long the asker is ready to wait in the owner's queue, in seconds.
   14: double max_wait_s = 0
+  // The room is kept until it is released, as a part of a group; only on an endpoint that is not cold.
+  40: bool hold = false
 }
 
 struct ReserveReply {
--- a/src/auburnswitch/endpoints/owner.py
+++ b/src/auburnswitch/endpoints/owner.py
@@ -355,6 +355,8 @@
             return ResultCode.NO_ENDPOINT
         if not can_ever_hold(ledger, request):
             return ResultCode.PROMPT_TOO_LONG
+        if ledger.is_cold and request.hold:
+            return ResultCode.NO_ENDPOINT
         if ledger.is_cold and not self.may_use_cold(ledger):
             return ResultCode.OWNERSHIP_PENDING
         if not ledger.can_bear_alone(request):
--- a/src/auburnswitch/endpoints/reservations.py
+++ b/src/auburnswitch/endpoints/reservations.py
@@ -7,7 +7,7 @@
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.endpoints.client import EndpointFailureError
-from auburnswitch.endpoints.phases import CLOSED_PHASES
+from auburnswitch.endpoints.phases import CLOSED_PHASES, STRICT_PHASES
 from auburnswitch.members.frames import FrameError
 from auburnswitch.observe.invariants import Invariant
 from auburnswitch.schema.peers import (
@@ -119,6 +119,8 @@
         if reply.code != ResultCode.OK:
             return reply
         ttl_s = self.owner_table.settings.members.reservation_ttl_s
+        if request.hold:
+            ttl_s = float("inf")
         held = HeldReservation(
             endpoint=request.endpoint,
             owner_id=owner_id,
@@ -240,8 +242,11 @@
             return "this daemon may have missed changes"
         if self.owner_table.is_closed(held.endpoint):
             return "the endpoint receives no new work"
-        if self.owner_table.best_hint(held.endpoint).phase in CLOSED_PHASES:
+        hint = self.owner_table.best_hint(held.endpoint)
+        if hint.phase in CLOSED_PHASES:
             return "the endpoint's owner grants no new work"
+        if held.use_before == float("inf") and hint.phase in STRICT_PHASES:
+            return "the endpoint has turned cold since the grant"
         return ""
 
     def _check_closed(self, endpoint: str) -> None:
--- a/src/auburnswitch/schema/peers.py
+++ b/src/auburnswitch/schema/peers.py
@@ -439,6 +439,7 @@
     team_weight: float = 1.0
     epoch: int = 0
     max_wait_s: float = 0.0
+    hold: bool = False
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "endpoint", False),
@@ -455,6 +456,7 @@
         12: (TType.DOUBLE, "team_weight", False),
         13: (TType.I64, "epoch", False),
         14: (TType.DOUBLE, "max_wait_s", False),
+        40: (TType.BOOL, "hold", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("endpoint", None),
@@ -471,6 +473,7 @@
         ("team_weight", None),
         ("epoch", None),
         ("max_wait_s", None),
+        ("hold", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {
         "length_class": LengthClass
@@ -498,6 +501,10 @@
             text="How long the asker is ready to wait in the owner's queue, in seconds.",
             options={},
         ),
+        "hold": Description(
+            text="The room is kept until it is released, as a part of a group; only on an endpoint that is not cold.",
+            options={},
+        ),
     }
 
 
--- /dev/null
+++ b/tests/endpoints/test_groups.py
@@ -0,0 +1,137 @@
+"""Tests of reserving several endpoints, all or none."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from auburnswitch.endpoints.client import Attempt
+from auburnswitch.endpoints.groups import release_group, reserve_group
+from auburnswitch.endpoints.load import LoadReport
+from auburnswitch.endpoints.reservations import DispatchRefusedError
+from auburnswitch.observe.tasks import open_task_set
+from auburnswitch.schema.objects import Change, ObjectKind, Ticket
+from auburnswitch.schema.peers import (
+    EndpointPhase,
+    ReserveReply,
+    ReserveRequest,
+)
+from auburnswitch.schema.results import ResultCode
+from tests.endpoints.owners import client_of, endpoint, open_table
+from tests.virtual_time import run_virtual
+
+NAMES = ("engine-0", "engine-1", "engine-2")
+TOKENS = 400_000
+ATTEMPT = Attempt(request_id="r1", number=1, member_id="me")
+
+
+def parts(*names: str) -> list[ReserveRequest]:
+    """Returns the requests of a group."""
+    return [
+        ReserveRequest(endpoint=name, request_id="r1", prompt_tokens=TOKENS)
+        for name in names
+    ]
+
+
+class GroupTest(unittest.TestCase):
+    def run_group(self, scenario):
+        """Runs a scenario on the owner of three warm engines."""
+
+        async def run():
+            table = open_table()
+            changes = [
+                Change(kind=ObjectKind.ENDPOINT, name=name, endpoint=endpoint())
+                for name in NAMES
+            ]
+            table.state.join_ticket(Ticket(number=2, changes=changes))
+            for name in NAMES:
+                table.note_load(name, LoadReport(boot_id="b1"), 0.0)
+                table.ledgers[name].warm_up.phase = EndpointPhase.WARM
+                table.ledgers[name].settling = False
+            client = client_of(table)
+            async with open_task_set() as tasks:
+                client.membership.tasks = tasks
+                return await scenario(table, client)
+
+        return run_virtual(run)
+
+    def held_tokens(self, table) -> list[int]:
+        """Returns the memory granted on each engine."""
+        return [table.ledgers[name].reserved_tokens for name in NAMES]
+
+    def test_all_parts_are_kept_until_released(self):
+        async def scenario(table, client):
+            group = await reserve_group(client, parts(*reversed(NAMES)))
+            await asyncio.sleep(60)
+            client.report_own()
+            client.report_own()
+            for held in group:
+                client.begin(held, ATTEMPT)
+            during = self.held_tokens(table)
+            release_group(client, group, succeeded=True)
+            await asyncio.sleep(0)
+            order = [held.endpoint for held in group]
+            return order, during, self.held_tokens(table)
+
+        order, during, after = self.run_group(scenario)
+        self.assertEqual(order, list(reversed(NAMES)))
+        self.assertEqual((during, after), ([TOKENS] * 3, [0] * 3))
+
+    def test_one_full_endpoint_releases_every_part(self):
+        async def scenario(table, client):
+            await client.reserve(parts(NAMES[2])[0])
+            reply = await reserve_group(client, parts(*NAMES))
+            await asyncio.sleep(0)
+            self.assertIsInstance(reply, ReserveReply)
+            return reply.code, self.held_tokens(table)
+
+        self.assertEqual(
+            self.run_group(scenario), (ResultCode.QUEUE_FULL, [0, 0, TOKENS])
+        )
+
+    def test_cancelled_group_releases_every_part(self):
+        async def scenario(table, client):
+            await client.reserve(parts(NAMES[2])[0])
+            requests = parts(*NAMES)
+            for request in requests:
+                request.max_wait_s = 9
+            task = asyncio.create_task(reserve_group(client, requests))
+            await asyncio.sleep(1)
+            waiting = self.held_tokens(table)
+            task.cancel()
+            await asyncio.sleep(0.1)
+            return waiting, self.held_tokens(table)
+
+        waiting, after = self.run_group(scenario)
+        self.assertEqual(waiting, [TOKENS] * 3)
+        self.assertEqual(after, [0, 0, TOKENS])
+
+    def test_two_groups_do_not_block_each_other(self):
+        async def scenario(table, client):
+            first, second = parts(*NAMES), parts(*reversed(NAMES))
+            for request in first + second:
+                request.max_wait_s = 9
+            tasks = [
+                asyncio.create_task(reserve_group(client, group))
+                for group in (first, second)
+            ]
+            done, _ = await asyncio.wait(
+                tasks, return_when=asyncio.FIRST_COMPLETED, timeout=1
+            )
+            release_group(client, done.pop().result())
+            await asyncio.gather(*tasks)
+            return self.held_tokens(table)
+
+        self.assertEqual(self.run_group(scenario), [TOKENS] * 3)
+
+    def test_cold_endpoint_takes_no_part(self):
+        async def scenario(table, client):
+            group = await reserve_group(client, parts(*NAMES))
+            table.note_load(NAMES[0], LoadReport(boot_id="b2"), 0.0)
+            with self.assertRaises(DispatchRefusedError):
+                client.begin(group[0], ATTEMPT)
+            release_group(client, group)
+            await asyncio.sleep(0)
+            return (await reserve_group(client, parts(*NAMES))).code
+
+        self.assertEqual(self.run_group(scenario), ResultCode.NO_ENDPOINT)
