--- /dev/null
+++ b/tests/endpoints/test_handover.py
@@ -0,0 +1,57 @@
+"""Tests of handing endpoints over at an owner's graceful stop."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.experiments.freezing import FreezableLoop
+from auburnswitch.standins.history import HistoryKind
+from tests.endpoints.bench import number_of, open_bench
+from tests.endpoints.test_cold_bound import stay_cold
+from tests.virtual_time import run_virtual
+
+ENGINE = "engine-0"
+HANDED_OVER_WITHIN_S = 3.0  # less than the wait of an owner without the word
+
+
+class HandoverTest(unittest.TestCase):
+    def test_warm_endpoint_stays_warm(self):
+        async def scenario():
+            async with open_bench(daemons=3, engines=1) as bench:
+                await bench.warm_up()
+                owner = bench.owner_of(ENGINE)
+                load = asyncio.create_task(bench.load(8, 4))
+                await bench.fleet.stop_daemon(number_of(owner))
+                await bench.wait_phase(ENGINE, "WARM")
+                await load
+                await bench.finish()
+                cold = bench.fleet.daemons[bench.owner_of(ENGINE)]
+                generation = cold.owner_table.ledgers[ENGINE].warm_up.generation
+                return set(bench.statuses), generation
+
+        # One cold turn: the ledger's beginning, before it adopts the word.
+        self.assertEqual(run_virtual(scenario, FreezableLoop), ({200}, 1))
+
+    def test_cold_endpoint_is_used_again_soon(self):
+        async def scenario():
+            async with open_bench(**stay_cold()) as bench:
+                await bench.load(10, 2, answer=16)
+                owner = bench.owner_of(ENGINE)
+                await bench.fleet.stop_daemon(number_of(owner))
+                stopped_at = monotonic_s()
+                await bench.load(8, 2, answer=16)
+                await bench.finish()
+                records = bench.fleet.history.select(
+                    HistoryKind.REQUEST_STARTED, actor=ENGINE
+                )
+                return min(
+                    r.time_s - stopped_at
+                    for r in records
+                    if r.time_s > stopped_at
+                )
+
+        self.assertLess(
+            run_virtual(scenario, FreezableLoop), HANDED_OVER_WITHIN_S
+        )
--- a/tests/endpoints/test_reservations.py
+++ b/tests/endpoints/test_reservations.py
@@ -176,3 +176,46 @@
         self.assertEqual(
             run_virtual(scenario), (ResultCode.OWNERSHIP_PENDING, 0.0)
         )
+
+    def test_isolated_daemon_dispatches_nothing(self):
+        async def scenario():
+            client = client_of(open_table())
+            held = await client.reserve(ask())
+            client.membership.isolated = True
+            with self.assertRaises(DispatchRefusedError):
+                client.begin(held, ATTEMPT)
+
+        run_virtual(scenario)
+
+    def test_regained_rights_need_a_new_survey(self):
+        async def scenario():
+            table = open_table()
+            ledger = table.ledgers[ENGINE]
+            codes = [(await table.reserve(ask(), "me")).code]
+            table.rights.strict = False
+            codes.append((await table.reserve(ask(), "me")).code)
+            await asyncio.sleep(10)
+            table.rights.strict = True
+            codes.append((await table.reserve(ask(), "me")).code)
+            ledger.listed_at = asyncio.get_running_loop().time()
+            codes.append((await table.reserve(ask(), "me")).code)
+            return codes
+
+        pending = ResultCode.OWNERSHIP_PENDING
+        self.assertEqual(
+            run_virtual(scenario),
+            [ResultCode.OK, pending, pending, ResultCode.OK],
+        )
+
+    def test_lost_release_is_made_good_by_reports(self):
+        async def scenario():
+            table = open_table()
+            reply = await table.reserve(ask(), "peer")
+            counts = []
+            for _ in range(4):
+                table.rebuilder.note_report("peer", [])
+                counts.append(len(table.ledgers[ENGINE].reservations))
+                await asyncio.sleep(1.5)
+            return reply.code, counts
+
+        self.assertEqual(run_virtual(scenario), (ResultCode.OK, [1, 1, 1, 0]))
