Split the owner table, the ledger and the calls to owners

Hand-over, the gate of cold endpoints, the reservation and the calls to owners are modules now. A second release of a reservation that may still run is ignored; the check of ended ids in release did nothing (its mutant passed) and is gone.

tests.endpoints.test_phases and test_reservations passed.

--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -20,6 +20,7 @@
 from auburnswitch.clock import WallClock, monotonic_s
 from auburnswitch.endpoints.client import EndpointClient
 from auburnswitch.endpoints.fencing import FencingNumbers
+from auburnswitch.endpoints.handover import Handover
 from auburnswitch.endpoints.instances import InstanceReader
 from auburnswitch.endpoints.monitor import LoadMonitor
 from auburnswitch.endpoints.orders import OrderKeeper
@@ -192,10 +193,9 @@
             self.owner_table.note_heartbeat,
             self.instances.note_heartbeat,
         ]
-        self.membership.handover_sources.append(self.owner_table.fill_handover)
-        self.membership.handover_listeners.append(
-            self.owner_table.note_handover
-        )
+        handover = Handover(owner_table=self.owner_table)
+        self.membership.handover_sources.append(handover.fill)
+        self.membership.handover_listeners.append(handover.take)
         self.orphans = OrphanCollector(
             owner_table=self.owner_table,
             reservations=self.reservations,
--- a/src/auburnswitch/endpoints/ledger.py
+++ b/src/auburnswitch/endpoints/ledger.py
@@ -7,6 +7,7 @@
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.endpoints.phases import CLOSED_PHASES, Bounds, WarmUp
+from auburnswitch.endpoints.reservation import Reservation, reservation_of
 from auburnswitch.schema.peers import (
     EndpointPhase,
     LengthClass,
@@ -22,105 +23,6 @@
 _NEVER: Final = float("-inf")
 
 
-class Reservation:
-    """Room granted on an endpoint.
-
-    Attributes:
-        id: Identifies the reservation.
-        member_id: Daemon that holds it.
-        tokens: Memory it takes, in tokens.
-        prompt_tokens: Prompt tokens, prefilled or not.
-        prefill_tokens: Prompt tokens not yet prefilled.
-        request_id: Request it is for.
-        attempt: Attempt that was dispatched, 0 if none is known.
-        boot_id: Start of the endpoint that it was granted on.
-        generation: How often the endpoint had turned cold before the grant.
-        expected_s: Expected time to the first token, in seconds.
-        granted_at: When it was granted, in seconds of loop time.
-        reported_at: When its holder last reported it, in seconds of loop time.
-        missing: Reports of its holder in a row that lack it.
-        lingering_since: Loop time at which its holder gave it back while the
-            endpoint may still run it, None before that.
-        request: The request as asked, if this daemon granted it.
-    """
-
-    __slots__ = (
-        "attempt",
-        "boot_id",
-        "expected_s",
-        "fingerprint",
-        "generation",
-        "granted_at",
-        "id",
-        "length_class",
-        "lingering_since",
-        "member_id",
-        "missing",
-        "prefill_tokens",
-        "prompt_tokens",
-        "reported_at",
-        "request",
-        "request_id",
-        "team",
-        "tokens",
-    )
-
-    def __init__(
-        self,
-        *,
-        id: str,
-        member_id: str,
-        tokens: int,
-        prefill_tokens: int,
-        length_class: LengthClass,
-        team: str,
-        fingerprint: str,
-        prompt_tokens: int = 0,
-        request_id: str = "",
-        attempt: int = 0,
-        boot_id: str = "",
-        generation: int = 0,
-    ) -> None:
-        self.id = id
-        self.member_id = member_id
-        self.tokens = tokens
-        self.prompt_tokens = prompt_tokens
-        self.prefill_tokens = prefill_tokens
-        self.length_class = length_class
-        self.team = team
-        self.fingerprint = fingerprint
-        self.request_id = request_id
-        self.attempt = attempt
-        self.boot_id = boot_id
-        self.generation = generation
-        self.expected_s = 0.0
-        self.granted_at = monotonic_s()
-        self.reported_at = self.granted_at
-        self.missing = 0
-        self.lingering_since: float | None = None
-        self.request: ReserveRequest | None = None
-
-    @property
-    def lingering(self) -> bool:
-        """Whether its holder has given it back and it may still run."""
-        return self.lingering_since is not None
-
-    def to_work(self, endpoint: str) -> RunningWork:
-        """Returns the reservation as its holder would report it."""
-        return RunningWork(
-            endpoint=endpoint,
-            reservation_id=self.id,
-            tokens=self.tokens,
-            prompt_tokens=self.prompt_tokens,
-            prefill_tokens=self.prefill_tokens,
-            length_class=self.length_class,
-            team=self.team,
-            fingerprint=self.fingerprint,
-            request_id=self.request_id,
-            attempt=self.attempt,
-        )
-
-
 class EndpointLedger:
     """The reservations and the phase of one endpoint.
 
@@ -291,7 +193,7 @@
             return  # the report crossed its release
         known = self.reservations.get(work.reservation_id)
         if known is None:
-            known = _from_work(work, member_id, self.warm_up)
+            known = reservation_of(work, member_id, self.warm_up)
             self.reservations[known.id] = known
         known.attempt = work.attempt or known.attempt
         known.prefill_tokens = min(known.prefill_tokens, work.prefill_tokens)
@@ -321,23 +223,4 @@
         entries.popitem(last=False)
 
 
-def _from_work(
-    work: RunningWork, member_id: str, warm_up: WarmUp
-) -> Reservation:
-    return Reservation(
-        id=work.reservation_id,
-        member_id=member_id,
-        tokens=work.tokens,
-        prompt_tokens=work.prompt_tokens or work.tokens,
-        prefill_tokens=work.prefill_tokens,
-        length_class=LengthClass(work.length_class),
-        team=work.team,
-        fingerprint=work.fingerprint,
-        request_id=work.request_id,
-        attempt=work.attempt,
-        boot_id=warm_up.boot_id,
-        generation=warm_up.generation,
-    )
-
-
 __all__ = ["CLOSED_PHASES", "EndpointLedger", "Reservation"]
--- a/src/auburnswitch/endpoints/orphans.py
+++ b/src/auburnswitch/endpoints/orphans.py
@@ -19,8 +19,9 @@
 from auburnswitch.schema.peers import AttemptId, ClaimsReply, ClaimsRequest
 
 if TYPE_CHECKING:
-    from auburnswitch.endpoints.ledger import EndpointLedger, Reservation
+    from auburnswitch.endpoints.ledger import EndpointLedger
     from auburnswitch.endpoints.owner import OwnerTable
+    from auburnswitch.endpoints.reservation import Reservation
     from auburnswitch.endpoints.reservations import ReservationClient
     from auburnswitch.members.server import PeerServer
 
@@ -93,7 +94,7 @@
         service = self.owner_table.state.services.get(ledger.spec.service)
         if service is None or service.kind != ServiceKind.MODEL:
             return False
-        if self.owner_table.needs_survey(ledger):
+        if self.owner_table.gate.needs_survey(ledger):
             return True
         is_unheld = self.owner_table.rebuilder.is_unheld
         if any(is_unheld(r) for r in ledger.reservations.values()):
--- a/src/auburnswitch/endpoints/owner.py
+++ b/src/auburnswitch/endpoints/owner.py
@@ -16,13 +16,13 @@
 from auburnswitch.endpoints.ownership import OwnerMap
 from auburnswitch.endpoints.queue import ReservationQueue
 from auburnswitch.endpoints.rebuild import Rebuilder
+from auburnswitch.endpoints.survey import StrictGate
 from auburnswitch.endpoints.transitions import Transitions
 from auburnswitch.observe.invariants import Invariant, Invariants
 from auburnswitch.schema.objects import ServiceKind
 from auburnswitch.schema.peers import (
     EndpointHint,
     EndpointPhase,
-    HandoverRequest,
     Heartbeat,
     ReleaseRequest,
     ReserveReply,
@@ -44,7 +44,8 @@
     """The ledgers of this daemon's endpoints.
 
     Attributes:
-        rights: Tells whether cold endpoints may be used.
+        rights: Tells whether this daemon is a strict owner.
+        gate: Tells whether cold endpoints may be used.
         owners: Owner of each endpoint by the live view.
         closings: Endpoints that receive no new work.
         hints: Newest hint of each endpoint from its owner.
@@ -56,6 +57,7 @@
 
     __slots__ = (
         "closings",
+        "gate",
         "hint_batch",
         "hints",
         "invariants",
@@ -85,6 +87,7 @@
         self.state = state
         self.invariants = invariants
         self.rights = rights
+        self.gate = StrictGate(rights=rights)
         self.owners = OwnerMap(view=view, state=state)
         self.closings = Closings(state=state)
         self.hints = HintBook()
@@ -136,7 +139,7 @@
         if ledger is None:
             return
         if ledger.phase is not EndpointPhase.UNKNOWN:
-            self.hints.note(self._hint_of(ledger))
+            self.hints.note(self.hint_of(ledger))
         self.wake(endpoint)
         del self.queues[endpoint]
 
@@ -175,9 +178,9 @@
         ledger = self.ledgers.get(request.endpoint)
         if ledger is None:
             return ResultCode.OK
-        if request.reservation_id in ledger.ended:
-            return ResultCode.OK  # released before
         known = ledger.reservations.get(request.reservation_id)
+        if known is not None and known.lingering:
+            return ResultCode.OK  # released before
         if known is not None and request.used:
             self.transitions.note_outcome(ledger, known, request)
         if known is not None and request.may_still_run:
@@ -221,7 +224,7 @@
         if service is not None and service.kind == ServiceKind.PLAIN:
             # A plain service lists no work; its load report must do.
             ledger.listed_at = asked_at - self.settings.endpoints.load_lag_s
-        self._is_strict(ledger)
+        self.gate.note_rights(ledger)
         self.wake(endpoint)
 
     def note_reloaded(self, ledger: EndpointLedger) -> None:
@@ -258,38 +261,12 @@
                 self.transitions.note_closed(ledger)
                 self.wake(name)
 
-    def fill_handover(self, request: HandoverRequest) -> None:
-        """Adds what a successor must know of its new endpoints."""
-        for name in request.endpoints:
-            ledger = self.ledgers.get(name)
-            if ledger is None:
-                continue
-            request.states.append(self._hint_of(ledger))
-            for reservation in ledger.reservations.values():
-                request.running.append(reservation.to_work(name))
-                request.holders.append(reservation.member_id)
-
-    def note_handover(self, request: HandoverRequest) -> None:
-        """Takes over the endpoints of a leaving owner."""
-        status = self.view.peers.get(request.member_id)
-        if status is not None:
-            status.leaving = True
-        for hint in request.states:
-            self.hints.note(hint)
-            ledger = self.ledger(hint.endpoint)
-            if ledger is not None:
-                ledger.settling = False
-        for work, holder in zip(request.running, request.holders, strict=True):
-            ledger = self.ledger(work.endpoint)
-            if ledger is not None:
-                ledger.note_work(work, holder)
-
     def hint(self, endpoint: str) -> EndpointHint:
         """Returns what peers should know of an owned endpoint."""
         ledger = self.ledger(endpoint)
         if ledger is None:
             return EndpointHint(endpoint=endpoint)
-        return self._hint_of(ledger)
+        return self.hint_of(ledger)
 
     def best_hint(self, endpoint: str) -> EndpointHint:
         """Returns the own hint of an owned endpoint, else its owner's."""
@@ -310,7 +287,8 @@
         if queue is not None:
             queue.pump()
 
-    def _hint_of(self, ledger: EndpointLedger) -> EndpointHint:
+    def hint_of(self, ledger: EndpointLedger) -> EndpointHint:
+        """Returns what peers should know of a ledger's endpoint."""
         closed = self.closings.phase(ledger.name)
         wait_s = predicted_wait_s(ledger)
         load = ledger.load
@@ -357,30 +335,12 @@
             return ResultCode.PROMPT_TOO_LONG
         if ledger.is_cold and request.hold:
             return ResultCode.NO_ENDPOINT
-        if ledger.is_cold and not self.may_use_cold(ledger):
+        if ledger.is_cold and not self.gate.may_use_cold(ledger):
             return ResultCode.OWNERSHIP_PENDING
         if not ledger.can_bear_alone(request):
             return ResultCode.QUEUE_FULL
         return None
 
-    def may_use_cold(self, ledger: EndpointLedger) -> bool:
-        """Tells whether work may be granted on a cold endpoint now."""
-        if ledger.phase is EndpointPhase.UNKNOWN:
-            return False
-        return self._is_strict(ledger) and ledger.is_surveyed
-
-    def needs_survey(self, ledger: EndpointLedger) -> bool:
-        """Tells whether the endpoint's work must be listed first."""
-        return self._is_strict(ledger) and not ledger.is_surveyed
-
-    def _is_strict(self, ledger: EndpointLedger) -> bool:
-        if not self.rights.may_use(ledger.name):
-            ledger.strict_since = None
-            return False
-        if ledger.strict_since is None:
-            ledger.strict_since = monotonic_s()
-        return True
-
     def _check_grant(self, ledger: EndpointLedger) -> None:
         bounds = ledger.bounds
         holds = not ledger.is_cold or (
--- /dev/null
+++ b/src/auburnswitch/endpoints/owner_calls.py
@@ -0,0 +1,120 @@
+"""Calls to the owners of endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any, Final
+
+from auburnswitch.members.frames import FrameError
+from auburnswitch.schema.peers import (
+    ProgressRequest,
+    ReleaseRequest,
+    ReserveReply,
+    ReserveRequest,
+)
+from auburnswitch.schema.results import ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from auburnswitch.endpoints.owner import OwnerTable
+    from auburnswitch.members.service import Membership
+
+LATE_REPLY_TIMEOUT_S: Final = 60.0
+
+
+class OwnerCalls:
+    """Calls owners, this daemon among them.
+
+    Attributes:
+        owner_table: Answers where this daemon is the owner.
+        membership: Links to the other daemons.
+        apply: Takes a message to this daemon.
+        asking: Calls that have not been answered.
+    """
+
+    __slots__ = ("apply", "asking", "membership", "owner_table")
+
+    def __init__(
+        self,
+        *,
+        owner_table: OwnerTable,
+        membership: Membership,
+        apply: Callable[[ReleaseRequest | ProgressRequest], None],
+    ) -> None:
+        self.owner_table = owner_table
+        self.membership = membership
+        self.apply = apply
+        self.asking: set[asyncio.Task[ReserveReply]] = set()
+
+    async def ask(self, owner_id: str, request: ReserveRequest) -> ReserveReply:
+        """Asks an owner for room.
+
+        Room that is granted after the asker has gone is given back.
+        """
+        me = self.owner_table.view.me.id
+        if owner_id == me:
+            return await self.owner_table.reserve(request, me)
+        link = self.membership.links.get(owner_id)
+        if link is None:
+            return ReserveReply(code=ResultCode.PEER_UNREACHABLE)
+        task = asyncio.create_task(self._call(link, request))
+        self.asking.add(task)
+        task.add_done_callback(self.asking.discard)
+        timeout_s = request.max_wait_s + link.settings.call_timeout_s
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await asyncio.shield(task)
+        except TimeoutError:
+            return ReserveReply(code=ResultCode.PEER_UNREACHABLE)
+        finally:
+            if not task.done():  # the reply may still grant room
+                task.add_done_callback(
+                    lambda late: self._give_back(owner_id, request, late)
+                )
+
+    async def _call(self, link: Any, request: ReserveRequest) -> ReserveReply:
+        timeout_s = request.max_wait_s + LATE_REPLY_TIMEOUT_S
+        try:
+            reply = await link.call(request, timeout_s)
+        except (OSError, TimeoutError, FrameError):
+            return ReserveReply(code=ResultCode.PEER_UNREACHABLE)
+        if isinstance(reply, ReserveReply):
+            return reply
+        return ReserveReply(code=ResultCode.PEER_UNREACHABLE)
+
+    def _give_back(
+        self,
+        owner_id: str,
+        request: ReserveRequest,
+        late: asyncio.Task[ReserveReply],
+    ) -> None:
+        if late.cancelled() or late.exception() is not None:
+            return
+        reply = late.result()
+        if reply.code != ResultCode.OK or not reply.reservation_id:
+            return
+        release = ReleaseRequest(
+            endpoint=request.endpoint, reservation_id=reply.reservation_id
+        )
+        self.membership.tasks.start(
+            self.send(owner_id, release), "give back a late reservation"
+        )
+
+    async def send(
+        self, member_id: str, request: ReleaseRequest | ProgressRequest
+    ) -> None:
+        """Tells an owner of the progress or the end of a reservation."""
+        if member_id == self.owner_table.view.me.id:
+            self.apply(request)
+            return
+        link = self.membership.links.get(member_id)
+        if link is None:
+            return  # heartbeats correct the owner's table
+        try:
+            await link.call(request)
+        except (OSError, TimeoutError, FrameError):
+            return
+
+
+__all__ = ["OwnerCalls"]
--- a/src/auburnswitch/endpoints/reservations.py
+++ b/src/auburnswitch/endpoints/reservations.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Any
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.endpoints.client import EndpointFailureError
+from auburnswitch.endpoints.owner_calls import OwnerCalls
 from auburnswitch.endpoints.phases import CLOSED_PHASES, STRICT_PHASES
-from auburnswitch.members.frames import FrameError
 from auburnswitch.observe.invariants import Invariant
 from auburnswitch.schema.peers import (
     Done,
@@ -30,8 +29,6 @@
     from auburnswitch.members.server import PeerServer
     from auburnswitch.members.service import Membership
 
-LATE_REPLY_TIMEOUT_S = 60.0
-
 
 class DispatchRefusedError(EndpointFailureError):
     """A reservation may not be used, and nothing was sent."""
@@ -86,10 +83,10 @@
 
     Attributes:
         held: Reservations by id.
-        asking: Calls to owners that have not been answered.
+        calls: Calls to owners.
     """
 
-    __slots__ = ("asking", "held", "membership", "owner_table")
+    __slots__ = ("calls", "held", "membership", "owner_table")
 
     def __init__(
         self, *, owner_table: OwnerTable, membership: Membership
@@ -97,7 +94,9 @@
         self.owner_table = owner_table
         self.membership = membership
         self.held: dict[str, HeldReservation] = {}
-        self.asking: set[asyncio.Task[ReserveReply]] = set()
+        self.calls = OwnerCalls(
+            owner_table=owner_table, membership=membership, apply=self._apply
+        )
 
     def register(self, server: PeerServer) -> None:
         """Registers the owner's side of the messages."""
@@ -115,7 +114,7 @@
         """
         asked_at = monotonic_s()
         owner_id = self.owner_table.owner_of(request.endpoint)
-        reply = await self._ask(owner_id, request)
+        reply = await self.calls.ask(owner_id, request)
         if reply.code != ResultCode.OK:
             return reply
         ttl_s = self.owner_table.settings.members.reservation_ttl_s
@@ -257,58 +256,6 @@
         leaving = closed is EndpointPhase.LEAVING
         invariants.check(not leaving, Invariant.LEAVING, endpoint=endpoint)
 
-    async def _ask(
-        self, owner_id: str, request: ReserveRequest
-    ) -> ReserveReply:
-        me = self.owner_table.view.me.id
-        if owner_id == me:
-            return await self.owner_table.reserve(request, me)
-        link = self.membership.links.get(owner_id)
-        if link is None:
-            return ReserveReply(code=ResultCode.PEER_UNREACHABLE)
-        task = asyncio.create_task(self._call(link, request))
-        self.asking.add(task)
-        task.add_done_callback(self.asking.discard)
-        timeout_s = request.max_wait_s + link.settings.call_timeout_s
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await asyncio.shield(task)
-        except TimeoutError:
-            return ReserveReply(code=ResultCode.PEER_UNREACHABLE)
-        finally:
-            if not task.done():  # the reply may still grant room
-                task.add_done_callback(
-                    lambda late: self._give_back(owner_id, request, late)
-                )
-
-    async def _call(self, link: Any, request: ReserveRequest) -> ReserveReply:
-        timeout_s = request.max_wait_s + LATE_REPLY_TIMEOUT_S
-        try:
-            reply = await link.call(request, timeout_s)
-        except (OSError, TimeoutError, FrameError):
-            return ReserveReply(code=ResultCode.PEER_UNREACHABLE)
-        if isinstance(reply, ReserveReply):
-            return reply
-        return ReserveReply(code=ResultCode.PEER_UNREACHABLE)
-
-    def _give_back(
-        self,
-        owner_id: str,
-        request: ReserveRequest,
-        late: asyncio.Task[ReserveReply],
-    ) -> None:
-        if late.cancelled() or late.exception() is not None:
-            return
-        reply = late.result()
-        if reply.code != ResultCode.OK or not reply.reservation_id:
-            return
-        release = ReleaseRequest(
-            endpoint=request.endpoint, reservation_id=reply.reservation_id
-        )
-        self.membership.tasks.start(
-            self._send(owner_id, release), "give back a late reservation"
-        )
-
     async def _tell(
         self,
         endpoint: str,
@@ -317,21 +264,7 @@
     ) -> None:
         owner_id = self.owner_table.owner_of(endpoint)
         for member_id in dict.fromkeys((owner_id, granted_by)):
-            await self._send(member_id, request)
-
-    async def _send(
-        self, member_id: str, request: ReleaseRequest | ProgressRequest
-    ) -> None:
-        if member_id == self.owner_table.view.me.id:
-            self._apply(request)
-            return
-        link = self.membership.links.get(member_id)
-        if link is None:
-            return  # heartbeats correct the owner's table
-        try:
-            await link.call(request)
-        except (OSError, TimeoutError, FrameError):
-            return
+            await self.calls.send(member_id, request)
 
     def _apply(self, request: ReleaseRequest | ProgressRequest) -> None:
         match request:
--- /dev/null
+++ b/src/auburnswitch/endpoints/survey.py
@@ -0,0 +1,51 @@
+"""Decides whether a cold endpoint may be used."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.schema.peers import EndpointPhase
+
+if TYPE_CHECKING:
+    from auburnswitch.endpoints.ledger import EndpointLedger
+    from auburnswitch.endpoints.rights import StrictOwnership
+
+
+class StrictGate:
+    """Lets the strict owner use what it has surveyed.
+
+    Strict rights begin once every earlier grant has been used or has expired.
+    A list of the endpoint's work that was asked for after that shows all work
+    that this owner has not granted itself.
+
+    Attributes:
+        rights: Tells whether this daemon is the strict owner.
+    """
+
+    __slots__ = ("rights",)
+
+    def __init__(self, *, rights: StrictOwnership) -> None:
+        self.rights = rights
+
+    def may_use_cold(self, ledger: EndpointLedger) -> bool:
+        """Tells whether work may be granted on a cold endpoint now."""
+        if ledger.phase is EndpointPhase.UNKNOWN:
+            return False
+        return self.note_rights(ledger) and ledger.is_surveyed
+
+    def needs_survey(self, ledger: EndpointLedger) -> bool:
+        """Tells whether the endpoint's work must be listed first."""
+        return self.note_rights(ledger) and not ledger.is_surveyed
+
+    def note_rights(self, ledger: EndpointLedger) -> bool:
+        """Notes when strict rights begin and end; tells whether they last."""
+        if not self.rights.may_use(ledger.name):
+            ledger.strict_since = None
+            return False
+        if ledger.strict_since is None:
+            ledger.strict_since = monotonic_s()
+        return True
+
+
+__all__ = ["StrictGate"]
--- a/tests/endpoints/test_phases.py
+++ b/tests/endpoints/test_phases.py
@@ -13,7 +13,11 @@
 from auburnswitch.endpoints.load import LoadReport
 from auburnswitch.endpoints.reservations import DispatchRefusedError
 from auburnswitch.schema.objects import Ticket
-from auburnswitch.schema.peers import EndpointHint, EndpointPhase
+from auburnswitch.schema.peers import (
+    EndpointHint,
+    EndpointPhase,
+    ReleaseRequest,
+)
 from auburnswitch.schema.results import ResultCode
 from tests.endpoints.owners import (
     ENGINE,
@@ -115,7 +119,18 @@
 
         driver = self.after(scenario)
         self.assert_cold(driver)
-        self.assertEqual(len(driver.ledger.reservations), 1)  # may still run
+        lingering = list(driver.ledger.reservations)  # it may still run
+        self.assertEqual(len(lingering), 1)
+        generation = driver.ledger.warm_up.generation
+        driver.table.release(
+            ReleaseRequest(
+                endpoint=ENGINE,
+                reservation_id=lingering[0],
+                used=True,
+                endpoint_lost=True,
+            )
+        )
+        self.assertEqual(driver.ledger.warm_up.generation, generation)
 
     def test_slow_first_tokens_are_cold(self):
         async def scenario(driver):
