--- a/src/auburnswitch/endpoints/reservations.py
+++ b/src/auburnswitch/endpoints/reservations.py
@@ -210,6 +210,7 @@
             may_still_run=used and may_still_run,
         )
         await self._tell(held.endpoint, held.owner_id, request)
+        self._check_freed(held)
 
     def fill_heartbeat(self, heartbeat: Heartbeat, peer_id: str) -> None:
         """Reports the reservations on endpoints that the peer owns."""
@@ -248,6 +249,15 @@
             return "the endpoint has turned cold since the grant"
         return ""
 
+    def _check_freed(self, held: HeldReservation) -> None:
+        ledger = self.owner_table.ledgers.get(held.endpoint)
+        kept = ledger.reservations.get(held.id) if ledger is not None else None
+        self.owner_table.invariants.check(
+            held.id not in self.held and (kept is None or kept.lingering),
+            Invariant.MEMORY_FREED,
+            endpoint=held.endpoint,
+        )
+
     def _check_closed(self, endpoint: str) -> None:
         closed = self.owner_table.closings.phase(endpoint)
         invariants = self.owner_table.invariants
--- a/tests/endpoints/test_groups.py
+++ b/tests/endpoints/test_groups.py
@@ -8,7 +8,10 @@
 from auburnswitch.endpoints.client import Attempt
 from auburnswitch.endpoints.groups import release_group, reserve_group
 from auburnswitch.endpoints.load import LoadReport
-from auburnswitch.endpoints.reservations import DispatchRefusedError
+from auburnswitch.endpoints.reservations import (
+    DispatchRefusedError,
+    ReservationClient,
+)
 from auburnswitch.observe.tasks import open_task_set
 from auburnswitch.schema.objects import Change, ObjectKind, Ticket
 from auburnswitch.schema.peers import (
@@ -17,7 +20,7 @@
     ReserveRequest,
 )
 from auburnswitch.schema.results import ResultCode
-from tests.endpoints.owners import client_of, endpoint, open_table
+from tests.endpoints.owners import FakeMembership, endpoint, open_table
 from tests.virtual_time import run_virtual
 
 NAMES = ("engine-0", "engine-1", "engine-2")
@@ -33,6 +36,15 @@
     ]
 
 
+class SlowClient(ReservationClient):
+    """Reserves after a short time, so that groups interleave."""
+
+    async def reserve(self, request):
+        """Asks the endpoint's owner for room."""
+        await asyncio.sleep(0.01)
+        return await super().reserve(request)
+
+
 class GroupTest(unittest.TestCase):
     def run_group(self, scenario):
         """Runs a scenario on the owner of three warm engines."""
@@ -48,7 +60,7 @@
                 table.note_load(name, LoadReport(boot_id="b1"), 0.0)
                 table.ledgers[name].warm_up.phase = EndpointPhase.WARM
                 table.ledgers[name].settling = False
-            client = client_of(table)
+            client = SlowClient(owner_table=table, membership=FakeMembership())
             async with open_task_set() as tasks:
                 client.membership.tasks = tasks
                 return await scenario(table, client)
--- a/tests/endpoints/test_handover.py
+++ b/tests/endpoints/test_handover.py
@@ -6,9 +6,13 @@
 import unittest
 
 from auburnswitch.clock import monotonic_s
+from auburnswitch.endpoints.handover import Handover
+from auburnswitch.endpoints.load import LoadReport
 from auburnswitch.experiments.freezing import FreezableLoop
+from auburnswitch.schema.peers import EndpointPhase, HandoverRequest
 from auburnswitch.standins.history import HistoryKind
 from tests.endpoints.bench import number_of, open_bench
+from tests.endpoints.owners import ask, open_table
 from tests.endpoints.test_cold_bound import stay_cold
 from tests.virtual_time import run_virtual
 
@@ -17,6 +21,26 @@
 
 
 class HandoverTest(unittest.TestCase):
+    def test_successor_knows_phase_and_reservations(self):
+        async def scenario():
+            old, new = open_table(), open_table(settled=False)
+            warm_up = old.ledgers[ENGINE].warm_up
+            warm_up.phase, warm_up.successes = EndpointPhase.WARMING, 9
+            warm_up.window = 5
+            await old.reserve(ask(), "peer")
+            new.ledgers.clear()
+            request = HandoverRequest(endpoints=[ENGINE])
+            Handover(owner_table=old).fill(request)
+            Handover(owner_table=new).take(request)
+            new.note_load(ENGINE, LoadReport(boot_id="b1"), 0.0)
+            ledger = new.ledgers[ENGINE]
+            held = [r.member_id for r in ledger.reservations.values()]
+            return ledger.phase, ledger.max_running, held
+
+        self.assertEqual(
+            run_virtual(scenario), (EndpointPhase.WARMING, 5, ["peer"])
+        )
+
     def test_warm_endpoint_stays_warm(self):
         async def scenario():
             async with open_bench(daemons=3, engines=1) as bench:
--- a/tests/endpoints/test_orphans.py
+++ b/tests/endpoints/test_orphans.py
@@ -4,12 +4,23 @@
 
 import asyncio
 import unittest
+from typing import TYPE_CHECKING
 
 from auburnswitch.clock import monotonic_s
+from auburnswitch.endpoints.client import EndpointClient
+from auburnswitch.endpoints.orphans import OrphanCollector
 from auburnswitch.experiments.freezing import FreezableLoop
-from auburnswitch.standins.history import HistoryKind
+from auburnswitch.schema.objects import Member, Roster
+from auburnswitch.schema.results import ResultCode
+from auburnswitch.schema.settings import EndpointsSettings
+from auburnswitch.standins.engine import open_engine
+from auburnswitch.standins.history import HistoryKind, HistoryRecord
 from tests.endpoints.bench import Bench, number_of, open_bench
-from tests.virtual_time import run_virtual
+from tests.endpoints.owners import ask, client_of, open_table
+from tests.virtual_time import open_session, run_virtual
+
+if TYPE_CHECKING:
+    from aiohttp import ClientSession
 
 ENGINE = "engine-0"
 LONG_ANSWER = 1600  # 40 s at the engine's decode step
@@ -35,11 +46,71 @@
         await asyncio.sleep(0.1)
 
 
+async def send_as(web: ClientSession, url: str, member_id: str) -> None:
+    """Runs a completion of a few seconds under a daemon's name."""
+    headers = {
+        "X-Request-Id": "foreign",
+        "X-Attempt": "1",
+        "X-Member-Id": member_id,
+    }
+    body = {"model": "", "prompt": "word" * 100, "max_tokens": 200}
+    async with web.post(
+        url + "/v1/completions", json=body, headers=headers
+    ) as response:
+        await response.read()
+
+
+def cancelled(bench: Bench) -> list[HistoryRecord]:
+    """Returns the cancellations that engines have carried out."""
+    return list(bench.fleet.history.select(HistoryKind.REQUEST_CANCELLED))
+
+
 def entry_apart_from(owner: str) -> str:
     """Returns a daemon that is not the owner."""
     return "entry-0" if owner != "entry-0" else "entry-1"
 
 
+class SurveyTest(unittest.TestCase):
+    def test_listed_work_counts_against_the_cold_bound(self):
+        async def scenario():
+            async with (
+                open_engine(name=ENGINE) as engine,
+                open_session() as web,
+            ):
+                port = int(engine.url.rpartition(":")[2])
+                table = open_table(port=port)
+                ledger = table.ledgers[ENGINE]
+                table.view.note_roster(
+                    Roster(epoch=1, members=[Member(id="me"), Member(id="p")])
+                )
+                collector = OrphanCollector(
+                    owner_table=table,
+                    reservations=client_of(table),
+                    client=EndpointClient(
+                        session=web, settings=EndpointsSettings()
+                    ),
+                )
+                running = asyncio.create_task(send_as(web, engine.url, "p"))
+                await asyncio.sleep(1)
+                ledger.listed_at = float("-inf")
+                before = (await table.reserve(ask(), "me")).code
+                await collector.compare(ledger)
+                codes = [
+                    (await table.reserve(ask(), "me")).code for _ in range(2)
+                ]
+                await running
+                return before, *codes
+
+        self.assertEqual(
+            run_virtual(scenario),
+            (
+                ResultCode.OWNERSHIP_PENDING,
+                ResultCode.OK,
+                ResultCode.QUEUE_FULL,
+            ),
+        )
+
+
 class OrphanTest(unittest.TestCase):
     def run_bench(self, scenario, **options):
         """Runs a scenario on one engine and five daemons."""
@@ -99,10 +170,7 @@
             entry = entry_apart_from(bench.owner_of(ENGINE))
             await hold_work(bench, entry)
             await bench.finish()
-            cancelled = bench.fleet.history.select(
-                HistoryKind.REQUEST_CANCELLED
-            )
-            return bench.statuses, list(cancelled)
+            return bench.statuses, cancelled(bench)
 
         self.assertEqual(self.run_bench(scenario, tune=tune), ([200, 200], []))
 
@@ -117,9 +185,9 @@
             await asyncio.sleep(25)
             bench.fleet.thaw_daemon(number_of(entry))
             await bench.finish()
-            return bench.statuses
+            return bench.statuses, cancelled(bench)
 
-        self.assertEqual(self.run_bench(scenario, tune=tune), [200, 200])
+        self.assertEqual(self.run_bench(scenario, tune=tune), ([200, 200], []))
 
 
 async def wait_empty_of(bench: Bench, entry: str) -> float:
