Test cold turns, long prompts on cold engines and claims of live daemons

Mutants that passed before and are shown now: an owner that does not ask a daemon it hears, and (below) admission by unprefilled tokens alone, which lets two prompts of 12,000 tokens onto a cold engine that bears 20,000.

--- a/tests/endpoints/test_cold_bound.py
+++ b/tests/endpoints/test_cold_bound.py
@@ -11,6 +11,7 @@
 from tests.virtual_time import run_virtual
 
 BOUND = 2
+TOKEN_BOUND = 20_000
 ENGINE = "engine-0"
 NEVER_WARM = 100_000
 ANSWER_TOKENS = 100  # 2.5 s at the engine's decode step
@@ -32,6 +33,7 @@
         """Checks that the bound was reached and never passed."""
         self.assertEqual(bench.crashes(), [])
         self.assertEqual(bench.watches[ENGINE].running, BOUND)
+        self.assertLessEqual(bench.watches[ENGINE].tokens, TOKEN_BOUND)
         self.assertGreater(bench.statuses.count(200), 0)
 
     def run_cold(self, scenario) -> None:
@@ -55,6 +57,14 @@
 
         self.run_cold(scenario)
 
+    def test_prompts_that_fit_one_at_a_time(self):
+        async def scenario(bench):
+            await bench.load(
+                10, 1, tokens=TOKEN_BOUND * 6 // 10, answer=ANSWER_TOKENS
+            )
+
+        self.run_cold(scenario)
+
     def test_owner_is_killed(self):
         async def scenario(bench):
             owner = bench.owner_of(ENGINE)
@@ -84,3 +94,34 @@
             await load
 
         self.run_cold(scenario)
+
+
+class ColdTurnTest(unittest.TestCase):
+    def run_turn(self, turn) -> Bench:
+        """Turns a warm engine cold under load until it is warm again."""
+
+        async def run():
+            async with open_bench(daemons=5, engines=3) as bench:
+                await bench.warm_up()
+                await bench.load(3, 10)
+                turn(bench.fleet.engines[ENGINE])
+                await bench.load(5, 10)
+                restarted = bench.watches[ENGINE]
+                restarted.running = restarted.tokens = 0
+                await bench.load(25, 10)
+                await bench.finish()
+                self.assertEqual(bench.phase(ENGINE), "WARM")
+                self.assertEqual(set(bench.statuses), {200})
+                self.assertLessEqual(restarted.running, BOUND)
+                return bench
+
+        return run_virtual(run, FreezableLoop)
+
+    def test_restart(self):
+        bench = self.run_turn(lambda engine: engine.crash())
+        self.assertEqual(bench.crashes(), [])
+
+    def test_unannounced(self):
+        bench = self.run_turn(lambda engine: engine.turn_cold())
+        # Nothing shows the turn before the engine has fallen over once.
+        self.assertLessEqual(len(bench.crashes()), 1)
--- a/tests/endpoints/test_orphans.py
+++ b/tests/endpoints/test_orphans.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import unittest
 from typing import TYPE_CHECKING
 
+from aiohttp import ClientError
+
 from auburnswitch.clock import monotonic_s
 from auburnswitch.endpoints.client import EndpointClient
+from auburnswitch.endpoints.load import LoadReport
 from auburnswitch.endpoints.orphans import OrphanCollector
 from auburnswitch.experiments.freezing import FreezableLoop
 from auburnswitch.schema.objects import Member, Roster
+from auburnswitch.schema.peers import ClaimsReply
 from auburnswitch.schema.results import ResultCode
 from auburnswitch.schema.settings import EndpointsSettings
 from auburnswitch.standins.engine import open_engine
@@ -47,17 +52,18 @@
 
 
 async def send_as(web: ClientSession, url: str, member_id: str) -> None:
-    """Runs a completion of a few seconds under a daemon's name."""
+    """Runs a long completion under a daemon's name."""
     headers = {
         "X-Request-Id": "foreign",
         "X-Attempt": "1",
         "X-Member-Id": member_id,
     }
-    body = {"model": "", "prompt": "word" * 100, "max_tokens": 200}
+    body = {"model": "", "prompt": "word" * 100, "max_tokens": LONG_ANSWER}
     async with web.post(
         url + "/v1/completions", json=body, headers=headers
     ) as response:
-        await response.read()
+        with contextlib.suppress(ClientError):
+            await response.read()
 
 
 def cancelled(bench: Bench) -> list[HistoryRecord]:
@@ -70,46 +76,77 @@
     return "entry-0" if owner != "entry-0" else "entry-1"
 
 
+class ClaimingLink:
+    """A link to a daemon that claims what it is asked for, or nothing."""
+
+    def __init__(self) -> None:
+        self.claims = True
+
+    async def call(self, request):
+        """Answers which attempts the daemon still has."""
+        return ClaimsReply(attempts=request.attempts if self.claims else [])
+
+
+@contextlib.asynccontextmanager
+async def open_survey():
+    """Opens an engine that runs a member's work, and the owner's collector."""
+    async with open_engine(name=ENGINE) as engine, open_session() as web:
+        table = open_table(port=int(engine.url.rpartition(":")[2]))
+        members = [Member(id="me"), Member(id="p")]
+        table.view.note_roster(Roster(epoch=1, members=members))
+        collector = OrphanCollector(
+            owner_table=table,
+            reservations=client_of(table),
+            client=EndpointClient(session=web, settings=EndpointsSettings()),
+        )
+        table.ledgers[ENGINE].load = LoadReport(boot_id="b1", running=1)
+        running = asyncio.create_task(send_as(web, engine.url, "p"))
+        await asyncio.sleep(1)
+        yield engine, collector
+        await running
+
+
 class SurveyTest(unittest.TestCase):
     def test_listed_work_counts_against_the_cold_bound(self):
         async def scenario():
-            async with (
-                open_engine(name=ENGINE) as engine,
-                open_session() as web,
-            ):
-                port = int(engine.url.rpartition(":")[2])
-                table = open_table(port=port)
+            async with open_survey() as (_, collector):
+                table = collector.owner_table
                 ledger = table.ledgers[ENGINE]
-                table.view.note_roster(
-                    Roster(epoch=1, members=[Member(id="me"), Member(id="p")])
-                )
-                collector = OrphanCollector(
-                    owner_table=table,
-                    reservations=client_of(table),
-                    client=EndpointClient(
-                        session=web, settings=EndpointsSettings()
-                    ),
-                )
-                running = asyncio.create_task(send_as(web, engine.url, "p"))
-                await asyncio.sleep(1)
                 ledger.listed_at = float("-inf")
-                before = (await table.reserve(ask(), "me")).code
+                codes = [(await table.reserve(ask(), "me")).code]
                 await collector.compare(ledger)
-                codes = [
-                    (await table.reserve(ask(), "me")).code for _ in range(2)
-                ]
-                await running
-                return before, *codes
+                for _ in range(2):
+                    codes.append((await table.reserve(ask(), "me")).code)
+                return codes
 
         self.assertEqual(
             run_virtual(scenario),
-            (
+            [
                 ResultCode.OWNERSHIP_PENDING,
                 ResultCode.OK,
                 ResultCode.QUEUE_FULL,
-            ),
+            ],
         )
 
+    def test_daemon_that_is_heard_is_asked(self):
+        async def scenario():
+            async with open_survey() as (engine, collector):
+                link = ClaimingLink()
+                collector.reservations.membership.links["p"] = link
+                ledger = collector.owner_table.ledgers[ENGINE]
+                used = []
+                for claims in (True, False):
+                    link.claims = claims
+                    for _ in range(6):
+                        peer = collector.owner_table.view.peers["p"]
+                        peer.heard_at = monotonic_s()
+                        await asyncio.sleep(2)
+                        await collector.compare(ledger)
+                    used.append(engine.batch.memory_used > 0)
+                return used
+
+        self.assertEqual(run_virtual(scenario), [True, False])
+
 
 class OrphanTest(unittest.TestCase):
     def run_bench(self, scenario, **options):
