--- a/tests/endpoints/test_cold_bound.py
+++ b/tests/endpoints/test_cold_bound.py
@@ -59,6 +59,7 @@
 
     def test_prompts_that_fit_one_at_a_time(self):
         async def scenario(bench):
+            await bench.finish()  # short ones would go first
             await bench.load(
                 10, 1, tokens=TOKEN_BOUND * 6 // 10, answer=ANSWER_TOKENS
             )
