End waits whose rest is shorter than a clock tick

A timer may fire a tick early, and the loops that then slept for the rest, below a microsecond, came back without the virtual clock moving, for ever. Restart and pause now count such a rest as over.

The new test of a pause that ends between two ticks fails on the old code and passes on the new.

--- a/src/auburnswitch/standins/listener.py
+++ b/src/auburnswitch/standins/listener.py
@@ -15,6 +15,17 @@
     from uvicorn.protocols.http.h11_impl import H11Protocol
 
 MAX_HEADER_BYTES: Final = 65536
+CLOCK_MARGIN_S: Final = 1e-5
+
+
+def seconds_until(time_s: float) -> float:
+    """Returns the time left, 0 once it is too short for a clock to show.
+
+    A timer may fire a clock tick early. Waiting again for the rest would not
+    end on a loop whose clock only moves while nothing is ready.
+    """
+    left_s = time_s - asyncio.get_running_loop().time()
+    return left_s if left_s > CLOCK_MARGIN_S else 0.0
 
 
 class Pause:
@@ -43,8 +54,7 @@
 
     async def wait(self) -> None:
         """Returns once the pause is over."""
-        loop = asyncio.get_running_loop()
-        while (left_s := self.until_s - loop.time()) > 0:
+        while left_s := seconds_until(self.until_s):
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._ended.wait(), left_s)
 
@@ -114,9 +124,8 @@
         if not self._open:
             await self.drop_request(scope, receive)  # it came too late
             return
-        loop = asyncio.get_running_loop()
-        silent_s = self._silent_until_s - loop.time()
-        if silent_s > 0:
+        silent_s = seconds_until(self._silent_until_s)
+        if silent_s:
             await asyncio.sleep(silent_s)
             await self.drop_request(scope, receive)  # its process is gone
             return
@@ -175,8 +184,7 @@
                     raise
                 started.set_exception(error)
                 return
-            loop = asyncio.get_running_loop()
-            while (left_s := self._up_at_s - loop.time()) > 0:
+            while left_s := seconds_until(self._up_at_s):
                 await asyncio.sleep(left_s)
 
     async def _listen_once(self, started: asyncio.Future[None]) -> None:
--- a/tests/standins/test_engine_faults.py
+++ b/tests/standins/test_engine_faults.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 from auburnswitch.standins.history import HistoryKind
+from auburnswitch.standins.listener import Pause
 from tests.standins.engine_client import EngineClient, open_client
 from tests.virtual_time import run_virtual
 
@@ -136,6 +137,18 @@
         self.assertEqual(count, 40)
         self.assertTrue(10.5 < took_s < 12)
 
+    def test_pause_ends_between_two_clock_ticks(self):
+        async def run():
+            pause = Pause()
+            pause.extend(0.1234564)
+            task = asyncio.create_task(pause.wait())
+            await asyncio.sleep(0.123456)
+            for _ in range(100):  # the clock stands still meanwhile
+                await asyncio.sleep(0)
+            return task.done()
+
+        self.assertTrue(run_virtual(run))
+
     def test_crash_ends_a_freeze(self):
         async def run():
             async with open_client(restart_s=1) as client:
