--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -44,6 +44,8 @@
   7: i32 max_running = 0
   // Identifies one start of the endpoint.
   8: string boot_id = ""
+  // Prompt tokens still to prefill by the endpoint's own last load report.
+  50: i64 reported_prefill_tokens = 0
   // Requests that succeeded since the endpoint was cold.
   40: i32 successes = 0
   // Requests that may run at one time while load is rising.
@@ -105,6 +107,10 @@
   40: list<string> leaving_endpoints = []
   // Whether the sender read the instance list lately.
   41: bool reads_instances = false
+  // Former incarnations of the sender, which have ended.
+  30: list<string> former_ids = []
+  // Daemons that the sender's majority counts, if they aren't the roster.
+  31: list<string> quorum_ids = []
 }
 
 struct HeartbeatAck {
@@ -197,6 +203,23 @@
   42: list<string> holders = []
 }
 
+// One attempt of a request.
+struct AttemptId {
+  1: string request_id = ""
+  2: i32 attempt = 0
+}
+
+// Asks a member which attempts on an endpoint it still has.
+struct ClaimsRequest {
+  1: string endpoint = ""
+  2: list<AttemptId> attempts = []
+}
+
+struct ClaimsReply {
+  // The attempts that the member still has.
+  1: list<AttemptId> attempts = []
+}
+
 // One frame of a peer connection; exactly one optional field is set.
 struct Envelope {
   // Pairs a reply with its call; 0 for messages without a reply.
@@ -213,4 +236,6 @@
   11: optional HandoverRequest handover
   12: optional Done done
   13: optional Hello hello
+  40: optional ClaimsRequest claims
+  41: optional ClaimsReply claims_reply
 }
--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -19,10 +19,14 @@
 from auburnswitch.callers.parse import RequestParser
 from auburnswitch.clock import WallClock, monotonic_s
 from auburnswitch.endpoints.client import EndpointClient, guard_trace
+from auburnswitch.endpoints.instances import InstanceReader
 from auburnswitch.endpoints.monitor import LoadMonitor
+from auburnswitch.endpoints.orphans import OrphanCollector
 from auburnswitch.endpoints.owner import OwnerTable
 from auburnswitch.endpoints.reservations import ReservationClient
 from auburnswitch.http_server import HttpServer, ListenError, open_http_server
+from auburnswitch.members.departures import Departures
+from auburnswitch.members.isolation import Isolation
 from auburnswitch.members.roster import ROSTER_KEY, RosterKeeper
 from auburnswitch.members.server import PeerServer
 from auburnswitch.members.service import Membership
@@ -42,6 +46,7 @@
 from auburnswitch.routing.dispatcher import Dispatcher
 from auburnswitch.routing.placement import Placer
 from auburnswitch.routing.plain import PlainRouter
+from auburnswitch.routing.policy import make_policy
 from auburnswitch.schema.events import EventId
 from auburnswitch.schema.objects import Member
 from auburnswitch.schema.results import ResultCode
@@ -50,6 +55,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
+    from auburnswitch.members.connection import Dialer
     from auburnswitch.schema.settings import Settings
 
 DRAIN_POLL_S: Final = 0.05
@@ -83,6 +89,7 @@
         session: aiohttp.ClientSession,
         tasks: TaskSet,
         invariants: Invariants,
+        dial: Dialer = asyncio.open_connection,
     ) -> None:
         self.settings = settings
         self.tasks = tasks
@@ -104,16 +111,26 @@
         self.watcher = StoreWatcher(store=self.store, seed=seed)
         self.view = MemberView(me=self.member, settings=settings.members)
         self.strict_rights = StrictRights(view=self.view)
-        self.roster = RosterKeeper(store=self.store, view=self.view)
+        self.departures = Departures(view=self.view, store=self.store)
+        self.isolation = Isolation(
+            view=self.view, read_at=lambda: self.watcher.read_at
+        )
+        self.roster = RosterKeeper(
+            store=self.store,
+            view=self.view,
+            departures=self.departures,
+            synced=self.watcher.synced,
+            seed=seed,
+        )
         self.watcher.handlers[TICKETS_PREFIX] = self.tickets.handle_object
         self.watcher.handlers[ROSTER_KEY] = self.roster.handle_object
         self.cleanups = TaskSet()
-        self._build_members()
+        self._build_members(dial)
         self._build_endpoints(session)
-        self._build_routing(session, seed)
+        self._build_routing(seed)
         self._build_listeners()
 
-    def _build_members(self) -> None:
+    def _build_members(self, dial: Dialer) -> None:
         shared_key = read_secret(self.settings.peers.key_file)
         self.peer_server = PeerServer(
             settings=self.settings.peers,
@@ -125,9 +142,12 @@
             shared_key=shared_key,
             view=self.view,
             strict_rights=self.strict_rights,
+            departures=self.departures,
+            isolation=self.isolation,
             state=self.state,
             tasks=self.tasks,
-            store_age_s=lambda: monotonic_s() - self.store.last_success_at,
+            store_age_s=lambda: monotonic_s() - self.watcher.read_at,
+            dial=dial,
         )
         self.membership.register(self.peer_server)
 
@@ -143,28 +163,46 @@
             owner_table=self.owner_table, membership=self.membership
         )
         self.reservations.register(self.peer_server)
+        self.instances = InstanceReader(
+            store=self.store, owner_table=self.owner_table
+        )
         self.membership.heartbeat_sources += [
             self.owner_table.fill_heartbeat,
             self.reservations.fill_heartbeat,
+            self.instances.fill_heartbeat,
+        ]
+        self.membership.heartbeat_listeners += [
+            self.owner_table.note_heartbeat,
+            self.instances.note_heartbeat,
         ]
-        self.membership.heartbeat_listeners.append(
-            self.owner_table.note_heartbeat
+        self.membership.handover_sources.append(self.owner_table.fill_handover)
+        self.membership.handover_listeners.append(
+            self.owner_table.note_handover
         )
+        self.endpoint_client = EndpointClient(
+            session=session, settings=self.settings.endpoints
+        )
+        self.orphans = OrphanCollector(
+            owner_table=self.owner_table,
+            reservations=self.reservations,
+            client=self.endpoint_client,
+        )
+        self.orphans.register(self.peer_server)
         self.monitor = LoadMonitor(
             settings=self.settings,
             owner_table=self.owner_table,
             reservations=self.reservations,
+            orphans=self.orphans,
             session=session,
             tasks=self.tasks,
         )
 
-    def _build_routing(self, session: aiohttp.ClientSession, seed: int) -> None:
-        client = EndpointClient(
-            session=session, settings=self.settings.endpoints
-        )
+    def _build_routing(self, seed: int) -> None:
+        client = self.endpoint_client
         placer = Placer(
             owner_table=self.owner_table,
             reservations=self.reservations,
+            policy=make_policy(self.settings.routing),
             seed=seed,
         )
         self.dispatcher = Dispatcher(
@@ -231,6 +269,7 @@
             "reason": "" if refused is None else refused.code.name.lower(),
             "state_digest": self.state.digest,
             "roster_epoch": self.view.roster.epoch,
+            "strict_rights": self.view.has_quorum(),
             "roster": self.view.roster_ids(),
             "live": self.view.live_ids(),
             "owned_endpoints": self.owner_table.owned(),
@@ -248,7 +287,10 @@
         self.tasks.start(self.watcher.run(), "watcher")
         self.tasks.start(self.roster.run(), "roster")
         self.tasks.start(self.membership.run(), "membership")
+        refresh = self.watcher.refresh
+        self.tasks.start(self.isolation.run(refresh), "store probe")
         self.tasks.start(self.monitor.run(), "load monitor")
+        self.tasks.start(self.instances.run(), "instance list")
 
     async def drain(self) -> None:
         """Refuses new work, finishes what runs and leaves the roster."""
@@ -269,6 +311,7 @@
     *,
     connector: Callable[[], aiohttp.BaseConnector] | None = None,
     strict_invariants: bool = False,
+    dial: Dialer = asyncio.open_connection,
 ) -> AsyncIterator[Daemon]:
     """Runs a daemon until the context ends; the end is not graceful.
 
@@ -276,6 +319,7 @@
         settings: Checked settings.
         connector: Makes the connector of outgoing HTTP connections.
         strict_invariants: Raise when an invariant does not hold.
+        dial: Opens the connections to peers.
 
     Yields:
         The running daemon; call its ``drain`` for a graceful stop.
@@ -293,6 +337,7 @@
             session=session,
             tasks=tasks,
             invariants=Invariants(strict=strict_invariants),
+            dial=dial,
         )
         async with (
             daemon.peer_server.open(),
--- a/src/auburnswitch/schema/peers.py
+++ b/src/auburnswitch/schema/peers.py
@@ -104,6 +104,7 @@
     running: int = 0
     max_running: int = 0
     boot_id: str = ""
+    reported_prefill_tokens: int = 0
     successes: int = 0
     window: int = 0
 
@@ -116,6 +117,7 @@
         6: (TType.I32, "running", False),
         7: (TType.I32, "max_running", False),
         8: (TType.STRING, "boot_id", False),
+        50: (TType.I64, "reported_prefill_tokens", False),
         40: (TType.I32, "successes", False),
         41: (TType.I32, "window", False),
     }
@@ -128,6 +130,7 @@
         ("running", None),
         ("max_running", None),
         ("boot_id", None),
+        ("reported_prefill_tokens", None),
         ("successes", None),
         ("window", None),
     ]
@@ -150,6 +153,10 @@
         "boot_id": Description(
             text="Identifies one start of the endpoint.", options={}
         ),
+        "reported_prefill_tokens": Description(
+            text="Prompt tokens still to prefill by the endpoint's own last load report.",
+            options={},
+        ),
         "successes": Description(
             text="Requests that succeeded since the endpoint was cold.",
             options={},
@@ -299,6 +306,8 @@
     store_age_s: float = 0.0
     leaving_endpoints: list[str] = field(default_factory=list)
     reads_instances: bool = False
+    former_ids: list[str] = field(default_factory=list)
+    quorum_ids: list[str] = field(default_factory=list)
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRUCT, "sender", Member, False),
@@ -314,6 +323,8 @@
         11: (TType.DOUBLE, "store_age_s", False),
         40: (TType.LIST, "leaving_endpoints", TType.STRING, False),
         41: (TType.BOOL, "reads_instances", False),
+        30: (TType.LIST, "former_ids", TType.STRING, False),
+        31: (TType.LIST, "quorum_ids", TType.STRING, False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("sender", None),
@@ -329,6 +340,8 @@
         ("store_age_s", None),
         ("leaving_endpoints", None),
         ("reads_instances", None),
+        ("former_ids", None),
+        ("quorum_ids", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -363,6 +376,14 @@
         "reads_instances": Description(
             text="Whether the sender read the instance list lately.", options={}
         ),
+        "former_ids": Description(
+            text="Former incarnations of the sender, which have ended.",
+            options={},
+        ),
+        "quorum_ids": Description(
+            text="Daemons that the sender's majority counts, if they aren't the roster.",
+            options={},
+        ),
     }
 
 
@@ -701,6 +722,68 @@
     }
 
 
+@dataclass(slots=True, kw_only=True)
+class AttemptId(Struct):
+    """One attempt of a request."""
+
+    request_id: str = ""
+    attempt: int = 0
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.STRING, "request_id", False),
+        2: (TType.I32, "attempt", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("request_id", None),
+        ("attempt", None),
+    ]
+    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
+    descriptions: ClassVar[dict[str, Description]] = {
+        "request_id": Description(text="", options={}),
+        "attempt": Description(text="", options={}),
+    }
+
+
+@dataclass(slots=True, kw_only=True)
+class ClaimsRequest(Struct):
+    """Asks a member which attempts on an endpoint it still has."""
+
+    endpoint: str = ""
+    attempts: list[AttemptId] = field(default_factory=list)
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.STRING, "endpoint", False),
+        2: (TType.LIST, "attempts", (TType.STRUCT, AttemptId), False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("endpoint", None),
+        ("attempts", None),
+    ]
+    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
+    descriptions: ClassVar[dict[str, Description]] = {
+        "endpoint": Description(text="", options={}),
+        "attempts": Description(text="", options={}),
+    }
+
+
+@dataclass(slots=True, kw_only=True)
+class ClaimsReply(Struct):
+    """Generated from the schema."""
+
+    attempts: list[AttemptId] = field(default_factory=list)
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.LIST, "attempts", (TType.STRUCT, AttemptId), False)
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [("attempts", None)]
+    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
+    descriptions: ClassVar[dict[str, Description]] = {
+        "attempts": Description(
+            text="The attempts that the member still has.", options={}
+        ),
+    }
+
+
 @dataclass(slots=True, kw_only=True)
 class Envelope(Struct):
     """One frame of a peer connection; exactly one optional field is set."""
@@ -718,6 +801,8 @@
     handover: HandoverRequest | None = None
     done: Done | None = None
     hello: Hello | None = None
+    claims: ClaimsRequest | None = None
+    claims_reply: ClaimsReply | None = None
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "call_id", False),
@@ -733,6 +818,8 @@
         11: (TType.STRUCT, "handover", HandoverRequest, False),
         12: (TType.STRUCT, "done", Done, False),
         13: (TType.STRUCT, "hello", Hello, False),
+        40: (TType.STRUCT, "claims", ClaimsRequest, False),
+        41: (TType.STRUCT, "claims_reply", ClaimsReply, False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("call_id", None),
@@ -748,6 +835,8 @@
         ("handover", None),
         ("done", None),
         ("hello", None),
+        ("claims", None),
+        ("claims_reply", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -767,10 +856,15 @@
         "handover": Description(text="", options={}),
         "done": Description(text="", options={}),
         "hello": Description(text="", options={}),
+        "claims": Description(text="", options={}),
+        "claims_reply": Description(text="", options={}),
     }
 
 
 __all__ = [
+    "AttemptId",
+    "ClaimsReply",
+    "ClaimsRequest",
     "Done",
     "ENDPOINTPHASE_INFO",
     "EndpointHint",
