--- a/tests/endpoints/test_closings.py
+++ b/tests/endpoints/test_closings.py
@@ -5,9 +5,12 @@
 import asyncio
 import unittest
 
+from expression import Error
+
 from auburnswitch.clock import monotonic_s
 from auburnswitch.experiments.fleet import FleetOptions
 from auburnswitch.experiments.freezing import FreezableLoop
+from auburnswitch.platform.store import StoreUnavailable
 from auburnswitch.standins.engine_model import EngineOptions
 from auburnswitch.standins.history import HistoryKind
 from auburnswitch.standins.instances import InstanceState
@@ -30,6 +33,14 @@
     return [r.time_s for r in records if r.time_s > after]
 
 
+class FailingStore:
+    """A store that is down for one daemon."""
+
+    async def instances(self):
+        """Fails to read the instance list."""
+        return Error(StoreUnavailable(reason="cut off"))
+
+
 class ClosingTest(unittest.TestCase):
     def run_closing(self, close, *, reopen=None) -> tuple[Bench, float]:
         """Closes an endpoint under load; returns the bench and the last start.
@@ -91,6 +102,27 @@
         _, last_s = self.run_closing(close)
         self.assertLess(last_s, BOUND_S + INSTANCE_LAG_S)
 
+    def test_next_daemon_reads_the_instance_list(self):
+        async def run():
+            async with open_bench(daemons=3, engines=1) as bench:
+                daemons = bench.fleet.daemons
+                await asyncio.sleep(3)
+                reader = next(
+                    d.instances
+                    for d in daemons.values()
+                    if d.instances.has_read
+                )
+
+                reader.store = FailingStore()
+                instances = bench.fleet.platform.instances
+                instances.set(ENGINE, ZONE, InstanceState.LEAVING)
+                await asyncio.sleep(10)
+                return [
+                    d.owner_table.is_closed(ENGINE) for d in daemons.values()
+                ]
+
+        self.assertEqual(run_virtual(run, FreezableLoop), [True] * 3)
+
     def test_engine_says_leaving(self):
         async def close(bench):
             bench.fleet.engines[ENGINE].leaving = True
