Test an owner cut off from its peers; fail on any violation in a fleet

Admission by unprefilled tokens alone (ledger.bears off) passed the fleet tests, since the invariant stopped the grant inside the daemon and the caller got a 500.

--- a/tests/endpoints/bench.py
+++ b/tests/endpoints/bench.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from auburnswitch.members.link import PeerLink
     from auburnswitch.standins.engine import EngineStandIn
 
 AUTHORIZATION = {"Authorization": f"Bearer {CALLER_KEY}"}
@@ -131,6 +132,27 @@
                 await self.load(1, 8)
             await self.finish()
 
+    def cut(self, instance: str) -> None:
+        """Cuts a daemon off from all others; it still reaches all else."""
+        for link in self._links_of(instance):
+            link.dial = _refuse
+            if link.connection is not None:
+                link.connection.writer.transport.abort()
+
+    def heal(self, instance: str) -> None:
+        """Ends the cut of a daemon."""
+        for link in self._links_of(instance):
+            link.dial = asyncio.open_connection
+
+    def _links_of(self, instance: str) -> list[PeerLink]:
+        cut = self.fleet.daemons[instance]
+        own = list(cut.membership.links.values())
+        return own + [
+            daemon.membership.links[cut.member.id]
+            for daemon in self.fleet.daemons.values()
+            if cut.member.id in daemon.membership.links
+        ]
+
     def crashes(self) -> list[str]:
         """Returns the engines that crashed from load while cold."""
         return [
@@ -156,13 +178,21 @@
             self.statuses.append(0)
 
 
+async def _refuse(*_: Any, **__: Any) -> Any:
+    raise ConnectionRefusedError("cut off")
+
+
 @contextlib.asynccontextmanager
 async def open_bench(**options: Any) -> AsyncIterator[Bench]:
     """Opens a fleet in virtual time; needs a `FreezableLoop`."""
     options.setdefault("plain_services", 0)
     fleet_options = FleetOptions(connector=SimulatedConnector, **options)
     async with open_fleet(fleet_options) as fleet:
-        yield Bench(fleet)
+        bench = Bench(fleet)
+        yield bench
+        for instance, daemon in fleet.daemons.items():
+            violations = daemon.invariants.violations
+            assert not violations, f"{instance}: {violations}"
 
 
 def number_of(instance: str) -> int:
--- a/tests/endpoints/test_cold_bound.py
+++ b/tests/endpoints/test_cold_bound.py
@@ -87,6 +87,19 @@
 
         self.run_cold(scenario)
 
+    def test_owner_is_cut_off_from_all_daemons(self):
+        async def scenario(bench):
+            owner = bench.owner_of(ENGINE)
+            for cut_s in (4, 16):
+                bench.cut(owner)
+                for _ in range(cut_s):
+                    bench.send(owner, answer=ANSWER_TOKENS)
+                    await bench.load(1, 1, answer=ANSWER_TOKENS)
+                bench.heal(owner)
+                await bench.load(5, 2, answer=ANSWER_TOKENS)
+
+        self.run_cold(scenario)
+
     def test_owner_stops_in_order(self):
         async def scenario(bench):
             owner = bench.owner_of(ENGINE)
