Write the server library's messages with the daemon's own logs

Cause: uvicorn's warnings went to standard error as plain lines, in tests and beside the daemon's JSON lines. They now go through the same handler.

--- a/src/auburnswitch/http_server.py
+++ b/src/auburnswitch/http_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import logging
 from typing import TYPE_CHECKING, Final
 
 import uvicorn
@@ -16,6 +17,7 @@
 
 TICK_INTERVAL_S: Final = 1.0
 DEFAULT_MAX_HEADER_BYTES: Final = 65536
+logging.getLogger("uvicorn").addHandler(logging.NullHandler())
 
 
 class ListenError(OSError):
--- a/src/auburnswitch/observe/logs.py
+++ b/src/auburnswitch/observe/logs.py
@@ -27,9 +27,10 @@
             rename_fields={"asctime": "time", "levelname": "level"},
         )
     )
-    LOGGER.handlers[:] = [handler]
+    for logger in (LOGGER, logging.getLogger("uvicorn")):
+        logger.handlers[:] = [handler]
+        logger.propagate = False
     LOGGER.setLevel(level.upper())
-    LOGGER.propagate = False
 
 
 def log_event(event: EventId, **fields: Any) -> None:
