Read a stream to the end of its response; end whole answers in order

Cause: the daemon stopped reading at the end mark, before the end of the response. Supposed effect: a new connection for every request. The read stays for engines that end the response later; it takes at most 0.2 s and begins after the caller has its end. A whole answer no longer leaves its attempt to the garbage collector.

--- a/src/auburnswitch/callers/app.py
+++ b/src/auburnswitch/callers/app.py
@@ -174,20 +174,19 @@
         parts: AsyncGenerator[AnswerPart, None],
         headers: dict[str, str],
     ) -> Response:
+        request_id = completion.request.id
         text: list[str] = []
-        part: AnswerPart | None = first
-        while part is not None:
-            match part:
-                case AnswerText():
-                    text.append(part.text)
-                case AnswerEnd():
-                    self._count(ResultCode.OK, completion.request.id)
-                    body = answer_object(completion, "".join(text), part)
-                    return JSONResponse(body, headers=headers)
-                case AnswerFailed():
-                    return self._refused(part.refusal, completion.request.id)
-            part = await anext(parts, None)
-        raise RefusalError(refusal(ResultCode.INTERNAL))
+        part = first
+        async with contextlib.aclosing(parts):
+            while isinstance(part, AnswerText):
+                text.append(part.text)
+                part = await anext(parts)
+            await anext(parts, None)  # lets the attempt end in order
+        if isinstance(part, AnswerFailed):
+            return self._refused(part.refusal, request_id)
+        self._count(ResultCode.OK, request_id)
+        body = answer_object(completion, "".join(text), part)
+        return JSONResponse(body, headers=headers)
 
     async def _plain_service(self, request: Request) -> Response:
         self._check_open()
--- a/src/auburnswitch/endpoints/client.py
+++ b/src/auburnswitch/endpoints/client.py
@@ -262,6 +262,7 @@
             if payload == _DONE:
                 if frames:
                     yield frames
+                await response.read()  # at its end the connection is kept
                 return
             frames.append(_parse_frame(payload, attempt))
         if frames:
--- a/src/auburnswitch/routing/answer_stream.py
+++ b/src/auburnswitch/routing/answer_stream.py
@@ -29,6 +29,7 @@
 
 MAX_RESUMES: Final = 2
 RESUME_DELAY_S: Final = 0.1
+REST_TIMEOUT_S: Final = 0.2
 PREFILL_PATIENCE: Final = 4.0  # times the prefill of the prompt alone
 
 
@@ -206,6 +207,16 @@
         return AnswerEnd(finish_reason=frame.finish_reason, usage=usage)
 
 
+async def _read_rest(
+    batches: AsyncIterator[list[Frame | ForeignFrame]],
+) -> None:
+    """Reads the end of the response, so that its connection is kept."""
+    with contextlib.suppress(EndpointFailureError, TimeoutError):
+        async with asyncio.timeout(REST_TIMEOUT_S):
+            async for _ in batches:
+                pass
+
+
 def _broken(reason: str) -> EndpointFailureError:
     return EndpointFailureError(reason, sent=True, lost=True)
 
--- a/tests/callers/test_streams.py
+++ b/tests/callers/test_streams.py
@@ -37,13 +37,13 @@
 
 
 @contextlib.asynccontextmanager
-async def open_warm_fleet():
+async def open_warm_fleet(connector=SimulatedConnector):
     options = FleetOptions(
         engines=2,
         daemons=2,
         engine=EngineOptions(starts_warm=True),
         endpoint={"warm_after": 1},
-        connector=SimulatedConnector,
+        connector=connector,
         tune=tune,
     )
     async with open_fleet(options) as fleet:
@@ -187,3 +187,27 @@
                 return running, held
 
         self.assertEqual(run_virtual(scenario), ([0, 0], [0, 0]))
+
+
+class CountingConnector(SimulatedConnector):
+    """Counts the connections that were opened."""
+
+    opened = 0
+
+    async def _wrap_create_connection(self, *args, **options):
+        CountingConnector.opened += 1
+        return await super()._wrap_create_connection(*args, **options)
+
+
+class ConnectionTest(unittest.TestCase):
+    def test_connections_to_engines_are_kept(self):
+        async def scenario():
+            async with open_warm_fleet(CountingConnector) as fleet:
+                await asyncio.sleep(5)
+                before = CountingConnector.opened
+                for number in range(6):
+                    outcome = await complete(fleet, tokens=2 + number)
+                    self.assertEqual(outcome.result, "ok")
+                return CountingConnector.opened - before
+
+        self.assertLess(run_virtual(scenario), 3)  # not one a request
