Place by class-aware waits, exact answers of owners and bounded queues

Cause: predicted waits summed all granted prompts whatever their priority and progress, so short requests avoided endpoints that would have served them at once, and owners queued what others could start. An owner now models its endpoint's prefill (priority, then order of grants, corrected by first tokens), refuses at once a wait above what the next best endpoint promises and answers with exact hints of its own endpoints; the queue ages, is fair between teams by tokens, keeps a large request's place and never loses a grant to its timeout; admission keeps memory for short requests and bounds long prefill.

--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -136,6 +136,12 @@
   13: i64 epoch = 0
   // How long the asker is ready to wait in the owner's queue, in seconds.
   14: double max_wait_s = 0
+  // Longest predicted wait that the asker takes, in seconds; 0 takes any.
+  50: double max_start_wait_s = 0
+  // How long the request has waited at other owners, in seconds.
+  51: double waited_s = 0
+  // Service of the endpoint.
+  52: string service_ = ""
 }
 
 struct ReserveReply {
@@ -148,6 +154,8 @@
   5: string boot_id = ""
   // Seconds from the arrival of the request to its grant.
   40: double waited_s = 0
+  // What the owner knows of its endpoints of the service, best first.
+  50: list<EndpointHint> hints = []
 }
 
 // Ends a reservation, used or not.
--- a/src/auburnswitch/endpoints/admission.py
+++ b/src/auburnswitch/endpoints/admission.py
@@ -1,24 +1,60 @@
-"""Decides whether a request fits on an endpoint now."""
+"""Decides whether a request fits on an endpoint now, and predicts waits."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
+
+from auburnswitch.schema.peers import LengthClass
 
 if TYPE_CHECKING:
     from auburnswitch.endpoints.ledger import EndpointLedger
     from auburnswitch.schema.peers import ReserveRequest
+    from auburnswitch.schema.settings import RoutingSettings
+
+CHUNK_DELAY_S: Final = 0.05  # until a prompt in prefill gives way
 
 
-def has_room(ledger: EndpointLedger, request: ReserveRequest) -> bool:
+def has_room(
+    ledger: EndpointLedger, request: ReserveRequest, settings: RoutingSettings
+) -> bool:
     """Tells whether a request fits beside what has been granted."""
-    if len(ledger.reservations) >= ledger.max_running:
+    needed = needed_tokens(request)
+    if ledger.reserved_tokens + needed > ledger.spec.memory_tokens:
         return False
-    if ledger.is_cold:
-        limit = ledger.spec.cold_max_tokens
-        return ledger.prefill_tokens + request.prompt_tokens <= limit
-    return ledger.reserved_tokens + needed_tokens(request) <= (
-        ledger.spec.memory_tokens
+    if request.length_class == LengthClass.SHORT:
+        return True
+    return _fits_beside_short(ledger, needed, settings) and (
+        request.length_class != LengthClass.LONG
+        or _fits_long_prefill(ledger, request)
+    )
+
+
+def _fits_beside_short(
+    ledger: EndpointLedger, needed: int, settings: RoutingSettings
+) -> bool:
+    """Tells whether enough memory stays for short requests.
+
+    One request may be larger than what the others leave of the memory.
+    """
+    taken = ledger.reserved_tokens
+    if not any(
+        r.length_class is not LengthClass.SHORT
+        for r in ledger.reservations.values()
+    ):
+        return True
+    limit = ledger.spec.memory_tokens * (1 - settings.short_memory_share)
+    return taken + needed <= limit
+
+
+def _fits_long_prefill(ledger: EndpointLedger, request: ReserveRequest) -> bool:
+    """Tells whether long prefill stays within its bound; one always may."""
+    prefill = sum(
+        r.prefill_tokens
+        for r in ledger.reservations.values()
+        if r.length_class is LengthClass.LONG
     )
+    bound = ledger.spec.memory_tokens * ledger.spec.long_share
+    return not prefill or prefill + request.prompt_tokens <= bound
 
 
 def can_ever_hold(ledger: EndpointLedger, request: ReserveRequest) -> bool:
@@ -31,10 +67,34 @@
     return request.prompt_tokens + request.answer_tokens
 
 
-def predicted_wait_s(ledger: EndpointLedger) -> float:
-    """Returns the time to prefill what has been granted, in seconds."""
-    rate = max(1, ledger.spec.prefill_tokens_per_second)
-    return ledger.prefill_tokens / rate
+def predicted_wait_s(ledger: EndpointLedger, length: LengthClass) -> float:
+    """Returns the time until a new prompt's prefill starts, in seconds."""
+    rate = prefill_rate(ledger)
+    ledger.backlog.update(ledger.reservations, rate)
+    wait_s = ledger.backlog.tokens_before(length) / rate
+    if ledger.backlog.delays_by_chunk(length):
+        wait_s += CHUNK_DELAY_S
+    return wait_s
+
+
+def prefill_rate(ledger: EndpointLedger) -> float:
+    """Returns the prompt tokens that the endpoint prefills in a second."""
+    return float(max(1, ledger.spec.prefill_tokens_per_second))
+
+
+def late_by_s(
+    ledger: EndpointLedger, request: ReserveRequest, wait_s: float
+) -> float:
+    """Returns how far past its deadline the first token would come."""
+    prefill = request.prompt_tokens - request.cached_tokens
+    return wait_s + prefill / prefill_rate(ledger) - request.time_left_s
 
 
-__all__ = ["can_ever_hold", "has_room", "needed_tokens", "predicted_wait_s"]
+__all__ = [
+    "can_ever_hold",
+    "has_room",
+    "late_by_s",
+    "needed_tokens",
+    "predicted_wait_s",
+    "prefill_rate",
+]
--- /dev/null
+++ b/src/auburnswitch/endpoints/backlog.py
@@ -0,0 +1,94 @@
+"""Estimates how far an endpoint has come with the prompts granted on it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from auburnswitch.clock import monotonic_s
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from auburnswitch.endpoints.ledger import Reservation
+    from auburnswitch.schema.peers import LengthClass
+
+
+@dataclass(slots=True, kw_only=True)
+class PrefillItem:
+    """A prompt that the endpoint has yet to prefill.
+
+    Attributes:
+        length: Its length class, which is its priority at the endpoint.
+        order: Its place among prompts of the class.
+        left: Tokens that are believed to be left.
+    """
+
+    length: LengthClass
+    order: int
+    left: float
+
+
+class PrefillBacklog:
+    """A model of an endpoint that prefills one prompt after the other.
+
+    The order is that of priority, then of grants. A first token corrects the
+    model: it ends the prompt, whatever is believed to be left of it.
+
+    Attributes:
+        items: Prompts by reservation id.
+        modelled_at: Loop time up to which the model has run, in seconds.
+        granted: Prompts seen so far.
+    """
+
+    __slots__ = ("granted", "items", "modelled_at")
+
+    def __init__(self) -> None:
+        self.items: dict[str, PrefillItem] = {}
+        self.modelled_at = monotonic_s()
+        self.granted = 0
+
+    def update(
+        self, reservations: Mapping[str, Reservation], rate: float
+    ) -> None:
+        """Runs the model up to now.
+
+        Args:
+            reservations: The reservations on the endpoint, by id.
+            rate: Prompt tokens that it prefills in a second.
+        """
+        for reservation in reservations.values():
+            if reservation.id in self.items or not reservation.prefill_tokens:
+                continue
+            self._advance(reservation.granted_at, rate)
+            self.granted += 1
+            self.items[reservation.id] = PrefillItem(
+                length=reservation.length_class,
+                order=self.granted,
+                left=float(reservation.prefill_tokens),
+            )
+        self._advance(monotonic_s(), rate)
+        for held_id in list(self.items):
+            known = reservations.get(held_id)
+            if known is None or not known.prefill_tokens:
+                del self.items[held_id]
+
+    def tokens_before(self, length: LengthClass) -> float:
+        """Returns the tokens left that go before a new prompt."""
+        return sum(i.left for i in self.items.values() if i.length <= length)
+
+    def delays_by_chunk(self, length: LengthClass) -> bool:
+        """Tells whether a less urgent prompt is believed to be in prefill."""
+        return any(i.left and i.length > length for i in self.items.values())
+
+    def _advance(self, until: float, rate: float) -> None:
+        tokens = max(0.0, until - self.modelled_at) * rate
+        self.modelled_at = max(self.modelled_at, until)
+        ordered = sorted(self.items.values(), key=lambda i: (i.length, i.order))
+        for item in ordered:
+            done = min(tokens, item.left)
+            item.left -= done
+            tokens -= done
+
+
+__all__ = ["PrefillBacklog", "PrefillItem"]
--- a/src/auburnswitch/endpoints/hints.py
+++ b/src/auburnswitch/endpoints/hints.py
@@ -35,6 +35,11 @@
             return None
         return hint
 
+    def age_s(self, endpoint: str) -> float:
+        """Returns the time since the newest hint came, in seconds."""
+        noted_at, _ = self.hints.get(endpoint, (0.0, None))
+        return monotonic_s() - noted_at
+
     def clear(self) -> None:
         """Forgets all hints, which may be out of date after a pause."""
         self.hints.clear()
--- a/src/auburnswitch/endpoints/ledger.py
+++ b/src/auburnswitch/endpoints/ledger.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from auburnswitch.clock import monotonic_s
+from auburnswitch.endpoints.backlog import PrefillBacklog
 from auburnswitch.endpoints.phases import CLOSED_PHASES, Bounds, WarmUp
 from auburnswitch.schema.peers import (
     EndpointPhase,
@@ -124,6 +125,7 @@
         name: The endpoint's name.
         spec: The endpoint as configured.
         warm_up: What load the endpoint can bear.
+        backlog: How far the endpoint has come with the prompts.
         reservations: Granted room, by reservation id.
         ended: Ids of reservations that ended lately.
         ended_attempts: Their requests and attempts.
@@ -140,6 +142,7 @@
     """
 
     __slots__ = (
+        "backlog",
         "ended",
         "ended_attempts",
         "listed_at",
@@ -159,6 +162,7 @@
         self.name = name
         self.spec = spec
         self.warm_up = WarmUp()
+        self.backlog = PrefillBacklog()
         self.reservations: dict[str, Reservation] = {}
         self.ended: OrderedDict[str, None] = OrderedDict()
         self.ended_attempts: OrderedDict[tuple[str, int], None] = OrderedDict()
--- a/src/auburnswitch/endpoints/owner.py
+++ b/src/auburnswitch/endpoints/owner.py
@@ -8,7 +8,9 @@
 from auburnswitch.endpoints.admission import (
     can_ever_hold,
     has_room,
+    late_by_s,
     predicted_wait_s,
+    prefill_rate,
 )
 from auburnswitch.endpoints.closing import Closings
 from auburnswitch.endpoints.hints import HintBook
@@ -24,6 +26,7 @@
     EndpointPhase,
     HandoverRequest,
     Heartbeat,
+    LengthClass,
     ReleaseRequest,
     ReserveReply,
     ReserveRequest,
@@ -38,6 +41,7 @@
     from auburnswitch.schema.settings import Settings
 
 MIN_RETRY_AFTER_S: Final = 1.0
+MAX_REPLY_HINTS: Final = 3
 
 
 class OwnerTable:
@@ -125,7 +129,8 @@
             ledger = EndpointLedger(name=endpoint, spec=spec)
             self.ledgers[endpoint] = ledger
             self.queues[endpoint] = ReservationQueue(
-                try_reserve=self._try_reserve
+                try_reserve=self._try_reserve,
+                aging_s=self.settings.routing.aging_s,
             )
         ledger.spec = spec
         return ledger
@@ -152,13 +157,16 @@
         ledger = self.ledger(request.endpoint)
         if ledger is None or not self.owns(request.endpoint):
             return ReserveReply(code=ResultCode.NOT_OWNER)
+        wait_s = self._wait_s(ledger, LengthClass(request.length_class))
+        if refused := _refuse_wait(ledger, request, wait_s):
+            refused.hints = self._hints_for(request)
+            return refused
         reply: ReserveReply | None = None
         try:
             reply = await self.queues[request.endpoint].reserve(
-                request,
-                member_id,
-                max(MIN_RETRY_AFTER_S, predicted_wait_s(ledger)),
+                request, member_id, max(MIN_RETRY_AFTER_S, wait_s)
             )
+            reply.hints = self._hints_for(request)
         finally:
             granted = ledger.of_request(request)
             if granted is not None and (
@@ -307,14 +315,13 @@
 
     def _hint_of(self, ledger: EndpointLedger) -> EndpointHint:
         closed = self.closings.phase(ledger.name)
-        wait_s = predicted_wait_s(ledger)
         load = ledger.load
         return EndpointHint(
             endpoint=ledger.name,
             phase=ledger.phase if closed is None else closed,
             free_tokens=ledger.spec.memory_tokens - ledger.reserved_tokens,
-            short_wait_s=wait_s,
-            long_wait_s=wait_s,
+            short_wait_s=self._wait_s(ledger, LengthClass.SHORT),
+            long_wait_s=self._wait_s(ledger, LengthClass.LONG),
             running=ledger.running,
             max_running=ledger.max_running,
             boot_id=ledger.boot_id,
@@ -323,6 +330,21 @@
             reported_prefill_tokens=load.prefill_queued_tokens if load else 0,
         )
 
+    def _wait_s(self, ledger: EndpointLedger, length: LengthClass) -> float:
+        waiting = 0
+        if queue := self.queues.get(ledger.name):
+            waiting = queue.waiting_tokens(length)
+        wait_s = predicted_wait_s(ledger, length)
+        return wait_s + waiting / prefill_rate(ledger)
+
+    def _hints_for(self, request: ReserveRequest) -> list[EndpointHint]:
+        names = self.state.endpoints_of(request.service)
+        hints = [self.hint(name) for name in names if self.owns(name)]
+        long = request.length_class == LengthClass.LONG
+        hints.sort(key=lambda h: h.long_wait_s if long else h.short_wait_s)
+        own = [hint for hint in hints if hint.endpoint == request.endpoint]
+        return own + [h for h in hints if h not in own][:MAX_REPLY_HINTS]
+
     def _try_reserve(
         self, request: ReserveRequest, member_id: str
     ) -> ReserveReply | None:
@@ -332,12 +354,15 @@
             return ReserveReply(code=ResultCode.NOT_OWNER)
         if refused := self._refusal(ledger, request):
             return ReserveReply(code=refused, retry_after_s=MIN_RETRY_AFTER_S)
-        if not ledger.bears(request) or not has_room(ledger, request):
+        routing = self.settings.routing
+        if not ledger.bears(request) or not has_room(ledger, request, routing):
             return None
         self.next_id += 1
         reservation_id = f"{self.view.me.id}/{self.next_id}"
         reservation = ledger.grant(request, member_id, reservation_id)
-        reservation.expected_s = predicted_wait_s(ledger)
+        reservation.expected_s = predicted_wait_s(
+            ledger, reservation.length_class
+        )
         self._check_grant(ledger)
         return ReserveReply(
             reservation_id=reservation_id, boot_id=ledger.boot_id
@@ -395,4 +420,22 @@
         )
 
 
+def _refuse_wait(
+    ledger: EndpointLedger, request: ReserveRequest, wait_s: float
+) -> ReserveReply | None:
+    """Refuses what would wait longer than its deadline or asker allows."""
+    late_s = late_by_s(ledger, request, wait_s)
+    if late_s > 0:
+        return ReserveReply(
+            code=ResultCode.QUEUE_FULL,
+            retry_after_s=max(MIN_RETRY_AFTER_S, late_s),
+        )
+    if 0 < request.max_start_wait_s < wait_s:
+        return ReserveReply(
+            code=ResultCode.QUEUE_FULL,
+            retry_after_s=max(MIN_RETRY_AFTER_S, wait_s),
+        )
+    return None
+
+
 __all__ = ["OwnerTable"]
--- a/src/auburnswitch/endpoints/queue.py
+++ b/src/auburnswitch/endpoints/queue.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from auburnswitch.clock import monotonic_s
-from auburnswitch.schema.peers import ReserveReply
+from auburnswitch.schema.peers import LengthClass, ReserveReply
 from auburnswitch.schema.results import ResultCode
 
 if TYPE_CHECKING:
@@ -23,7 +23,8 @@
     Attributes:
         request: The request.
         member_id: Daemon that asked.
-        queued_at: Loop time at which it came, in seconds.
+        queued_at: Loop time at which its wait began, here or at another
+            owner, in seconds.
         reply: Set once the request is granted or refused.
     """
 
@@ -32,25 +33,40 @@
     def __init__(self, *, request: ReserveRequest, member_id: str) -> None:
         self.request = request
         self.member_id = member_id
-        self.queued_at = monotonic_s()
+        self.queued_at = monotonic_s() - request.waited_s
         self.reply: asyncio.Future[Any] = (
             asyncio.get_running_loop().create_future()
         )
 
 
 class ReservationQueue:
-    """Grants room in order: short before long, then by arrival.
+    """Grants room: short before long with aging, fair between teams.
+
+    Each team has a virtual time, which its tokens over its weight advance.
+    Among requests of one urgency the team furthest behind goes first.
 
     Attributes:
         waiters: Waiting requests.
         try_reserve: Returns a final reply, or None while there is no room.
+        aging_s: Wait that makes a request as urgent as a short one.
+        virtual_times: Virtual time of each team that was granted room.
+        virtual_now: Virtual time of the last grant.
     """
 
-    __slots__ = ("try_reserve", "waiters")
+    __slots__ = (
+        "aging_s",
+        "try_reserve",
+        "virtual_now",
+        "virtual_times",
+        "waiters",
+    )
 
-    def __init__(self, *, try_reserve: TryReserve) -> None:
+    def __init__(self, *, try_reserve: TryReserve, aging_s: float) -> None:
         self.waiters: list[Waiter] = []
         self.try_reserve = try_reserve
+        self.aging_s = aging_s
+        self.virtual_times: dict[str, float] = {}
+        self.virtual_now = 0.0
 
     async def reserve(
         self, request: ReserveRequest, member_id: str, retry_after_s: float
@@ -69,6 +85,8 @@
             async with asyncio.timeout(max(0.0, request.max_wait_s)):
                 return await waiter.reply
         except TimeoutError:
+            if waiter.reply.done() and not waiter.reply.cancelled():
+                return waiter.reply.result()  # granted as the time ran out
             return ReserveReply(
                 code=ResultCode.QUEUE_FULL, retry_after_s=retry_after_s
             )
@@ -77,18 +95,73 @@
                 self.waiters.remove(waiter)
 
     def pump(self) -> None:
-        """Grants what fits, in order."""
-        for waiter in sorted(self.waiters, key=_order):
+        """Grants what fits, in order.
+
+        A request that does not fit holds back all later ones but the short
+        ones, which would otherwise take the room it waits for.
+        """
+        blocked = False
+        for waiter in self._ordered():
+            short = waiter.request.length_class == LengthClass.SHORT
+            if blocked and not short:
+                continue
             reply = self.try_reserve(waiter.request, waiter.member_id)
             if reply is None:
+                blocked = True
                 continue
             self.waiters.remove(waiter)
+            if reply.code == ResultCode.OK:
+                self._charge(waiter.request)
             if not waiter.reply.done():
                 waiter.reply.set_result(reply)
 
+    def waiting_tokens(self, length: LengthClass) -> int:
+        """Returns the prompt tokens that wait and go before a new prompt."""
+        return sum(
+            waiter.request.prompt_tokens
+            for waiter in self.waiters
+            if self._urgency(waiter) <= length
+        )
 
-def _order(waiter: Waiter) -> tuple[int, float]:
-    return (waiter.request.length_class, waiter.queued_at)
+    def _ordered(self) -> list[Waiter]:
+        """Returns the waiters in the order in which they should be granted."""
+        times = dict(self.virtual_times)
+        waiting: dict[tuple[int, str], list[Waiter]] = {}
+        for waiter in sorted(self.waiters, key=lambda w: w.queued_at):
+            key = (self._urgency(waiter), waiter.request.team)
+            waiting.setdefault(key, []).append(waiter)
+        ordered = []
+        while waiting:
+            key = min(waiting, key=lambda k: (k[0], self._start(times, k[1])))
+            waiter = waiting[key].pop(0)
+            ordered.append(waiter)
+            start = self._start(times, key[1])
+            times[key[1]] = start + _virtual_tokens(waiter.request)
+            if not waiting[key]:
+                del waiting[key]
+        return ordered
+
+    def _start(self, times: dict[str, float], team: str) -> float:
+        return max(times.get(team, 0.0), self.virtual_now)
+
+    def _charge(self, request: ReserveRequest) -> None:
+        if not self.waiters:
+            self.virtual_times.clear()  # nobody competes
+            self.virtual_now = 0.0
+            return
+        start = self._start(self.virtual_times, request.team)
+        self.virtual_now = start
+        self.virtual_times[request.team] = start + _virtual_tokens(request)
+
+    def _urgency(self, waiter: Waiter) -> int:
+        if monotonic_s() - waiter.queued_at >= self.aging_s:
+            return LengthClass.SHORT
+        return waiter.request.length_class
+
+
+def _virtual_tokens(request: ReserveRequest) -> float:
+    tokens = request.prompt_tokens + request.answer_tokens
+    return tokens / max(1e-6, request.team_weight)
 
 
 __all__ = ["ReservationQueue", "Waiter"]
--- a/src/auburnswitch/endpoints/reservations.py
+++ b/src/auburnswitch/endpoints/reservations.py
@@ -116,6 +116,8 @@
         asked_at = monotonic_s()
         owner_id = self.owner_table.owner_of(request.endpoint)
         reply = await self._ask(owner_id, request)
+        for hint in reply.hints or ():
+            self.owner_table.hints.note(hint)
         if reply.code != ResultCode.OK:
             return reply
         ttl_s = self.owner_table.settings.members.reservation_ttl_s
--- a/src/auburnswitch/experiments/oracle.py
+++ b/src/auburnswitch/experiments/oracle.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
+from auburnswitch.clock import monotonic_s
 from auburnswitch.results import Refusal, refusal
 from auburnswitch.routing.placement import Placer, unreserved_work
 from auburnswitch.schema.peers import LengthClass
@@ -18,6 +19,7 @@
     from auburnswitch.standins.engine import EngineStandIn
 
 RETRY_S: Final = 0.01
+TRANSIT_S: Final = 0.04
 SHORT_MEMORY_SHARE: Final = 0.1
 
 
@@ -26,7 +28,8 @@
 
     Attributes:
         engines: Engine stand-ins by endpoint name.
-        pending: Requests placed that an engine has not seen yet, by endpoint.
+        pending: Requests placed that an engine has not seen yet, with the
+            loop time of their placement in seconds, by endpoint.
     """
 
     __slots__ = ("engines", "pending")
@@ -36,7 +39,7 @@
         *,
         placer: Placer,
         engines: Mapping[str, EngineStandIn],
-        pending: dict[str, dict[str, RoutedRequest]],
+        pending: dict[str, dict[str, tuple[float, RoutedRequest]]],
     ) -> None:
         super().__init__(
             owner_table=placer.owner_table,
@@ -63,7 +66,7 @@
             if names:
                 self.random.shuffle(names)
                 best = min(names, key=lambda n: self._work_before(n, request))
-                self.pending[best][request.id] = request
+                self.pending[best][request.id] = (monotonic_s(), request)
                 work = unreserved_work(best, request)
                 return self.reservations.hold_unasked(work, request.deadline_at)
             await asyncio.sleep(RETRY_S)
@@ -71,11 +74,12 @@
 
     def _in_transit(self, name: str) -> list[RoutedRequest]:
         arrived = {job.request_id for job in self.engines[name].batch.jobs()}
-        arrived |= {key[0] for key in self.engines[name].streams}
+        oldest = monotonic_s() - TRANSIT_S
         waiting = self.pending[name]
-        for request_id in arrived & waiting.keys():
-            del waiting[request_id]
-        return list(waiting.values())
+        for request_id, (placed_at, _) in list(waiting.items()):
+            if request_id in arrived or placed_at < oldest:
+                del waiting[request_id]
+        return [request for _, request in waiting.values()]
 
     def _has_room(self, name: str, request: RoutedRequest) -> bool:
         engine = self.engines[name]
--- a/src/auburnswitch/routing/placement.py
+++ b/src/auburnswitch/routing/placement.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import random
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from auburnswitch.clock import monotonic_s
 from auburnswitch.endpoints.ledger import CLOSED_PHASES
 from auburnswitch.endpoints.reservations import (
     HeldReservation,
@@ -20,6 +22,7 @@
 from auburnswitch.schema.peers import (
     EndpointHint,
     EndpointPhase,
+    LengthClass,
     ReserveReply,
     ReserveRequest,
     RunningWork,
@@ -32,6 +35,18 @@
 
 ROUND_DELAY_S: Final = 0.05
 OWNER_WAIT_S: Final = 1.0
+WAIT_SLACK_S: Final = 0.01
+UNKNOWN_PENALTY_S: Final = 0.5
+FULL_PENALTY_S: Final = 1.0
+SHORT_PROBES: Final = 4
+LONG_PROBES: Final = 8
+
+
+@dataclass(slots=True, kw_only=True)
+class FinalRefusal:
+    """A refusal that asking again would not change."""
+
+    refusal: Refusal
 
 
 class Placer:
@@ -95,29 +110,78 @@
     async def _ask_owners(
         self, request: RoutedRequest, excluded: set[str]
     ) -> HeldReservation | Refusal:
+        """Asks owners in rounds until one grants room or none ever can."""
+        started_at = monotonic_s()
         last = refusal(
             ResultCode.NO_ENDPOINT, ran=_ran(request), retry_after_s=1
         )
         while request.time_left_s() > 0:
-            names = self._candidates(request, excluded)
-            for name in names:
-                outcome = await self._reserve(request, name)
-                if isinstance(outcome, HeldReservation):
+            outcome = await self._ask_round(request, excluded, started_at)
+            match outcome:
+                case HeldReservation():
                     return outcome
-                if outcome.code == ResultCode.PROMPT_TOO_LONG:
-                    return refusal(
-                        ResultCode.PROMPT_TOO_LONG, ran=_ran(request)
-                    )
-                last = refusal(
-                    ResultCode(outcome.code),
-                    ran=_ran(request),
-                    retry_after_s=max(1.0, outcome.retry_after_s),
-                )
-            if not names:
-                return last
+                case FinalRefusal(refusal=last):
+                    return last
+                case Refusal():
+                    last = outcome
             await asyncio.sleep(ROUND_DELAY_S)
         return last
 
+    async def _ask_round(
+        self, request: RoutedRequest, excluded: set[str], started_at: float
+    ) -> HeldReservation | FinalRefusal | Refusal:
+        """Asks owners once, from the most to the least promising.
+
+        Each asks for the wait that the next best endpoint promises at most,
+        so that a stale hint costs one call and no time. The last call waits
+        in the queue of the best endpoint.
+        """
+        refusing: set[str] = set()
+        last: Refusal | None = None
+        for probe in range(_probes(request)):
+            names = self._candidates(request, excluded | refusing)
+            if not names:
+                break
+            limit_s = self._wait_limit_s(request, names)
+            if probe == _probes(request) - 1:
+                limit_s = 0.0
+            waited_s = monotonic_s() - started_at
+            reply = await self._reserve(request, names[0], limit_s, waited_s)
+            if isinstance(reply, HeldReservation):
+                return reply
+            last = refusal(
+                ResultCode(reply.code),
+                ran=_ran(request),
+                retry_after_s=max(1.0, reply.retry_after_s),
+            )
+            if reply.code == ResultCode.PROMPT_TOO_LONG:
+                last.retry_after_s = None
+                return FinalRefusal(refusal=last)
+            if reply.code != ResultCode.QUEUE_FULL or not reply.hints:
+                refusing.add(names[0])
+        if last is None:
+            last = refusal(
+                ResultCode.NO_ENDPOINT, ran=_ran(request), retry_after_s=1
+            )
+            return FinalRefusal(refusal=last)
+        if self._starts_too_late(request, excluded):
+            return FinalRefusal(refusal=last)
+        return last
+
+    def _wait_limit_s(self, request: RoutedRequest, names: list[str]) -> float:
+        """Returns the longest wait worth taking at the first endpoint."""
+        if len(names) < 2:
+            return 0.0
+        return self._wait_s(request, names[1]) + WAIT_SLACK_S
+
+    def _starts_too_late(
+        self, request: RoutedRequest, excluded: set[str]
+    ) -> bool:
+        """Tells whether no endpoint promises a start within the deadline."""
+        names = self._candidates(request, excluded)
+        left_s = request.time_left_s()
+        return all(self._wait_s(request, name) > left_s for name in names)
+
     def _candidates(
         self, request: RoutedRequest, excluded: set[str]
     ) -> list[str]:
@@ -127,13 +191,31 @@
             for name in table.state.endpoints_of(request.service)
             if name not in excluded and not table.is_closed(name)
         ]
-        hints = {name: table.best_hint(name) for name in names}
-        names = [n for n in names if hints[n].phase not in CLOSED_PHASES]
+        names = [
+            name
+            for name in names
+            if table.best_hint(name).phase not in CLOSED_PHASES
+        ]
         self.random.shuffle(names)
-        return sorted(names, key=lambda name: _cost(hints[name]))
+        return sorted(names, key=lambda name: self._wait_s(request, name))
+
+    def _wait_s(self, request: RoutedRequest, name: str) -> float:
+        """Returns the wait that the newest hint of an endpoint promises."""
+        hint = self.owner_table.best_hint(name)
+        age_s = 0.0
+        if not self.owner_table.owns(name):
+            age_s = self.owner_table.hints.age_s(name)
+        wait_s = hint.short_wait_s
+        if request.length_class is not LengthClass.SHORT:
+            wait_s = hint.long_wait_s
+        return max(0.0, wait_s - age_s) + _penalty_s(request, hint)
 
     async def _reserve(
-        self, request: RoutedRequest, name: str
+        self,
+        request: RoutedRequest,
+        name: str,
+        limit_s: float,
+        waited_s: float,
     ) -> HeldReservation | ReserveReply:
         left_s = request.time_left_s()
         return await self.reservations.reserve(
@@ -149,6 +231,9 @@
                 fingerprint=request.fingerprint,
                 time_left_s=left_s,
                 max_wait_s=max(0.0, min(OWNER_WAIT_S, left_s)),
+                max_start_wait_s=limit_s,
+                waited_s=waited_s,
+                service=request.service,
                 epoch=table_epoch(self.owner_table),
             )
         )
@@ -173,10 +258,23 @@
     )
 
 
-def _cost(hint: EndpointHint) -> float:
-    filled = hint.running / max(1, hint.max_running)
-    unknown = hint.phase is EndpointPhase.UNKNOWN
-    return hint.short_wait_s + filled + (0.5 if unknown else 0.0)
+def _probes(request: RoutedRequest) -> int:
+    if request.length_class is LengthClass.LONG:
+        return LONG_PROBES
+    return SHORT_PROBES
+
+
+def _penalty_s(request: RoutedRequest, hint: EndpointHint) -> float:
+    """Returns what makes an endpoint less promising than its wait."""
+    penalty_s = 0.0
+    if hint.phase is EndpointPhase.UNKNOWN:
+        penalty_s += UNKNOWN_PENALTY_S
+    if hint.running >= hint.max_running:
+        penalty_s += FULL_PENALTY_S
+    needed = request.prompt_tokens + request.answer_tokens
+    if hint.free_tokens < needed and hint.boot_id:
+        penalty_s += FULL_PENALTY_S
+    return penalty_s
 
 
 def _ran(request: RoutedRequest) -> Ran:
--- a/src/auburnswitch/schema/peers.py
+++ b/src/auburnswitch/schema/peers.py
@@ -425,6 +425,9 @@
     team_weight: float = 1.0
     epoch: int = 0
     max_wait_s: float = 0.0
+    max_start_wait_s: float = 0.0
+    waited_s: float = 0.0
+    service: str = ""
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "endpoint", False),
@@ -441,6 +444,9 @@
         12: (TType.DOUBLE, "team_weight", False),
         13: (TType.I64, "epoch", False),
         14: (TType.DOUBLE, "max_wait_s", False),
+        50: (TType.DOUBLE, "max_start_wait_s", False),
+        51: (TType.DOUBLE, "waited_s", False),
+        52: (TType.STRING, "service", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("endpoint", None),
@@ -457,6 +463,9 @@
         ("team_weight", None),
         ("epoch", None),
         ("max_wait_s", None),
+        ("max_start_wait_s", None),
+        ("waited_s", None),
+        ("service", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {
         "length_class": LengthClass
@@ -484,6 +493,15 @@
             text="How long the asker is ready to wait in the owner's queue, in seconds.",
             options={},
         ),
+        "max_start_wait_s": Description(
+            text="Longest predicted wait that the asker takes, in seconds; 0 takes any.",
+            options={},
+        ),
+        "waited_s": Description(
+            text="How long the request has waited at other owners, in seconds.",
+            options={},
+        ),
+        "service": Description(text="Service of the endpoint.", options={}),
     }
 
 
@@ -497,6 +515,7 @@
     alternatives: list[str] = field(default_factory=list)
     boot_id: str = ""
     waited_s: float = 0.0
+    hints: list[EndpointHint] = field(default_factory=list)
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I32, "code", False),
@@ -505,6 +524,7 @@
         4: (TType.LIST, "alternatives", TType.STRING, False),
         5: (TType.STRING, "boot_id", False),
         40: (TType.DOUBLE, "waited_s", False),
+        50: (TType.LIST, "hints", (TType.STRUCT, EndpointHint), False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("code", None),
@@ -513,6 +533,7 @@
         ("alternatives", None),
         ("boot_id", None),
         ("waited_s", None),
+        ("hints", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {"code": ResultCode}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -529,6 +550,10 @@
             text="Seconds from the arrival of the request to its grant.",
             options={},
         ),
+        "hints": Description(
+            text="What the owner knows of its endpoints of the service, best first.",
+            options={},
+        ),
     }
 
 
