--- /dev/null
+++ b/tests/endpoints/test_backlog.py
@@ -0,0 +1,71 @@
+"""Tests of the model of an endpoint's prefill."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from auburnswitch.endpoints.admission import has_room, predicted_wait_s
+from auburnswitch.endpoints.ledger import EndpointLedger
+from auburnswitch.schema.objects import Endpoint
+from auburnswitch.schema.peers import LengthClass, ReserveRequest
+from auburnswitch.schema.settings import RoutingSettings
+from tests.virtual_time import run_virtual
+
+SHORT, LONG = LengthClass.SHORT, LengthClass.LONG
+
+
+def request(tokens, length):
+    return ReserveRequest(prompt_tokens=tokens, length_class=length)
+
+
+def make_ledger():
+    spec = Endpoint(memory_tokens=500_000, prefill_tokens_per_second=20_000)
+    return EndpointLedger(name="e", spec=spec)
+
+
+class PredictedWaitTest(unittest.TestCase):
+    def test_short_requests_wait_for_short_ones_alone(self):
+        async def scenario():
+            ledger = make_ledger()
+            ledger.grant(request(200_000, LONG), "m", "1")
+            ledger.grant(request(4_000, SHORT), "m", "2")
+            now = [predicted_wait_s(ledger, c) for c in (SHORT, LONG)]
+            await asyncio.sleep(1)  # 4 k of short and 16 k of long are done
+            return now, [predicted_wait_s(ledger, c) for c in (SHORT, LONG)]
+
+        now, later = run_virtual(scenario)
+        self.assertAlmostEqual(now[0], 0.25)  # a chunk of the long one, too
+        self.assertAlmostEqual(now[1], 10.2)
+        self.assertAlmostEqual(later[0], 0.05)
+        self.assertAlmostEqual(later[1], 9.2)
+
+    def test_first_token_ends_a_prompt(self):
+        async def scenario():
+            ledger = make_ledger()
+            ledger.grant(request(200_000, LONG), "m", "1").prefill_tokens = 0
+            return predicted_wait_s(ledger, LONG)
+
+        self.assertEqual(run_virtual(scenario), 0)
+
+
+class RoomTest(unittest.TestCase):
+    def room_beside(self, granted, asked):
+        async def scenario():
+            ledger = make_ledger()
+            for number, one in enumerate(granted):
+                ledger.grant(request(*one), "m", str(number))
+            return has_room(ledger, request(*asked), RoutingSettings())
+
+        return run_virtual(scenario)
+
+    def test_memory_is_kept_for_short_requests(self):
+        granted = [(250_000, LONG)]
+        self.assertFalse(self.room_beside(granted, (210_000, LONG)))
+        self.assertTrue(self.room_beside([(449_000, LONG)], (8_000, SHORT)))
+        self.assertTrue(self.room_beside([(1_000, SHORT)], (490_000, LONG)))
+
+    def test_long_prefill_at_one_time_is_bounded(self):
+        granted = [(200_000, LONG)]
+        self.assertTrue(self.room_beside(granted, (100_000, LONG)))
+        self.assertFalse(self.room_beside(granted, (100_001, LONG)))
