Refuse crashing requests after two crashes and bound retries

A request in flight when its endpoint crashed (the connection broke and the endpoint no longer reports the start that the reservation names) gets a strike by fingerprint. The strike reaches every live peer before the request goes on; a struck request is asked for in an order that all daemons agree on, and an owner runs no two struck ones on one endpoint, so copies through several daemons meet at one owner. Retries come out of a budget per daemon (share of admitted requests above a floor that refills in a minute); a refusal tells 'ran: no' if no attempt sent a byte.

Seen red with each part off: no limit (endpoint_failed, more crashes), no spreading (3 crashes), no isolation of struck requests (an innocent refused). An owner's refusal of late requests now goes after its other refusals and only where a deadline is known: test_reservations was red.

--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -131,7 +131,7 @@
   6: i64 answer_tokens = 0
   7: i64 cached_tokens = 0
   8: LengthClass length_class = 0
-  // Time left until the deadline, in seconds.
+  // Time left until the deadline, in seconds; 0 if none is known.
   9: double time_left_s = 0
   10: string fingerprint = ""
   // The request was in flight when an endpoint crashed.
--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -43,10 +43,13 @@
 from auburnswitch.platform.tickets import TICKETS_PREFIX, TicketStore
 from auburnswitch.platform.watcher import StoreWatcher
 from auburnswitch.results import Refusal, refusal
+from auburnswitch.routing.crashes import CrashJudge
 from auburnswitch.routing.dispatcher import Dispatcher
 from auburnswitch.routing.placement import Placer
 from auburnswitch.routing.plain import PlainRouter
 from auburnswitch.routing.policy import make_policy
+from auburnswitch.routing.retry_budget import RetryBudget
+from auburnswitch.routing.strikes import StrikeBook
 from auburnswitch.schema.events import EventId
 from auburnswitch.schema.objects import Member
 from auburnswitch.schema.results import ResultCode
@@ -199,10 +202,17 @@
 
     def _build_routing(self, seed: int) -> None:
         client = self.endpoint_client
+        self.strikes = StrikeBook(
+            retention_s=self.settings.routing.strike_retention_s
+        )
+        self.owner_table.is_struck = self.strikes.is_struck
+        self.membership.heartbeat_sources.append(self.strikes.fill_heartbeat)
+        self.membership.heartbeat_listeners.append(self.strikes.note_heartbeat)
         placer = Placer(
             owner_table=self.owner_table,
             reservations=self.reservations,
             policy=make_policy(self.settings.routing),
+            strikes=self.strikes,
             seed=seed,
         )
         self.dispatcher = Dispatcher(
@@ -211,6 +221,10 @@
             metrics=self.metrics,
             member_id=self.member.id,
             cleanups=self.cleanups,
+            crashes=CrashJudge(
+                strikes=self.strikes, client=client, membership=self.membership
+            ),
+            budget=RetryBudget(settings=self.settings.routing),
         )
         claims = ClaimStore(
             store=self.store,
--- a/src/auburnswitch/endpoints/client.py
+++ b/src/auburnswitch/endpoints/client.py
@@ -213,6 +213,18 @@
             async for frames in _read_frames(response, attempt):
                 yield frames
 
+    async def read_boot_id(self, spec: Endpoint) -> str:
+        """Returns an endpoint's present start, empty without an answer."""
+        with contextlib.suppress(
+            EndpointFailureError, TimeoutError, ValueError, LookupError
+        ):
+            async with (
+                asyncio.timeout(self.settings.connect_timeout_s),
+                self.request(spec, "GET", "/load") as response,
+            ):
+                return str((await response.json())["boot_id"])
+        return ""
+
     async def cancel(self, spec: Endpoint, attempt: Attempt) -> bool:
         """Cancels an attempt, so that the endpoint frees its memory.
 
--- a/src/auburnswitch/endpoints/owner.py
+++ b/src/auburnswitch/endpoints/owner.py
@@ -34,6 +34,8 @@
 from auburnswitch.schema.results import ResultCode
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from auburnswitch.endpoints.load import LoadReport
     from auburnswitch.endpoints.rights import StrictOwnership
     from auburnswitch.members.view import MemberView
@@ -48,6 +50,8 @@
     """The ledgers of this daemon's endpoints.
 
     Attributes:
+        is_struck: Tells by a fingerprint whether a request was in flight at a
+            crash.
         rights: Tells whether cold endpoints may be used.
         owners: Owner of each endpoint by the live view.
         closings: Endpoints that receive no new work.
@@ -63,6 +67,7 @@
         "hint_batch",
         "hints",
         "invariants",
+        "is_struck",
         "ledgers",
         "next_id",
         "owners",
@@ -96,6 +101,7 @@
         self.queues: dict[str, ReservationQueue] = {}
         self.hint_batch: tuple[float, list[EndpointHint]] = (-1.0, [])
         self.next_id = 0
+        self.is_struck: Callable[[str], bool] = lambda _: False
         state.listeners.append(self.note_state)
         self.transitions = Transitions(
             settings=settings.endpoints,
@@ -158,7 +164,8 @@
         if ledger is None or not self.owns(request.endpoint):
             return ReserveReply(code=ResultCode.NOT_OWNER)
         wait_s = self._wait_s(ledger, LengthClass(request.length_class))
-        if refused := _refuse_wait(ledger, request, wait_s):
+        refused = _refuse_wait(ledger, request, wait_s)
+        if refused is not None and not self._refusal(ledger, request):
             refused.hints = self._hints_for(request)
             return refused
         reply: ReserveReply | None = None
@@ -357,6 +364,8 @@
         routing = self.settings.routing
         if not ledger.bears(request) or not has_room(ledger, request, routing):
             return None
+        if self._meets_struck(ledger, request):
+            return None
         self.next_id += 1
         reservation_id = f"{self.view.me.id}/{self.next_id}"
         reservation = ledger.grant(request, member_id, reservation_id)
@@ -368,6 +377,15 @@
             reservation_id=reservation_id, boot_id=ledger.boot_id
         )
 
+    def _meets_struck(
+        self, ledger: EndpointLedger, request: ReserveRequest
+    ) -> bool:
+        """Tells whether a struck request would run beside another one."""
+        if not request.struck and not self.is_struck(request.fingerprint):
+            return False
+        granted = ledger.reservations.values()
+        return any(self.is_struck(r.fingerprint) for r in granted)
+
     def _refusal(
         self, ledger: EndpointLedger, request: ReserveRequest
     ) -> ResultCode | None:
@@ -425,7 +443,7 @@
 ) -> ReserveReply | None:
     """Refuses what would wait longer than its deadline or asker allows."""
     late_s = late_by_s(ledger, request, wait_s)
-    if late_s > 0:
+    if late_s > 0 and request.time_left_s:
         return ReserveReply(
             code=ResultCode.QUEUE_FULL,
             retry_after_s=max(MIN_RETRY_AFTER_S, late_s),
--- a/src/auburnswitch/endpoints/queue.py
+++ b/src/auburnswitch/endpoints/queue.py
@@ -107,7 +107,7 @@
                 continue
             reply = self.try_reserve(waiter.request, waiter.member_id)
             if reply is None:
-                blocked = True
+                blocked |= not waiter.request.struck
                 continue
             self.waiters.remove(waiter)
             if reply.code == ResultCode.OK:
--- a/src/auburnswitch/experiments/oracle.py
+++ b/src/auburnswitch/experiments/oracle.py
@@ -45,6 +45,7 @@
             owner_table=placer.owner_table,
             reservations=placer.reservations,
             policy=placer.policy,
+            strikes=placer.strikes,
             seed=0,
         )
         self.random = placer.random
--- a/src/auburnswitch/experiments/placement.py
+++ b/src/auburnswitch/experiments/placement.py
@@ -146,7 +146,7 @@
     async with asyncio.timeout(WARM_UP_LIMIT_S):
         while not _all_warm(fleet):
             batch = []
-            for entry in range(DAEMONS):
+            for entry in range(len(fleet.daemons)):
                 arrival = Arrival(
                     at_s=0,
                     length=LengthClass.SHORT,
--- a/src/auburnswitch/routing/dispatcher.py
+++ b/src/auburnswitch/routing/dispatcher.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.endpoints.client import (
@@ -30,8 +30,14 @@
     from auburnswitch.endpoints.reservations import HeldReservation
     from auburnswitch.observe.metrics import Metrics
     from auburnswitch.observe.tasks import TaskSet
+    from auburnswitch.routing.crashes import CrashJudge
     from auburnswitch.routing.placement import Placer
     from auburnswitch.routing.request import RoutedRequest
+    from auburnswitch.routing.retry_budget import RetryBudget
+
+
+GONE_STATUS: Final = 404  # the endpoint does not know the stream any more
+SPENT_RETRY_S: Final = 5.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -52,9 +58,19 @@
         client: Calls endpoints.
         metrics: The daemon's instruments.
         cleanups: Cancellations and releases that go on after an attempt.
+        crashes: Finds out whether a lost endpoint has crashed.
+        budget: Retries that may still be made.
     """
 
-    __slots__ = ("cleanups", "client", "member_id", "metrics", "placer")
+    __slots__ = (
+        "budget",
+        "cleanups",
+        "client",
+        "crashes",
+        "member_id",
+        "metrics",
+        "placer",
+    )
 
     def __init__(
         self,
@@ -64,18 +80,23 @@
         metrics: Metrics,
         member_id: str,
         cleanups: TaskSet,
+        crashes: CrashJudge,
+        budget: RetryBudget,
     ) -> None:
         self.placer = placer
         self.client = client
         self.metrics = metrics
         self.member_id = member_id
         self.cleanups = cleanups
+        self.crashes = crashes
+        self.budget = budget
 
     async def run(self, request: RoutedRequest) -> AsyncIterator[AnswerPart]:
         """Yields the parts of the answer; the last one is its end."""
         progress = Progress()
         excluded: set[str] = set()
         last_error = ""
+        self.budget.note_admitted()
         while request.attempts < request.max_attempts:
             try:
                 async with asyncio.timeout_at(request.deadline_at):
@@ -87,6 +108,7 @@
                 yield AnswerFailed(refusal=_after_attempts(placed, progress))
                 return
             request.attempts += 1
+            dispatched_before = request.dispatched
             try:
                 attempt = self._attempt(request, placed, progress)
                 async with contextlib.aclosing(attempt) as parts:
@@ -99,11 +121,25 @@
             except EndpointFailureError as error:
                 last_error = str(error)
                 excluded.add(placed.endpoint)
+                sent = error.sent or progress.frames > 0
+                request.dispatched = dispatched_before or sent
+                if sent and (error.lost or error.status == GONE_STATUS):
+                    await self._note_lost(request, placed)
                 if progress.text and not request.allow_continuation:
                     break
+                if sent and not self.budget.take():
+                    yield AnswerFailed(refusal=_spent(progress))
+                    return
                 self._note_retry(request, placed, last_error)
         yield AnswerFailed(refusal=_failed(request, progress, last_error))
 
+    async def _note_lost(
+        self, request: RoutedRequest, held: HeldReservation
+    ) -> None:
+        spec = self.placer.owner_table.state.endpoints.get(held.endpoint)
+        if spec is not None and held.boot_id:
+            await self.crashes.note_lost(request, held, spec)
+
     async def _attempt(
         self,
         request: RoutedRequest,
@@ -213,7 +249,15 @@
 def _failed(request: RoutedRequest, progress: Progress, reason: str) -> Refusal:
     if progress.text:
         return refusal(ResultCode.STREAM_BROKEN, reason)
-    return refusal(ResultCode.ENDPOINT_FAILED, reason, retry_after_s=1)
+    ran = Ran.UNKNOWN if request.dispatched else Ran.NO
+    return refusal(ResultCode.ENDPOINT_FAILED, reason, ran=ran, retry_after_s=1)
+
+
+def _spent(progress: Progress) -> Refusal:
+    ran = Ran.YES if progress.text else Ran.UNKNOWN
+    return refusal(
+        ResultCode.RETRY_BUDGET_SPENT, ran=ran, retry_after_s=SPENT_RETRY_S
+    )
 
 
 def _after_attempts(refused: Refusal, progress: Progress) -> Refusal:
--- a/src/auburnswitch/routing/placement.py
+++ b/src/auburnswitch/routing/placement.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import random
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from auburnswitch.clock import monotonic_s
-from auburnswitch.endpoints.ledger import CLOSED_PHASES
+from auburnswitch.endpoints.phases import CLOSED_PHASES, STRICT_PHASES
 from auburnswitch.endpoints.reservations import (
     HeldReservation,
     ReservationClient,
@@ -32,6 +33,7 @@
 if TYPE_CHECKING:
     from auburnswitch.endpoints.owner import OwnerTable
     from auburnswitch.routing.request import RoutedRequest
+    from auburnswitch.routing.strikes import StrikeBook
 
 ROUND_DELAY_S: Final = 0.05
 OWNER_WAIT_S: Final = 1.0
@@ -56,9 +58,10 @@
         owner_table: Hints and ownership.
         reservations: This daemon's reservations.
         policy: How the endpoint is chosen.
+        strikes: Requests that were in flight at crashes.
     """
 
-    __slots__ = ("owner_table", "policy", "random", "reservations")
+    __slots__ = ("owner_table", "policy", "random", "reservations", "strikes")
 
     def __init__(
         self,
@@ -66,10 +69,12 @@
         owner_table: OwnerTable,
         reservations: ReservationClient,
         policy: PlacementPolicy,
+        strikes: StrikeBook,
         seed: int,
     ) -> None:
         self.owner_table = owner_table
         self.policy = policy
+        self.strikes = strikes
         self.reservations = reservations
         self.random = random.Random(seed)
 
@@ -116,10 +121,14 @@
             ResultCode.NO_ENDPOINT, ran=_ran(request), retry_after_s=1
         )
         while request.time_left_s() > 0:
+            if self.strikes.is_refused(request.fingerprint):
+                return refusal(ResultCode.CRASHING_REQUEST, ran=_ran(request))
             outcome = await self._ask_round(request, excluded, started_at)
             match outcome:
                 case HeldReservation():
-                    return outcome
+                    if not self.strikes.is_refused(request.fingerprint):
+                        return outcome
+                    await self.reservations.release(outcome, succeeded=False)
                 case FinalRefusal(refusal=last):
                     return last
                 case Refusal():
@@ -170,7 +179,7 @@
 
     def _wait_limit_s(self, request: RoutedRequest, names: list[str]) -> float:
         """Returns the longest wait worth taking at the first endpoint."""
-        if len(names) < 2:
+        if len(names) < 2 or self.strikes.is_struck(request.fingerprint):
             return 0.0
         return self._wait_s(request, names[1]) + WAIT_SLACK_S
 
@@ -196,9 +205,27 @@
             for name in names
             if table.best_hint(name).phase not in CLOSED_PHASES
         ]
+        if self.strikes.is_struck(request.fingerprint):
+            return self._struck_order(request, names)
         self.random.shuffle(names)
         return sorted(names, key=lambda name: self._wait_s(request, name))
 
+    def _struck_order(
+        self, request: RoutedRequest, names: list[str]
+    ) -> list[str]:
+        """Returns an order that all daemons agree on.
+
+        So copies of one request that come through several daemons meet at
+        one owner, which runs them one after the other.
+        """
+        warm = [
+            name
+            for name in names
+            if self.owner_table.best_hint(name).phase not in STRICT_PHASES
+        ]
+        key = request.fingerprint
+        return sorted(warm or names, key=lambda name: _rank(key, name))
+
     def _wait_s(self, request: RoutedRequest, name: str) -> float:
         """Returns the wait that the newest hint of an endpoint promises."""
         hint = self.owner_table.best_hint(name)
@@ -229,6 +256,7 @@
                 answer_tokens=request.answer_tokens,
                 length_class=request.length_class,
                 fingerprint=request.fingerprint,
+                struck=self.strikes.is_struck(request.fingerprint),
                 time_left_s=left_s,
                 max_wait_s=max(0.0, min(OWNER_WAIT_S, left_s)),
                 max_start_wait_s=limit_s,
@@ -258,6 +286,11 @@
     )
 
 
+def _rank(fingerprint: str, endpoint: str) -> bytes:
+    text = f"{fingerprint}/{endpoint}"
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+
 def _probes(request: RoutedRequest) -> int:
     if request.length_class is LengthClass.LONG:
         return LONG_PROBES
--- a/src/auburnswitch/schema/peers.py
+++ b/src/auburnswitch/schema/peers.py
@@ -494,7 +494,8 @@
         "cached_tokens": Description(text="", options={}),
         "length_class": Description(text="", options={}),
         "time_left_s": Description(
-            text="Time left until the deadline, in seconds.", options={}
+            text="Time left until the deadline, in seconds; 0 if none is known.",
+            options={},
         ),
         "fingerprint": Description(text="", options={}),
         "struck": Description(
--- a/tests/endpoints/test_queue.py
+++ b/tests/endpoints/test_queue.py
@@ -77,9 +77,7 @@
     def test_wait_at_other_owners_counts(self):
         aged = ask("aged", 9, LONG)
         aged.waited_s = AGING_S
-        self.assertEqual(
-            self.order([ask("short", 1), aged]), ["aged", "short"]
-        )
+        self.assertEqual(self.order([ask("short", 1), aged]), ["aged", "short"])
 
     def test_teams_share_by_weight(self):
         requests = [ask(f"a{n}", 10) for n in range(6)]
--- /dev/null
+++ b/tests/routing/test_crashes.py
@@ -0,0 +1,144 @@
+"""Tests of requests that crash the engines that run them."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from auburnswitch.experiments.caller import stream_completion
+from auburnswitch.experiments.fleet import (
+    CALLER_KEY,
+    MODEL,
+    FleetOptions,
+    open_fleet,
+)
+from auburnswitch.experiments.placement import warm_up
+from auburnswitch.routing.retry_budget import RetryBudget
+from auburnswitch.routing.strikes import StrikeBook
+from auburnswitch.schema.peers import Heartbeat
+from auburnswitch.schema.settings import RoutingSettings
+from auburnswitch.standins.engine_job import CRASH_MARKER
+from auburnswitch.standins.engine_model import EngineOptions
+from auburnswitch.standins.history import HistoryKind
+from tests.virtual_time import SimulatedConnector, run_virtual
+
+AUTHORIZATION = {"Authorization": f"Bearer {CALLER_KEY}"}
+INNOCENTS = 24
+
+
+def options():
+    return FleetOptions(
+        engines=6,
+        daemons=3,
+        plain_services=0,
+        engine=EngineOptions(starts_warm=True),
+        endpoint={"warm_after": 2},
+        connector=SimulatedConnector,
+    )
+
+
+async def ask(fleet, number, prompt, answer_tokens=16):
+    body = {"model": MODEL, "prompt": prompt, "max_tokens": answer_tokens}
+    url = fleet.caller_url(f"entry-{number % 3}")
+    return await stream_completion(fleet.session, url, body, AUTHORIZATION)
+
+
+def crashes(fleet):
+    return [
+        record
+        for record in fleet.history.records
+        if record.kind == HistoryKind.CRASHED
+    ]
+
+
+class CrashingRequestTest(unittest.TestCase):
+    def run_beside_innocents(self, crash):
+        async def scenario():
+            async with open_fleet(options()) as fleet:
+                await warm_up(fleet)
+                innocents = [
+                    asyncio.create_task(
+                        ask(fleet, n, f"{n} ".ljust(8_000, "."), 200)
+                    )
+                    for n in range(INNOCENTS)
+                ]
+                await asyncio.sleep(0.5)
+                outcomes = await crash(fleet)
+                finished = await asyncio.gather(*innocents)
+                return (
+                    [o.result for o in outcomes],
+                    [o.result for o in finished],
+                    [record.fields["cause"] for record in crashes(fleet)],
+                )
+
+        return run_virtual(scenario)
+
+    def test_caller_that_sends_it_again_and_again(self):
+        async def crash(fleet):
+            prompt = f"{CRASH_MARKER} ".ljust(8_000, ".")
+            return [await ask(fleet, n, prompt) for n in range(6)]
+
+        results, innocents, causes = self.run_beside_innocents(crash)
+        self.assertEqual(results, ["crashing_request"] * 6)
+        self.assertEqual(innocents, ["ok"] * INNOCENTS)
+        self.assertEqual(causes, ["prompt"] * 2)
+
+    def test_copy_through_another_daemon_while_it_is_retried(self):
+        async def crash(fleet):
+            prompt = f"{CRASH_MARKER} ".ljust(80_000, ".")  # 1 s of prefill
+            first = asyncio.create_task(ask(fleet, 0, prompt))
+            while not crashes(fleet):
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(0.2)
+            copies = [ask(fleet, n, prompt) for n in range(3)]
+            return [await first, *await asyncio.gather(*copies)]
+
+        results, innocents, causes = self.run_beside_innocents(crash)
+        self.assertEqual(results, ["crashing_request"] * 4)
+        self.assertEqual(innocents, ["ok"] * INNOCENTS)
+        self.assertEqual(causes, ["prompt"] * 2)
+
+
+class StrikeBookTest(unittest.TestCase):
+    def test_one_crash_gives_one_strike_and_strikes_expire(self):
+        async def scenario():
+            book = StrikeBook(retention_s=10)
+            added = [book.add("f", "e", "boot-1") for _ in range(2)]
+            await asyncio.sleep(6)
+            book.add("f", "e", "boot-2")
+            counts = [book.count("f"), book.is_refused("f")]
+            await asyncio.sleep(5)
+            counts += [book.count("f"), book.is_refused("f")]
+            return added, counts
+
+        added, counts = run_virtual(scenario)
+        self.assertEqual(added, [True, False])
+        self.assertEqual(counts, [2, True, 1, False])
+
+    def test_age_travels_with_a_strike(self):
+        async def scenario():
+            mine, other = (StrikeBook(retention_s=10) for _ in range(2))
+            mine.add("f", "e", "boot-1")
+            await asyncio.sleep(8)
+            heartbeat = Heartbeat()
+            mine.fill_heartbeat(heartbeat, "peer")
+            other.note_heartbeat(heartbeat)
+            before = other.count("f")
+            await asyncio.sleep(3)
+            return before, other.count("f")
+
+        self.assertEqual(run_virtual(scenario), (1, 0))
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_floor_and_share(self):
+        async def scenario():
+            budget = RetryBudget(settings=RoutingSettings())
+            floor = sum(budget.take() for _ in range(100))
+            for _ in range(55):
+                budget.note_admitted()
+            share = sum(budget.take() for _ in range(100))
+            await asyncio.sleep(30)
+            return floor, share, sum(budget.take() for _ in range(100))
+
+        self.assertEqual(run_virtual(scenario), (10, 5, 5))
