Enforce team limits over all daemons

Tokens: a bucket for the whole fleet at each daemon, lowered by its own admissions at once and by peers' with their heartbeats; it may become negative, so what was admitted too much is repaid. In one heartbeat interval a daemon takes its share of what was left, or one request. Stated bound: at most one request (or a ninth of the burst, if more) over for each other daemon; tested with 9 daemons, random arrivals and three sizes of request. Requests in flight: at most one over for each other daemon.

--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -84,6 +84,8 @@
   // Tokens per second over the last seconds.
   2: double tokens_per_second = 0
   3: i32 in_flight = 0
+  // Tokens admitted since the last heartbeat to the receiver.
+  50: i64 tokens = 0
 }
 
 struct Heartbeat {
--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -50,6 +50,7 @@
 from auburnswitch.routing.policy import make_policy
 from auburnswitch.routing.retry_budget import RetryBudget
 from auburnswitch.routing.strikes import StrikeBook
+from auburnswitch.routing.team_limits import TeamLimits
 from auburnswitch.schema.events import EventId
 from auburnswitch.schema.objects import Member
 from auburnswitch.schema.results import ResultCode
@@ -205,6 +206,13 @@
         self.strikes = StrikeBook(
             retention_s=self.settings.routing.strike_retention_s
         )
+        limits = TeamLimits(
+            state=self.state,
+            view=self.view,
+            interval_s=self.settings.members.heartbeat_interval_s,
+        )
+        self.membership.heartbeat_sources.append(limits.fill_heartbeat)
+        self.membership.heartbeat_listeners.append(limits.note_heartbeat)
         self.owner_table.is_struck = self.strikes.is_struck
         self.membership.heartbeat_sources.append(self.strikes.fill_heartbeat)
         self.membership.heartbeat_listeners.append(self.strikes.note_heartbeat)
@@ -225,6 +233,7 @@
                 strikes=self.strikes, client=client, membership=self.membership
             ),
             budget=RetryBudget(settings=self.settings.routing),
+            limits=limits,
         )
         claims = ClaimStore(
             store=self.store,
@@ -237,6 +246,7 @@
             client=client,
             claims=claims,
             member_id=self.member.id,
+            limits=limits,
         )
 
     def _build_listeners(self) -> None:
--- a/src/auburnswitch/experiments/placement.py
+++ b/src/auburnswitch/experiments/placement.py
@@ -264,6 +264,10 @@
 
 
 __all__ = [
+    "DAEMONS",
+    "ENGINES",
+    "PREFILL_TOKENS_PER_S",
+    "RAMP_S",
     "RunOptions",
     "fleet_options",
     "install_oracle",
--- /dev/null
+++ b/src/auburnswitch/experiments/zone_move.py
@@ -0,0 +1,189 @@
+"""Measures the service while an availability zone leaves and returns.
+
+Run ``python -m auburnswitch.experiments.zone_move --help``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import json
+import time
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from typing import Final
+
+import fire
+
+from auburnswitch.experiments.arrivals import make_arrivals
+from auburnswitch.experiments.fleet import ZONES, Fleet, open_fleet
+from auburnswitch.experiments.placement import (
+    DAEMONS,
+    ENGINES,
+    PREFILL_TOKENS_PER_S,
+    RAMP_S,
+    fleet_options,
+    send_all,
+    warm_up,
+)
+from auburnswitch.experiments.report import (
+    LengthSummary,
+    Sample,
+    summarize_lengths,
+)
+from auburnswitch.schema.peers import LengthClass
+from auburnswitch.standins.history import HistoryKind
+
+MINUTE_S: Final = 60.0
+LEAVES_AT_S: Final = RAMP_S + MINUTE_S
+RETURNS_AT_S: Final = LEAVES_AT_S + MINUTE_S
+ENDS_AT_S: Final = RETURNS_AT_S + MINUTE_S
+PHASES: Final = {
+    "before": (RAMP_S, LEAVES_AT_S),
+    "out": (LEAVES_AT_S, RETURNS_AT_S),
+    "back": (RETURNS_AT_S, ENDS_AT_S),
+}
+
+
+@dataclass(slots=True, kw_only=True)
+class ZoneMoveSummary:
+    """What callers and engines saw of the move.
+
+    Attributes:
+        policy: The policy's name.
+        load: Offered share of the prefill capacity of all zones.
+        phases: Summary by length class, by name of the minute.
+        lost: Requests that were not answered whole, by result code.
+        started_after_bound: Requests that an engine of the zone started more
+            than three seconds after the ticket and before its return.
+        most_cold: Most requests at one time on an engine that was cold.
+        took_s: Wall time of the run, in seconds.
+    """
+
+    policy: str
+    load: float
+    phases: dict[str, dict[str, LengthSummary]] = field(default_factory=dict)
+    lost: dict[str, int] = field(default_factory=dict)
+    started_after_bound: int = 0
+    most_cold: int = 0
+    took_s: float = 0.0
+
+
+def run_zone_move(policy: str, load: float, seed: int) -> ZoneMoveSummary:
+    """Runs the scenario in virtual time."""
+    # a development dependency, which daemons and tools do without
+    from auburnswitch.experiments.virtual_time import run_virtual
+
+    started_at = time.perf_counter()
+    summary = run_virtual(lambda: _run(policy, load, seed))
+    summary.took_s = round(time.perf_counter() - started_at, 1)
+    return summary
+
+
+async def _run(policy: str, load: float, seed: int) -> ZoneMoveSummary:
+    arrivals = make_arrivals(
+        seed=seed,
+        load=load,
+        capacity=ENGINES * PREFILL_TOKENS_PER_S,
+        daemons=DAEMONS,
+        duration_s=ENDS_AT_S,
+    )
+    async with open_fleet(fleet_options(policy)) as fleet:
+        await warm_up(fleet)
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        move = asyncio.create_task(_move_zone(fleet))
+        samples = await send_all(fleet, arrivals)
+        await move
+        return _summarize(fleet, policy, load, samples, started_at)
+
+
+async def _move_zone(fleet: Fleet) -> None:
+    await asyncio.sleep(LEAVES_AT_S)
+    change = fleet.zone_change(ZONES[0], out=True)
+    await fleet.apply(fleet.ticket([change], "the zone leaves"))
+    await asyncio.sleep(RETURNS_AT_S - LEAVES_AT_S)
+    change = fleet.zone_change(ZONES[0])
+    await fleet.apply(fleet.ticket([change], "the zone returns"))
+
+
+def _summarize(
+    fleet: Fleet,
+    policy: str,
+    load: float,
+    samples: list[Sample],
+    started_at: float,
+) -> ZoneMoveSummary:
+    summary = ZoneMoveSummary(policy=policy, load=load)
+    for name, (begin_s, end_s) in PHASES.items():
+        own = [s for s in samples if begin_s <= s.at_s < end_s]
+        summary.phases[name] = summarize_lengths(own)
+    lost = [s.result for s in samples if s.result != "ok"]
+    summary.lost = dict(collections.Counter(lost))
+    in_zone = {
+        name
+        for number, name in enumerate(fleet.engines)
+        if fleet.zone(number) == ZONES[0]
+    }
+    running: collections.Counter[str] = collections.Counter()
+    for record in fleet.history.records:
+        at_s = record.time_s - started_at
+        match record.kind:
+            case HistoryKind.REQUEST_STARTED:
+                running[record.actor] += 1
+                bound_s = LEAVES_AT_S + 3
+                if record.actor in in_zone and bound_s < at_s < RETURNS_AT_S:
+                    summary.started_after_bound += 1
+                if record.fields["cold"]:
+                    most = max(summary.most_cold, running[record.actor])
+                    summary.most_cold = most
+            case HistoryKind.REQUEST_FINISHED | HistoryKind.REQUEST_CANCELLED:
+                running[record.actor] -= 1
+    return summary
+
+
+def _lines(summary: ZoneMoveSummary) -> list[str]:
+    lines = [f"{summary.policy}, load {summary.load}"]
+    for name, lengths in summary.phases.items():
+        for length, own in lengths.items():
+            lines.append(
+                f"  {name}: {length}: p50 {own.p50_s:.3f} s,"
+                f" p95 {own.p95_s:.3f} s, p99 {own.p99_s:.3f} s,"
+                f" {own.outcomes}"
+            )
+    short = LengthClass.SHORT.name.lower()
+    before_s = summary.phases["before"][short].p95_s
+    ratio = summary.phases["out"][short].p95_s / before_s
+    lines.append(f"  short p95 in the minute after over before: {ratio:.2f}")
+    lines.append(f"  not answered whole: {summary.lost or 'none'}")
+    lines.append(
+        f"  started in the zone after 3 s: {summary.started_after_bound};"
+        f" most at one time on a cold engine: {summary.most_cold}"
+    )
+    return lines
+
+
+def main(
+    *, policy: str = "owner", load: float = 0.5, seed: int = 1, save: str = ""
+) -> None:
+    """Moves a zone out and back under load and prints what callers saw.
+
+    Args:
+        policy: Name of the policy, owner or two-choices.
+        load: Offered share of the prefill capacity of all zones.
+        seed: Seed of the arrivals.
+        save: File for the results in JSON; empty saves nothing.
+    """
+    summary = run_zone_move(policy, load, seed)
+    for line in _lines(summary):
+        print(line)
+    if save:
+        text = json.dumps(asdict(summary), indent=1)
+        Path(save).write_text(text + "\n", "utf-8")
+
+
+if __name__ == "__main__":
+    fire.Fire(main, serialize=lambda _: None)
+
+
+__all__ = ["ZoneMoveSummary", "run_zone_move"]
--- a/src/auburnswitch/routing/dispatcher.py
+++ b/src/auburnswitch/routing/dispatcher.py
@@ -34,6 +34,7 @@
     from auburnswitch.routing.placement import Placer
     from auburnswitch.routing.request import RoutedRequest
     from auburnswitch.routing.retry_budget import RetryBudget
+    from auburnswitch.routing.team_limits import TeamLimits
 
 
 GONE_STATUS: Final = 404  # the endpoint does not know the stream any more
@@ -60,6 +61,7 @@
         cleanups: Cancellations and releases that go on after an attempt.
         crashes: Finds out whether a lost endpoint has crashed.
         budget: Retries that may still be made.
+        limits: Admits requests within their teams' limits.
     """
 
     __slots__ = (
@@ -67,6 +69,7 @@
         "cleanups",
         "client",
         "crashes",
+        "limits",
         "member_id",
         "metrics",
         "placer",
@@ -82,6 +85,7 @@
         cleanups: TaskSet,
         crashes: CrashJudge,
         budget: RetryBudget,
+        limits: TeamLimits,
     ) -> None:
         self.placer = placer
         self.client = client
@@ -90,9 +94,21 @@
         self.cleanups = cleanups
         self.crashes = crashes
         self.budget = budget
+        self.limits = limits
 
     async def run(self, request: RoutedRequest) -> AsyncIterator[AnswerPart]:
         """Yields the parts of the answer; the last one is its end."""
+        if refused := self.limits.admit(request):
+            yield AnswerFailed(refusal=refused)
+            return
+        try:
+            async with contextlib.aclosing(self._run(request)) as parts:
+                async for part in parts:
+                    yield part
+        finally:
+            self.limits.finish(request)
+
+    async def _run(self, request: RoutedRequest) -> AsyncIterator[AnswerPart]:
         progress = Progress()
         excluded: set[str] = set()
         last_error = ""
--- a/src/auburnswitch/routing/plain.py
+++ b/src/auburnswitch/routing/plain.py
@@ -25,6 +25,7 @@
     from auburnswitch.endpoints.reservations import HeldReservation
     from auburnswitch.routing.placement import Placer
     from auburnswitch.routing.request import RoutedRequest
+    from auburnswitch.routing.team_limits import TeamLimits
 
 PASSED_HEADERS: Final = ("content-type", "location", "etag", "cache-control")
 IN_PROGRESS_RETRY_S: Final = 1.0
@@ -57,9 +58,10 @@
         placer: Finds endpoints.
         client: Calls endpoints.
         claims: Claims on idempotency keys.
+        limits: Admits requests within their teams' limits.
     """
 
-    __slots__ = ("claims", "client", "member_id", "placer")
+    __slots__ = ("claims", "client", "limits", "member_id", "placer")
 
     def __init__(
         self,
@@ -68,16 +70,28 @@
         client: EndpointClient,
         claims: ClaimStore,
         member_id: str,
+        limits: TeamLimits,
     ) -> None:
         self.placer = placer
         self.client = client
         self.claims = claims
         self.member_id = member_id
+        self.limits = limits
 
     async def run(
         self, request: RoutedRequest, call: PlainCall
     ) -> PlainAnswer | Refusal:
         """Runs a request to its final answer."""
+        if refused := self.limits.admit(request):
+            return refused
+        try:
+            return await self._run(request, call)
+        finally:
+            self.limits.finish(request)
+
+    async def _run(
+        self, request: RoutedRequest, call: PlainCall
+    ) -> PlainAnswer | Refusal:
         if request.idempotent or not call.idempotency_key:
             return await self._run_attempts(request, call)
         key_hash = hash_key(request.team, request.service, call.idempotency_key)
--- a/src/auburnswitch/schema/peers.py
+++ b/src/auburnswitch/schema/peers.py
@@ -268,16 +268,19 @@
     team: str = ""
     tokens_per_second: float = 0.0
     in_flight: int = 0
+    tokens: int = 0
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "team", False),
         2: (TType.DOUBLE, "tokens_per_second", False),
         3: (TType.I32, "in_flight", False),
+        50: (TType.I64, "tokens", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("team", None),
         ("tokens_per_second", None),
         ("in_flight", None),
+        ("tokens", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -286,6 +289,10 @@
             text="Tokens per second over the last seconds.", options={}
         ),
         "in_flight": Description(text="", options={}),
+        "tokens": Description(
+            text="Tokens admitted since the last heartbeat to the receiver.",
+            options={},
+        ),
     }
 
 
--- a/tests/routing/plain_support.py
+++ b/tests/routing/plain_support.py
@@ -52,6 +52,16 @@
         pass
 
 
+class NoLimits:
+    """Admits every request."""
+
+    def admit(self, request: RoutedRequest) -> None:
+        return None
+
+    def finish(self, request: RoutedRequest) -> None:
+        pass
+
+
 class CountingService:
     """Counts what it runs, and drops connections after some runs.
 
@@ -119,6 +129,7 @@
             ),
             claims=claims,
             member_id=member_id,
+            limits=NoLimits(),
         )
         self.routers.append(router)
         return router
--- /dev/null
+++ b/tests/routing/test_team_limits.py
@@ -0,0 +1,137 @@
+"""Tests of team limits over several daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from auburnswitch.members.view import MemberView
+from auburnswitch.platform.state import ConfigState
+from auburnswitch.routing.request import RoutedRequest
+from auburnswitch.routing.team_limits import TeamLimits
+from auburnswitch.schema.objects import Change, Member, ObjectKind, Team, Ticket
+from auburnswitch.schema.peers import Heartbeat, LengthClass
+from auburnswitch.schema.results import ResultCode
+from auburnswitch.schema.settings import MembersSettings
+from tests.virtual_time import run_virtual
+
+DAEMONS = 9
+INTERVAL_S = 0.5
+
+
+class Daemons:
+    """The limits of several daemons that exchange heartbeats."""
+
+    def __init__(self, team):
+        change = Change(kind=ObjectKind.TEAM, name="t", team=team)
+        self.members = [Member(id=f"m{n}") for n in range(DAEMONS)]
+        self.limits = []
+        for me in self.members:
+            state = ConfigState()
+            state.join_ticket(Ticket(number=1, changes=[change]))
+            view = MemberView(me=me, settings=MembersSettings())
+            for peer in self.members:
+                view.note_member(peer)
+            self.limits.append(
+                TeamLimits(state=state, view=view, interval_s=INTERVAL_S)
+            )
+
+    async def exchange(self):
+        while True:
+            for sender, limits in zip(self.members, self.limits, strict=True):
+                for peer in self.limits:
+                    if peer is limits:
+                        continue
+                    beat = Heartbeat(sender=sender)
+                    limits.fill_heartbeat(beat, peer.view.me.id)
+                    peer.note_heartbeat(beat)
+                    status = peer.view.peers[sender.id]
+                    status.heard_at = asyncio.get_running_loop().time()
+            await asyncio.sleep(INTERVAL_S)
+
+
+def request(tokens):
+    return RoutedRequest(
+        id="r",
+        team="t",
+        team_weight=1,
+        service="s",
+        deadline_at=0,
+        prompt_tokens=tokens,
+        answer_tokens=0,
+        length_class=LengthClass.SHORT,
+        fingerprint="f",
+        path="/",
+    )
+
+
+def offer(team, *, seed, tokens, seconds, gap_s, run_s=1.0):
+    """Offers requests; returns admitted tokens, most in flight, refusals."""
+
+    async def scenario():
+        daemons = Daemons(team)
+        beats = asyncio.create_task(daemons.exchange())
+        source = random.Random(seed)
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(2 * INTERVAL_S)
+        admitted, running, most, refusals = 0, 0, 0, []
+        ends = []
+        until = loop.time() + seconds
+        while loop.time() < until:
+            await asyncio.sleep(gap_s)
+            for ended in [e for e in ends if e[0] <= loop.time()]:
+                ends.remove(ended)
+                ended[1].finish(ended[2])
+                running -= 1
+            limits = source.choice(daemons.limits)
+            asked = request(source.randint(1, tokens))
+            refused = limits.admit(asked)
+            if refused is not None:
+                refusals.append(refused)
+                continue
+            admitted += asked.prompt_tokens
+            running += 1
+            most = max(most, running)
+            ends.append((loop.time() + run_s, limits, asked))
+        beats.cancel()
+        return admitted, most, refusals
+
+    return run_virtual(scenario)
+
+
+class TeamLimitsTest(unittest.TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=20)
+    @given(st.integers(0, 10**6), st.sampled_from([2_000, 20_000, 100_000]))
+    def test_tokens_stay_within_the_stated_bound(self, seed, largest):
+        team = Team(tokens_per_second=20_000, burst_tokens=100_000)
+        seconds = 60
+        admitted, _, refusals = offer(
+            team, seed=seed, tokens=largest, seconds=seconds, gap_s=0.02
+        )
+        allowed = 100_000 + 20_000 * seconds
+        over = (DAEMONS - 1) * max(largest, 100_000 / DAEMONS)
+        self.assertLessEqual(admitted, allowed + over)
+        self.assertGreaterEqual(admitted, 0.8 * 20_000 * seconds)
+        for refused in refusals:
+            self.assertEqual(refused.code, ResultCode.TEAM_LIMIT)
+            self.assertGreater(refused.retry_after_s, 0)
+
+    @settings(derandomize=True, deadline=None, max_examples=20)
+    @given(st.integers(0, 10**6), st.sampled_from([1, 5, 40]))
+    def test_requests_in_flight_stay_within_the_stated_bound(self, seed, most):
+        team = Team(max_in_flight=most)
+        _, seen, _ = offer(
+            team, seed=seed, tokens=10, seconds=20, gap_s=0.005, run_s=1.0
+        )
+        self.assertLessEqual(seen, most + DAEMONS - 1)
+        self.assertGreaterEqual(seen, most)
+
+    def test_no_limit_admits_everything(self):
+        _, _, refusals = offer(
+            Team(), seed=1, tokens=10**6, seconds=5, gap_s=0.01
+        )
+        self.assertEqual(refusals, [])
