--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -148,6 +148,8 @@
   51: double waited_s = 0
   // Service of the endpoint.
   52: string service_ = ""
+  // The room is kept until it is released, as a part of a group; only on an endpoint that is not cold.
+  40: bool hold = false
 }
 
 struct ReserveReply {
--- a/src/auburnswitch/schema/peers.py
+++ b/src/auburnswitch/schema/peers.py
@@ -449,6 +449,7 @@
     max_start_wait_s: float = 0.0
     waited_s: float = 0.0
     service: str = ""
+    hold: bool = False
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "endpoint", False),
@@ -468,6 +469,7 @@
         50: (TType.DOUBLE, "max_start_wait_s", False),
         51: (TType.DOUBLE, "waited_s", False),
         52: (TType.STRING, "service", False),
+        40: (TType.BOOL, "hold", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("endpoint", None),
@@ -487,6 +489,7 @@
         ("max_start_wait_s", None),
         ("waited_s", None),
         ("service", None),
+        ("hold", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {
         "length_class": LengthClass
@@ -524,6 +527,10 @@
             options={},
         ),
         "service": Description(text="Service of the endpoint.", options={}),
+        "hold": Description(
+            text="The room is kept until it is released, as a part of a group; only on an endpoint that is not cold.",
+            options={},
+        ),
     }
 
 
