--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -49,6 +49,8 @@
 from auburnswitch.results import Refusal, refusal
 from auburnswitch.routing.crashes import CrashJudge
 from auburnswitch.routing.dispatcher import Dispatcher
+from auburnswitch.routing.group_run import GroupRunner
+from auburnswitch.routing.groups import GroupPlacer
 from auburnswitch.routing.placement import Placer
 from auburnswitch.routing.plain import PlainRouter
 from auburnswitch.routing.policy import make_policy
@@ -248,6 +250,13 @@
             ),
             budget=RetryBudget(settings=self.settings.routing),
             limits=limits,
+            groups=GroupRunner(
+                groups=GroupPlacer(placer=placer),
+                client=client,
+                metrics=self.metrics,
+                member_id=self.member.id,
+                cleanups=self.cleanups,
+            ),
         )
         claims = ClaimStore(
             store=self.store,
--- a/src/auburnswitch/endpoints/client.py
+++ b/src/auburnswitch/endpoints/client.py
@@ -227,6 +227,25 @@
                 return str((await response.json())["boot_id"])
         return ""
 
+    async def free_caches(self, spec: Endpoint, attempt: Attempt) -> bool:
+        """Frees the KV caches of an attempt; returns whether none is left."""
+        with contextlib.suppress(
+            EndpointFailureError, TimeoutError, ValueError, LookupError
+        ):
+            async with (
+                asyncio.timeout(self.settings.connect_timeout_s),
+                self.request(spec, "GET", "/v1/kv") as response,
+            ):
+                caches = (await response.json())["caches"]
+            wanted = (attempt.request_id, attempt.number)
+            freed = [
+                await self.delete(spec, f"/v1/kv/{cache['kv_id']}")
+                for cache in caches
+                if (cache["request_id"], cache["attempt"]) == wanted
+            ]
+            return all(freed)
+        return False
+
     async def cancel(self, spec: Endpoint, attempt: Attempt) -> bool:
         """Cancels an attempt, so that the endpoint frees its memory.
 
--- a/src/auburnswitch/routing/dispatcher.py
+++ b/src/auburnswitch/routing/dispatcher.py
@@ -20,6 +20,7 @@
     AnswerStream,
     AnswerText,
 )
+from auburnswitch.routing.groups import GroupReservation
 from auburnswitch.routing.progress import Progress
 from auburnswitch.schema.events import EventId
 from auburnswitch.schema.results import Ran, ResultCode
@@ -31,6 +32,7 @@
     from auburnswitch.observe.metrics import Metrics
     from auburnswitch.observe.tasks import TaskSet
     from auburnswitch.routing.crashes import CrashJudge
+    from auburnswitch.routing.group_run import GroupRunner
     from auburnswitch.routing.placement import Placer
     from auburnswitch.routing.request import RoutedRequest
     from auburnswitch.routing.retry_budget import RetryBudget
@@ -62,6 +64,7 @@
         crashes: Finds out whether a lost endpoint has crashed.
         budget: Retries that may still be made.
         limits: Admits requests within their teams' limits.
+        groups: Runs prompts that are larger than one endpoint.
     """
 
     __slots__ = (
@@ -69,6 +72,7 @@
         "cleanups",
         "client",
         "crashes",
+        "groups",
         "limits",
         "member_id",
         "metrics",
@@ -86,6 +90,7 @@
         crashes: CrashJudge,
         budget: RetryBudget,
         limits: TeamLimits,
+        groups: GroupRunner,
     ) -> None:
         self.placer = placer
         self.client = client
@@ -95,6 +100,7 @@
         self.crashes = crashes
         self.budget = budget
         self.limits = limits
+        self.groups = groups
 
     async def run(self, request: RoutedRequest) -> AsyncIterator[AnswerPart]:
         """Yields the parts of the answer; the last one is its end."""
@@ -116,7 +122,7 @@
         while request.attempts < request.max_attempts:
             try:
                 async with asyncio.timeout_at(request.deadline_at):
-                    placed = await self.placer.place(request, excluded)
+                    placed = await self._place(request, excluded)
             except TimeoutError:
                 yield AnswerFailed(refusal=_deadline(request, progress))
                 return
@@ -126,7 +132,7 @@
             request.attempts += 1
             dispatched_before = request.dispatched
             try:
-                attempt = self._attempt(request, placed, progress)
+                attempt = self._attempt_on(request, placed, progress)
                 async with contextlib.aclosing(attempt) as parts:
                     async for part in parts:
                         yield part
@@ -149,8 +155,29 @@
                 self._note_retry(request, placed, last_error)
         yield AnswerFailed(refusal=_failed(request, progress, last_error))
 
+    async def _place(
+        self, request: RoutedRequest, excluded: set[str]
+    ) -> HeldReservation | GroupReservation | Refusal:
+        if self.groups.groups.is_needed(request):
+            return await self.groups.groups.place(request, excluded)
+        return await self.placer.place(request, excluded)
+
+    def _attempt_on(
+        self,
+        request: RoutedRequest,
+        placed: HeldReservation | GroupReservation,
+        progress: Progress,
+    ) -> AsyncIterator[AnswerPart]:
+        match placed:
+            case GroupReservation():
+                return self.groups.attempt(request, placed, progress)
+            case _:
+                return self._attempt(request, placed, progress)
+
     async def _note_lost(
-        self, request: RoutedRequest, held: HeldReservation
+        self,
+        request: RoutedRequest,
+        held: HeldReservation | GroupReservation,
     ) -> None:
         spec = self.placer.owner_table.state.endpoints.get(held.endpoint)
         if spec is not None and held.boot_id:
@@ -241,7 +268,10 @@
         self.cleanups.start(progress, "note progress")
 
     def _note_retry(
-        self, request: RoutedRequest, held: HeldReservation, reason: str
+        self,
+        request: RoutedRequest,
+        held: HeldReservation | GroupReservation,
+        reason: str,
     ) -> None:
         if request.attempts >= request.max_attempts:
             return
--- /dev/null
+++ b/src/auburnswitch/routing/group_run.py
@@ -0,0 +1,213 @@
+"""Runs a prompt on a group of endpoints, segment after segment."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+from typing import TYPE_CHECKING, Any
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.endpoints.client import Attempt, EndpointFailureError
+from auburnswitch.routing.answer_stream import (
+    PREFILL_PATIENCE,
+    AnswerEnd,
+    AnswerStream,
+    AnswerText,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from auburnswitch.endpoints.client import EndpointClient
+    from auburnswitch.endpoints.reservations import HeldReservation
+    from auburnswitch.observe.metrics import Metrics
+    from auburnswitch.observe.tasks import TaskSet
+    from auburnswitch.routing.groups import GroupPlacer, GroupReservation
+    from auburnswitch.routing.progress import Progress
+    from auburnswitch.routing.request import RoutedRequest
+    from auburnswitch.schema.objects import Endpoint
+
+
+class GroupRunner:
+    """Prefills segments along a chain and streams the answer of the last.
+
+    Attributes:
+        groups: Reserves and releases the groups.
+        client: Calls endpoints.
+        metrics: The daemon's instruments.
+        cleanups: What goes on after an attempt.
+    """
+
+    __slots__ = ("cleanups", "client", "groups", "member_id", "metrics")
+
+    def __init__(
+        self,
+        *,
+        groups: GroupPlacer,
+        client: EndpointClient,
+        metrics: Metrics,
+        member_id: str,
+        cleanups: TaskSet,
+    ) -> None:
+        self.groups = groups
+        self.client = client
+        self.metrics = metrics
+        self.member_id = member_id
+        self.cleanups = cleanups
+
+    async def attempt(
+        self,
+        request: RoutedRequest,
+        group: GroupReservation,
+        progress: Progress,
+    ) -> AsyncIterator[AnswerText | AnswerEnd]:
+        """Runs one attempt and frees every part of it.
+
+        Raises:
+            EndpointFailureError: An endpoint of the group failed.
+            TimeoutError: The deadline passed.
+        """
+        attempt = Attempt(
+            request_id=request.id,
+            number=request.attempts,
+            member_id=self.member_id,
+        )
+        succeeded = False
+        progress.start_attempt()
+        request.dispatched = True
+        try:
+            chain = await self._prefill_chain(request, group, attempt)
+            stream = self._stream(request, group, attempt, progress, chain)
+            async with contextlib.aclosing(stream.parts()) as parts:
+                async for part in parts:
+                    if isinstance(part, AnswerEnd):
+                        _count_whole_prompt(part, request)
+                    yield part
+            succeeded = True
+        finally:
+            free = self._free(group, attempt, succeeded=succeeded)
+            self.cleanups.start(free, "free the parts of a group")
+
+    async def _prefill_chain(
+        self, request: RoutedRequest, group: GroupReservation, attempt: Attempt
+    ) -> list[dict[str, str]]:
+        chain: list[dict[str, str]] = []
+        for number, segment in enumerate(group.segments[:-1]):
+            group.current = number
+            held = group.parts[number]
+            spec = self._spec(held)
+            body = {
+                "prompt": segment,
+                "priority": int(request.length_class),
+                "kv_chain": chain,
+            }
+            kv_id = await self._prefill(request, held, spec, attempt, body)
+            url = f"http://{spec.host}:{spec.port}"
+            chain = [*chain, {"url": url, "kv_id": kv_id}]
+        group.current = len(group.parts) - 1
+        return chain
+
+    async def _prefill(
+        self,
+        request: RoutedRequest,
+        held: HeldReservation,
+        spec: Endpoint,
+        attempt: Attempt,
+        body: dict[str, Any],
+    ) -> str:
+        patience_s = self.client.settings.stream_idle_timeout_s
+        rate = max(1, spec.prefill_tokens_per_second)
+        patience_s += PREFILL_PATIENCE * held.work.prefill_tokens / rate
+        until = min(request.deadline_at, monotonic_s() + patience_s)
+        guard = self.groups.placer.reservations.guard(held, attempt)
+        try:
+            async with asyncio.timeout_at(until):
+                kv_id = await self._post_prefill(spec, attempt, body, guard)
+        except TimeoutError as error:
+            if monotonic_s() >= request.deadline_at:
+                raise
+            raise EndpointFailureError(
+                "the prefill took too long", sent=True, lost=False
+            ) from error
+        held.work.prefill_tokens = 0
+        await self.groups.placer.reservations.note_prefilled(held)
+        return kv_id
+
+    async def _post_prefill(
+        self, spec: Endpoint, attempt: Attempt, body: Any, guard: Any
+    ) -> str:
+        async with self.client.request(
+            spec,
+            "POST",
+            "/v1/prefill",
+            guard=guard,
+            json=body,
+            headers=attempt.headers(),
+        ) as response:
+            if response.status != 200:
+                raise EndpointFailureError(
+                    f"HTTP status {response.status} for a prefill",
+                    sent=True,
+                    lost=False,
+                    status=response.status,
+                )
+            return str((await response.json())["kv_id"])
+
+    def _stream(
+        self,
+        request: RoutedRequest,
+        group: GroupReservation,
+        attempt: Attempt,
+        progress: Progress,
+        chain: list[dict[str, str]],
+    ) -> AnswerStream:
+        held = group.parts[-1]
+        body = request.body | {"prompt": group.segments[-1], "kv_chain": chain}
+        return AnswerStream(
+            client=self.client,
+            metrics=self.metrics,
+            request=dataclasses.replace(request, body=body),
+            spec=self._spec(held),
+            attempt=attempt,
+            progress=progress,
+            guard=self.groups.placer.reservations.guard(held, attempt),
+        )
+
+    async def _free(
+        self, group: GroupReservation, attempt: Attempt, *, succeeded: bool
+    ) -> None:
+        """Frees what the attempt left on each endpoint, then its room."""
+        freed = [
+            await self._free_part(held, attempt)
+            for held in group.parts
+            if held.dispatched_at is not None
+        ]
+        self.groups.release(
+            group, succeeded=succeeded, may_still_run=not all(freed)
+        )
+
+    async def _free_part(self, held: HeldReservation, attempt: Attempt) -> bool:
+        state = self.groups.placer.owner_table.state
+        spec = state.endpoints.get(held.endpoint)
+        if spec is None:
+            return False
+        cancelled = await self.client.cancel(spec, attempt)
+        return cancelled and await self.client.free_caches(spec, attempt)
+
+    def _spec(self, held: HeldReservation) -> Endpoint:
+        state = self.groups.placer.owner_table.state
+        spec = state.endpoints.get(held.endpoint)
+        if spec is None:
+            raise EndpointFailureError(
+                "the endpoint was removed", sent=False, lost=False
+            )
+        return spec
+
+
+def _count_whole_prompt(end: AnswerEnd, request: RoutedRequest) -> None:
+    if "prompt_tokens" in end.usage:
+        end.usage["prompt_tokens"] = request.prompt_tokens
+
+
+__all__ = ["GroupRunner"]
--- /dev/null
+++ b/src/auburnswitch/routing/groups.py
@@ -0,0 +1,195 @@
+"""Chooses groups of endpoints for prompts larger than one endpoint."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from auburnswitch.endpoints.groups import release_group, reserve_group
+from auburnswitch.endpoints.phases import CLOSED_PHASES, STRICT_PHASES
+from auburnswitch.results import Refusal, refusal
+from auburnswitch.routing.lengths import count_tokens
+from auburnswitch.schema.objects import ServiceKind
+from auburnswitch.schema.peers import ReserveRequest
+from auburnswitch.schema.results import Ran, ResultCode
+
+if TYPE_CHECKING:
+    from auburnswitch.endpoints.reservations import HeldReservation
+    from auburnswitch.routing.placement import Placer
+    from auburnswitch.routing.request import RoutedRequest
+
+GROUP_WAIT_S: Final = 30.0
+GROUP_RETRY_S: Final = 0.5
+MAX_PARTS: Final = 16
+COMPLETIONS_PATH: Final = "/v1/completions"
+
+
+@dataclass(slots=True, kw_only=True)
+class GroupReservation:
+    """Room on several endpoints for the segments of one prompt.
+
+    Attributes:
+        parts: The reservations, in the order of the segments.
+        segments: Text of each segment.
+        current: Number of the part that is in use.
+    """
+
+    parts: list[HeldReservation]
+    segments: list[str]
+    current: int = 0
+
+    @property
+    def endpoint(self) -> str:
+        """The endpoint that is in use."""
+        return self.parts[self.current].endpoint
+
+    @property
+    def boot_id(self) -> str:
+        """Start of the endpoint in use that its owner knew."""
+        return self.parts[self.current].boot_id
+
+
+class GroupPlacer:
+    """Reserves groups of endpoints, all or none.
+
+    Attributes:
+        placer: Knows the endpoints and holds the reservations.
+    """
+
+    __slots__ = ("placer",)
+
+    def __init__(self, *, placer: Placer) -> None:
+        self.placer = placer
+
+    def is_needed(self, request: RoutedRequest) -> bool:
+        """Tells whether no single endpoint of the service is large enough."""
+        state = self.placer.owner_table.state
+        service = state.services.get(request.service)
+        if service is None or service.kind != ServiceKind.MODEL:
+            return False
+        needed = request.prompt_tokens + request.answer_tokens
+        memory = [
+            state.endpoints[name].memory_tokens
+            for name in state.endpoints_of(request.service)
+        ]
+        return bool(memory) and needed > max(memory)
+
+    async def place(
+        self, request: RoutedRequest, excluded: set[str]
+    ) -> GroupReservation | Refusal:
+        """Reserves a group, or tells why there is none.
+
+        Where the service's endpoints together are too small the refusal is
+        final: coming back would not help.
+        """
+        ran = Ran.UNKNOWN if request.dispatched else Ran.NO
+        prompt = request.body.get("prompt")
+        if request.path != COMPLETIONS_PATH or not isinstance(prompt, str):
+            return refusal(ResultCode.PROMPT_TOO_LONG, ran=ran)
+        table = self.placer.owner_table
+        all_names = table.state.endpoints_of(request.service)
+        if not self._choose(request, all_names):
+            return refusal(ResultCode.PROMPT_TOO_LONG, ran=ran)
+        last = refusal(ResultCode.NO_ENDPOINT, ran=ran, retry_after_s=5)
+        while request.time_left_s() > 0:
+            if self.placer.strikes.is_refused(request.fingerprint):
+                return refusal(ResultCode.CRASHING_REQUEST, ran=ran)
+            names = self._choose(request, self._open(request, excluded))
+            if not names:
+                return last
+            group = await self._reserve(request, names, prompt)
+            if isinstance(group, GroupReservation):
+                return group
+            last = refusal(
+                ResultCode.QUEUE_FULL, ran=ran, retry_after_s=GROUP_WAIT_S
+            )
+            await asyncio.sleep(GROUP_RETRY_S * self.placer.random.random())
+        return last
+
+    def release(
+        self, group: GroupReservation, *, succeeded: bool, may_still_run: bool
+    ) -> None:
+        """Gives every part back."""
+        release_group(
+            self.placer.reservations,
+            group.parts,
+            succeeded=succeeded,
+            may_still_run=may_still_run,
+        )
+
+    async def _reserve(
+        self, request: RoutedRequest, names: list[str], prompt: str
+    ) -> GroupReservation | None:
+        segments = split_prompt(prompt, len(names))
+        asked = [
+            self._part(request, name, segment, last=segment is segments[-1])
+            for name, segment in zip(names, segments, strict=True)
+        ]
+        outcome = await reserve_group(self.placer.reservations, asked)
+        if isinstance(outcome, list):
+            return GroupReservation(parts=outcome, segments=segments)
+        return None
+
+    def _part(
+        self, request: RoutedRequest, name: str, segment: str, *, last: bool
+    ) -> ReserveRequest:
+        left_s = request.time_left_s()
+        settings = self.placer.owner_table.settings.routing
+        return ReserveRequest(
+            endpoint=name,
+            request_id=request.id,
+            attempt=request.attempts,
+            team=request.team,
+            team_weight=request.team_weight,
+            prompt_tokens=count_tokens(segment, settings),
+            answer_tokens=request.answer_tokens if last else 0,
+            length_class=request.length_class,
+            fingerprint=request.fingerprint,
+            struck=self.placer.strikes.is_struck(request.fingerprint),
+            time_left_s=left_s,
+            max_wait_s=max(0.0, min(GROUP_WAIT_S, left_s)),
+            service=request.service,
+        )
+
+    def _open(self, request: RoutedRequest, excluded: set[str]) -> list[str]:
+        table = self.placer.owner_table
+        return [
+            name
+            for name in table.state.endpoints_of(request.service)
+            if name not in excluded
+            and not table.is_closed(name)
+            and table.best_hint(name).phase not in CLOSED_PHASES
+            and table.best_hint(name).phase not in STRICT_PHASES
+        ]
+
+    def _choose(self, request: RoutedRequest, names: list[str]) -> list[str]:
+        """Returns the fewest least loaded endpoints that are enough."""
+        table = self.placer.owner_table
+        share = 1 - table.settings.routing.short_memory_share
+        ordered = sorted(names, key=lambda n: table.best_hint(n).long_wait_s)
+        for count in range(2, min(MAX_PARTS, len(ordered)) + 1):
+            chosen = ordered[:count]
+            room = min(table.state.endpoints[n].memory_tokens for n in chosen)
+            segment = math.ceil(request.prompt_tokens / count) + count
+            if segment + request.answer_tokens <= room * share:
+                return chosen
+        return []
+
+
+def split_prompt(prompt: str, count: int) -> list[str]:
+    """Splits a prompt into segments of about equal size in UTF-8."""
+    data = prompt.encode()
+    cuts = [0]
+    for number in range(1, count):
+        cut = number * len(data) // count
+        while data[cut] & 0xC0 == 0x80:  # within a character
+            cut -= 1
+        cuts.append(cut)
+    cuts.append(len(data))
+    return [data[begin:end].decode() for begin, end in itertools.pairwise(cuts)]
+
+
+__all__ = ["GroupPlacer", "GroupReservation", "split_prompt"]
