--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -84,6 +84,8 @@
   // Tokens per second over the last seconds.
   2: double tokens_per_second = 0
   3: i32 in_flight = 0
+  // Tokens admitted since the last heartbeat to the receiver.
+  50: i64 tokens = 0
 }
 
 struct Heartbeat {
@@ -131,7 +133,7 @@
   6: i64 answer_tokens = 0
   7: i64 cached_tokens = 0
   8: LengthClass length_class = 0
-  // Time left until the deadline, in seconds.
+  // Time left until the deadline, in seconds; 0 if none is known.
   9: double time_left_s = 0
   10: string fingerprint = ""
   // The request was in flight when an endpoint crashed.
@@ -140,6 +142,12 @@
   13: i64 epoch = 0
   // How long the asker is ready to wait in the owner's queue, in seconds.
   14: double max_wait_s = 0
+  // Longest predicted wait that the asker takes, in seconds; 0 takes any.
+  50: double max_start_wait_s = 0
+  // How long the request has waited at other owners, in seconds.
+  51: double waited_s = 0
+  // Service of the endpoint.
+  52: string service_ = ""
   // The room is kept until it is released, as a part of a group; only on an endpoint that is not cold.
   40: bool hold = false
 }
@@ -154,6 +162,8 @@
   5: string boot_id = ""
   // Seconds from the arrival of the request to its grant.
   40: double waited_s = 0
+  // What the owner knows of its endpoints of the service, best first.
+  50: list<EndpointHint> hints = []
 }
 
 // Ends a reservation, used or not.
