Make random runs repeatable and shrink their failing lists

Ports of listeners are now never used twice, and the daemons of a random run keep fixed ones, as the settings of real daemons do. The listener of a killed daemon was ruled out: kill_daemon unregisters it. Ids (secrets.token_hex) and the wall clock made two runs of a seed differ, and a daemon started late in virtual time had a wall clock behind the others; both now follow from the seed and virtual time. A failing run drops actions greedily and prints the shortest list found.

--- a/src/auburnswitch/experiments/chaos.py
+++ b/src/auburnswitch/experiments/chaos.py
@@ -39,6 +39,7 @@
 PLAIN_DEADLINE_S: Final = 30.0
 APPLY_RETRY_S: Final = 1.0
 APPLY_TRIES: Final = 90
+DAEMON_PORTS: Final = 30_000
 
 
 class ChaosRun:
@@ -301,6 +302,7 @@
         daemons=actions.DAEMONS,
         plain_services=2,
         connector=connector,
+        base_port=DAEMON_PORTS,
     )
     async with open_fleet(options) as fleet:
         chaos = ChaosRun(fleet=fleet)
--- a/src/auburnswitch/experiments/random_run.py
+++ b/src/auburnswitch/experiments/random_run.py
@@ -12,7 +12,7 @@
 import random
 import sys
 import time
-from typing import Any
+from typing import TYPE_CHECKING, Any, Final
 
 import fire
 
@@ -20,69 +20,157 @@
 from auburnswitch.experiments.actions import draw_action
 from auburnswitch.experiments.chaos import open_chaos
 from auburnswitch.experiments.freezing import FreezableLoop
+from auburnswitch.experiments.repeatable import repeatable
+from auburnswitch.experiments.shrinking import shrink
 from auburnswitch.experiments.virtual_time import (
     SimulatedConnector,
     run_virtual,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
 
-def random_run(seed: int, steps: int) -> dict[str, Any]:
-    """Runs a number of random actions and returns the report."""
-    return run_virtual(lambda: _run(seed, steps), FreezableLoop)
+    from auburnswitch.experiments.actions import Action
+    from auburnswitch.experiments.chaos import ChaosRun
 
+ACTION_INTERVAL_S: Final = 0.05
+SHRINK_WALL_S: Final = 300.0
+SECONDS_PER_HOUR: Final = 3600
 
-async def _run(seed: int, steps: int) -> dict[str, Any]:
+
+class RunReport:
+    """What a run did and what came of it.
+
+    Attributes:
+        actions: The actions, in order.
+        virtual_s: Length in virtual time, in seconds.
+        wall_s: Length in wall time, in seconds.
+        outcomes: Number of calls by result.
+        problems: Violations and unexpected errors.
+    """
+
+    __slots__ = ("actions", "outcomes", "problems", "virtual_s", "wall_s")
+
+    def __init__(self) -> None:
+        self.actions: list[Action] = []
+        self.virtual_s = 0.0
+        self.wall_s = 0.0
+        self.outcomes: dict[str, int] = {}
+        self.problems: list[str] = []
+
+    def to_json(self) -> dict[str, Any]:
+        """Returns the report as a JSON object."""
+        names = [type(action).__name__ for action in self.actions]
+        return {
+            "virtual_s": round(self.virtual_s, 1),
+            "wall_s": round(self.wall_s, 1),
+            "actions": dict(collections.Counter(names)),
+            "outcomes": self.outcomes,
+            "problems": self.problems,
+        }
+
+
+def run_actions(
+    actions: Iterable[Action], *, seed: int = 0, limit_s: float = float("inf")
+) -> RunReport:
+    """Runs actions on a fleet in virtual time.
+
+    Args:
+        actions: What to do, in order.
+        seed: Seed of what the program itself draws.
+        limit_s: Virtual time after which no action follows, in seconds.
+
+    Returns:
+        The report.
+    """
+    with repeatable(seed):
+        return run_virtual(lambda: _run(actions, limit_s), FreezableLoop)
+
+
+def draw_actions(seed: int, steps: int | None = None) -> Iterator[Action]:
+    """Yields random actions, without end if no number is given."""
     chance = random.Random(seed)
-    done: collections.Counter[str] = collections.Counter()
-    started_at = time.monotonic()
+    while steps is None or steps > 0:
+        yield draw_action(chance)
+        steps = None if steps is None else steps - 1
+
+
+async def _run(actions: Iterable[Action], limit_s: float) -> RunReport:
+    report = RunReport()
+    started_at = time.perf_counter()
     async with open_chaos(connector=SimulatedConnector) as chaos:
-        for _ in range(steps):
-            action = draw_action(chance)
-            done[type(action).__name__] += 1
+        for action in actions:
+            if monotonic_s() >= limit_s:
+                break
+            report.actions.append(action)
             await chaos.apply(action)
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(ACTION_INTERVAL_S)
         violations = await chaos.settle()
-        outcomes = collections.Counter(
-            call.outcome.result if call.outcome else "none"
-            for call in chaos.caller.records
-        )
-        errors = [
-            repr(error)
-            for daemon in chaos.fleet.daemons.values()
-            for error in daemon.tasks.errors
+        report.outcomes = _count_outcomes(chaos)
+        report.problems = [
+            f"{violation.rule.name.lower()}: {violation.detail}"
+            for violation in violations
         ]
-        return {
-            "seed": seed,
-            "steps": steps,
-            "virtual_s": round(monotonic_s(), 1),
-            "wall_s": round(time.monotonic() - started_at, 1),
-            "actions": dict(done),
-            "outcomes": dict(outcomes),
-            "task_errors": errors,
-            "violations": [
-                {
-                    "rule": violation.rule.name.lower(),
-                    "detail": violation.detail,
-                }
-                for violation in violations
-            ],
-        }
+        report.problems += _task_errors(chaos)
+        report.virtual_s = monotonic_s()
+    report.wall_s = time.perf_counter() - started_at
+    return report
+
+
+def _count_outcomes(chaos: ChaosRun) -> dict[str, int]:
+    outcomes = collections.Counter(
+        call.outcome.result if call.outcome else "none"
+        for call in chaos.caller.records
+    )
+    return dict(sorted(outcomes.items()))
+
+
+def _task_errors(chaos: ChaosRun) -> list[str]:
+    return [
+        f"task_error: {daemon.member.instance}: {error!r}"
+        for daemon in chaos.fleet.daemons.values()
+        for tasks in (daemon.tasks, daemon.cleanups)
+        for error in tasks.errors
+    ]
 
 
-def main(seed: int = 1, steps: int = 500) -> None:
+def main(
+    seed: int = 1, steps: int = 500, hours: float = 0.0, shrinking: bool = True
+) -> None:
     """Runs and prints the report.
 
     Args:
         seed: Seed of every choice.
         steps: Number of actions.
+        hours: Virtual time to fill with actions, in place of a number.
+        shrinking: Look for the shortest list of actions that still fails.
     """
-    report = random_run(seed, steps)
-    print(json.dumps(report, indent=2))
-    sys.exit(1 if report["violations"] or report["task_errors"] else 0)
+    print(f"seed {seed}", flush=True)
+    if hours:
+        limit_s = hours * SECONDS_PER_HOUR
+        report = run_actions(draw_actions(seed), seed=seed, limit_s=limit_s)
+    else:
+        report = run_actions(draw_actions(seed, steps), seed=seed)
+    print(json.dumps(report.to_json(), indent=2), flush=True)
+    if report.problems and shrinking:
+        _print_shortest(report.actions, seed)
+    sys.exit(1 if report.problems else 0)
+
+
+def _print_shortest(actions: list[Action], seed: int) -> None:
+    stop_at = time.perf_counter() + SHRINK_WALL_S
+    shortest = shrink(
+        actions,
+        fails=lambda shorter: bool(run_actions(shorter, seed=seed).problems),
+        may_go_on=lambda: time.perf_counter() < stop_at,
+    )
+    print(f"shortest failing list found: {len(shortest)} actions")
+    for action in shortest:
+        print(f"    {action!r},")
 
 
 if __name__ == "__main__":
     fire.Fire(main)
 
 
-__all__ = ["random_run"]
+__all__ = ["RunReport", "draw_actions", "run_actions"]
--- /dev/null
+++ b/src/auburnswitch/experiments/repeatable.py
@@ -0,0 +1,41 @@
+"""Makes runs repeatable whose program draws ids or reads the wall clock."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import secrets
+import time
+from typing import TYPE_CHECKING, Final
+from unittest import mock
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+EPOCH_S: Final = 1_800_000_000.0
+
+
+@contextlib.contextmanager
+def repeatable(seed: int) -> Iterator[None]:
+    """Draws ids from a seed and derives wall-clock time from virtual time."""
+    chance = random.Random(seed)
+
+    def token_hex(size: int = 32) -> str:
+        return chance.randbytes(size).hex()
+
+    with (
+        mock.patch.object(secrets, "token_hex", token_hex),
+        mock.patch.object(time, "time", _wall_clock_s),
+    ):
+        yield
+
+
+def _wall_clock_s() -> float:
+    try:
+        return EPOCH_S + asyncio.get_running_loop().time()
+    except RuntimeError:
+        return EPOCH_S  # the loop ends
+
+
+__all__ = ["repeatable"]
--- a/src/auburnswitch/experiments/virtual_time.py
+++ b/src/auburnswitch/experiments/virtual_time.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import contextlib
+import itertools
 import selectors
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 import aiohttp
 import async_solipsism
@@ -18,6 +19,7 @@
     from async_solipsism.clock import Clock
 
 MAX_SLEEP_S = asyncio.base_events.MAXIMUM_SELECT_TIMEOUT
+FIRST_FREE_PORT: Final = 40_000
 
 ResultT = TypeVar("ResultT")
 
@@ -131,6 +133,24 @@
         own = self._selector
         self._selector = IndexedSelector(own.clock)
         own.close()
+        self._free_ports = itertools.count(FIRST_FREE_PORT)
+
+    async def create_server(
+        self,
+        protocol_factory: Callable[[], asyncio.Protocol],
+        host: str | None = None,
+        port: int | None = None,
+        **kwargs: Any,
+    ) -> asyncio.Server:
+        """Opens a listener; port 0 takes a port that was never used before.
+
+        A port that is closed for a while thus stays its last listener's own.
+        """
+        if port == 0:
+            port = next(self._free_ports)
+        return await super().create_server(
+            protocol_factory, host, port, **kwargs
+        )
 
 
 class SimulatedConnector(aiohttp.TCPConnector):
--- /dev/null
+++ b/tests/proof/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the promises under failure."""
