--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -47,10 +47,16 @@
 from auburnswitch.platform.tickets import TICKETS_PREFIX, TicketStore
 from auburnswitch.platform.watcher import StoreWatcher
 from auburnswitch.results import Refusal, refusal
+from auburnswitch.routing.crashes import CrashJudge
 from auburnswitch.routing.dispatcher import Dispatcher
+from auburnswitch.routing.group_run import GroupRunner
+from auburnswitch.routing.groups import GroupPlacer
 from auburnswitch.routing.placement import Placer
 from auburnswitch.routing.plain import PlainRouter
 from auburnswitch.routing.policy import make_policy
+from auburnswitch.routing.retry_budget import RetryBudget
+from auburnswitch.routing.strikes import StrikeBook
+from auburnswitch.routing.team_limits import TeamLimits
 from auburnswitch.schema.events import EventId
 from auburnswitch.schema.objects import Member
 from auburnswitch.schema.results import ResultCode
@@ -213,10 +219,24 @@
 
     def _build_routing(self, seed: int) -> None:
         client = self.endpoint_client
+        self.strikes = StrikeBook(
+            retention_s=self.settings.routing.strike_retention_s
+        )
+        limits = TeamLimits(
+            state=self.state,
+            view=self.view,
+            interval_s=self.settings.members.heartbeat_interval_s,
+        )
+        self.membership.heartbeat_sources.append(limits.fill_heartbeat)
+        self.membership.heartbeat_listeners.append(limits.note_heartbeat)
+        self.owner_table.is_struck = self.strikes.is_struck
+        self.membership.heartbeat_sources.append(self.strikes.fill_heartbeat)
+        self.membership.heartbeat_listeners.append(self.strikes.note_heartbeat)
         placer = Placer(
             owner_table=self.owner_table,
             reservations=self.reservations,
             policy=make_policy(self.settings.routing),
+            strikes=self.strikes,
             seed=seed,
         )
         self.dispatcher = Dispatcher(
@@ -225,6 +245,18 @@
             metrics=self.metrics,
             member_id=self.member.id,
             cleanups=self.cleanups,
+            crashes=CrashJudge(
+                strikes=self.strikes, client=client, membership=self.membership
+            ),
+            budget=RetryBudget(settings=self.settings.routing),
+            limits=limits,
+            groups=GroupRunner(
+                groups=GroupPlacer(placer=placer),
+                client=client,
+                metrics=self.metrics,
+                member_id=self.member.id,
+                cleanups=self.cleanups,
+            ),
         )
         claims = ClaimStore(
             store=self.store,
@@ -237,6 +269,7 @@
             client=client,
             claims=claims,
             member_id=self.member.id,
+            limits=limits,
         )
 
     def _build_listeners(self) -> None:
--- a/src/auburnswitch/endpoints/owner.py
+++ b/src/auburnswitch/endpoints/owner.py
@@ -8,7 +8,9 @@
 from auburnswitch.endpoints.admission import (
     can_ever_hold,
     has_room,
+    late_by_s,
     predicted_wait_s,
+    prefill_rate,
 )
 from auburnswitch.endpoints.closing import Closings
 from auburnswitch.endpoints.hints import HintBook
@@ -24,6 +26,7 @@
     EndpointHint,
     EndpointPhase,
     Heartbeat,
+    LengthClass,
     ReleaseRequest,
     ReserveReply,
     ReserveRequest,
@@ -31,6 +34,8 @@
 from auburnswitch.schema.results import ResultCode
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from auburnswitch.endpoints.load import LoadReport
     from auburnswitch.endpoints.rights import StrictOwnership
     from auburnswitch.members.view import MemberView
@@ -38,12 +43,15 @@
     from auburnswitch.schema.settings import Settings
 
 MIN_RETRY_AFTER_S: Final = 1.0
+MAX_REPLY_HINTS: Final = 3
 
 
 class OwnerTable:
     """The ledgers of this daemon's endpoints.
 
     Attributes:
+        is_struck: Tells by a fingerprint whether a request was in flight at a
+            crash.
         rights: Tells whether this daemon is a strict owner.
         gate: Tells whether cold endpoints may be used.
         owners: Owner of each endpoint by the live view.
@@ -61,6 +69,7 @@
         "hint_batch",
         "hints",
         "invariants",
+        "is_struck",
         "ledgers",
         "next_id",
         "owners",
@@ -95,6 +104,7 @@
         self.queues: dict[str, ReservationQueue] = {}
         self.hint_batch: tuple[float, list[EndpointHint]] = (-1.0, [])
         self.next_id = 0
+        self.is_struck: Callable[[str], bool] = lambda _: False
         state.listeners.append(self.note_state)
         self.transitions = Transitions(
             settings=settings.endpoints,
@@ -128,7 +138,8 @@
             ledger = EndpointLedger(name=endpoint, spec=spec)
             self.ledgers[endpoint] = ledger
             self.queues[endpoint] = ReservationQueue(
-                try_reserve=self._try_reserve
+                try_reserve=self._try_reserve,
+                aging_s=self.settings.routing.aging_s,
             )
         ledger.spec = spec
         return ledger
@@ -155,13 +166,17 @@
         ledger = self.ledger(request.endpoint)
         if ledger is None or not self.owns(request.endpoint):
             return ReserveReply(code=ResultCode.NOT_OWNER)
+        wait_s = self._wait_s(ledger, LengthClass(request.length_class))
+        refused = _refuse_wait(ledger, request, wait_s)
+        if refused is not None and not self._refusal(ledger, request):
+            refused.hints = self._hints_for(request)
+            return refused
         reply: ReserveReply | None = None
         try:
             reply = await self.queues[request.endpoint].reserve(
-                request,
-                member_id,
-                max(MIN_RETRY_AFTER_S, predicted_wait_s(ledger)),
+                request, member_id, max(MIN_RETRY_AFTER_S, wait_s)
             )
+            reply.hints = self._hints_for(request)
         finally:
             granted = ledger.of_request(request)
             if granted is not None and (
@@ -290,14 +305,13 @@
     def hint_of(self, ledger: EndpointLedger) -> EndpointHint:
         """Returns what peers should know of a ledger's endpoint."""
         closed = self.closings.phase(ledger.name)
-        wait_s = predicted_wait_s(ledger)
         load = ledger.load
         return EndpointHint(
             endpoint=ledger.name,
             phase=ledger.phase if closed is None else closed,
             free_tokens=ledger.spec.memory_tokens - ledger.reserved_tokens,
-            short_wait_s=wait_s,
-            long_wait_s=wait_s,
+            short_wait_s=self._wait_s(ledger, LengthClass.SHORT),
+            long_wait_s=self._wait_s(ledger, LengthClass.LONG),
             running=ledger.running,
             max_running=ledger.max_running,
             boot_id=ledger.boot_id,
@@ -306,6 +320,21 @@
             reported_prefill_tokens=load.prefill_queued_tokens if load else 0,
         )
 
+    def _wait_s(self, ledger: EndpointLedger, length: LengthClass) -> float:
+        waiting = 0
+        if queue := self.queues.get(ledger.name):
+            waiting = queue.waiting_tokens(length)
+        wait_s = predicted_wait_s(ledger, length)
+        return wait_s + waiting / prefill_rate(ledger)
+
+    def _hints_for(self, request: ReserveRequest) -> list[EndpointHint]:
+        names = self.state.endpoints_of(request.service)
+        hints = [self.hint(name) for name in names if self.owns(name)]
+        long = request.length_class == LengthClass.LONG
+        hints.sort(key=lambda h: h.long_wait_s if long else h.short_wait_s)
+        own = [hint for hint in hints if hint.endpoint == request.endpoint]
+        return own + [h for h in hints if h not in own][:MAX_REPLY_HINTS]
+
     def _try_reserve(
         self, request: ReserveRequest, member_id: str
     ) -> ReserveReply | None:
@@ -315,17 +344,31 @@
             return ReserveReply(code=ResultCode.NOT_OWNER)
         if refused := self._refusal(ledger, request):
             return ReserveReply(code=refused, retry_after_s=MIN_RETRY_AFTER_S)
-        if not ledger.bears(request) or not has_room(ledger, request):
+        routing = self.settings.routing
+        if not ledger.bears(request) or not has_room(ledger, request, routing):
+            return None
+        if self._meets_struck(ledger, request):
             return None
         self.next_id += 1
         reservation_id = f"{self.view.me.id}/{self.next_id}"
         reservation = ledger.grant(request, member_id, reservation_id)
-        reservation.expected_s = predicted_wait_s(ledger)
+        reservation.expected_s = predicted_wait_s(
+            ledger, reservation.length_class
+        )
         self._check_grant(ledger)
         return ReserveReply(
             reservation_id=reservation_id, boot_id=ledger.boot_id
         )
 
+    def _meets_struck(
+        self, ledger: EndpointLedger, request: ReserveRequest
+    ) -> bool:
+        """Tells whether a struck request would run beside another one."""
+        if not request.struck and not self.is_struck(request.fingerprint):
+            return False
+        granted = ledger.reservations.values()
+        return any(self.is_struck(r.fingerprint) for r in granted)
+
     def _refusal(
         self, ledger: EndpointLedger, request: ReserveRequest
     ) -> ResultCode | None:
@@ -362,4 +405,22 @@
         )
 
 
+def _refuse_wait(
+    ledger: EndpointLedger, request: ReserveRequest, wait_s: float
+) -> ReserveReply | None:
+    """Refuses what would wait longer than its deadline or asker allows."""
+    late_s = late_by_s(ledger, request, wait_s)
+    if late_s > 0 and request.time_left_s:
+        return ReserveReply(
+            code=ResultCode.QUEUE_FULL,
+            retry_after_s=max(MIN_RETRY_AFTER_S, late_s),
+        )
+    if 0 < request.max_start_wait_s < wait_s:
+        return ReserveReply(
+            code=ResultCode.QUEUE_FULL,
+            retry_after_s=max(MIN_RETRY_AFTER_S, wait_s),
+        )
+    return None
+
+
 __all__ = ["OwnerTable"]
