Move granting out of the owner table; refuse grants of an earlier start

A reservation that was granted before the endpoint restarted is not used on the cold start that follows (red without the check: test_grant_on_an_earlier_start_is_not_used).

--- a/src/auburnswitch/endpoints/owner.py
+++ b/src/auburnswitch/endpoints/owner.py
@@ -6,21 +6,19 @@
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.endpoints.admission import (
-    can_ever_hold,
-    has_room,
     late_by_s,
     predicted_wait_s,
     prefill_rate,
 )
 from auburnswitch.endpoints.closing import Closings
+from auburnswitch.endpoints.granting import MIN_RETRY_AFTER_S, Granter
 from auburnswitch.endpoints.hints import HintBook
-from auburnswitch.endpoints.ledger import CLOSED_PHASES, EndpointLedger
+from auburnswitch.endpoints.ledger import EndpointLedger
 from auburnswitch.endpoints.ownership import OwnerMap
 from auburnswitch.endpoints.queue import ReservationQueue
 from auburnswitch.endpoints.rebuild import Rebuilder
 from auburnswitch.endpoints.survey import StrictGate
 from auburnswitch.endpoints.transitions import Transitions
-from auburnswitch.observe.invariants import Invariant, Invariants
 from auburnswitch.schema.objects import ServiceKind
 from auburnswitch.schema.peers import (
     EndpointHint,
@@ -39,10 +37,10 @@
     from auburnswitch.endpoints.load import LoadReport
     from auburnswitch.endpoints.rights import StrictOwnership
     from auburnswitch.members.view import MemberView
+    from auburnswitch.observe.invariants import Invariants
     from auburnswitch.platform.state import ConfigState
     from auburnswitch.schema.settings import Settings
 
-MIN_RETRY_AFTER_S: Final = 1.0
 MAX_REPLY_HINTS: Final = 3
 
 
@@ -54,6 +52,7 @@
             crash.
         rights: Tells whether this daemon is a strict owner.
         gate: Tells whether cold endpoints may be used.
+        granter: Decides whether a request gets room.
         owners: Owner of each endpoint by the live view.
         closings: Endpoints that receive no new work.
         hints: Newest hint of each endpoint from its owner.
@@ -66,12 +65,12 @@
     __slots__ = (
         "closings",
         "gate",
+        "granter",
         "hint_batch",
         "hints",
         "invariants",
         "is_struck",
         "ledgers",
-        "next_id",
         "owners",
         "queues",
         "rebuilder",
@@ -103,7 +102,7 @@
         self.ledgers: dict[str, EndpointLedger] = {}
         self.queues: dict[str, ReservationQueue] = {}
         self.hint_batch: tuple[float, list[EndpointHint]] = (-1.0, [])
-        self.next_id = 0
+        self.granter = Granter(owner_table=self)
         self.is_struck: Callable[[str], bool] = lambda _: False
         state.listeners.append(self.note_state)
         self.transitions = Transitions(
@@ -138,7 +137,7 @@
             ledger = EndpointLedger(name=endpoint, spec=spec)
             self.ledgers[endpoint] = ledger
             self.queues[endpoint] = ReservationQueue(
-                try_reserve=self._try_reserve,
+                try_reserve=self.granter.try_reserve,
                 aging_s=self.settings.routing.aging_s,
             )
         ledger.spec = spec
@@ -335,75 +334,6 @@
         own = [hint for hint in hints if hint.endpoint == request.endpoint]
         return own + [h for h in hints if h not in own][:MAX_REPLY_HINTS]
 
-    def _try_reserve(
-        self, request: ReserveRequest, member_id: str
-    ) -> ReserveReply | None:
-        """Returns a final reply, or None while there is no room."""
-        ledger = self.ledgers.get(request.endpoint)
-        if ledger is None or not self.owns(request.endpoint):
-            return ReserveReply(code=ResultCode.NOT_OWNER)
-        if refused := self._refusal(ledger, request):
-            return ReserveReply(code=refused, retry_after_s=MIN_RETRY_AFTER_S)
-        routing = self.settings.routing
-        if not ledger.bears(request) or not has_room(ledger, request, routing):
-            return None
-        if self._meets_struck(ledger, request):
-            return None
-        self.next_id += 1
-        reservation_id = f"{self.view.me.id}/{self.next_id}"
-        reservation = ledger.grant(request, member_id, reservation_id)
-        reservation.expected_s = predicted_wait_s(
-            ledger, reservation.length_class
-        )
-        self._check_grant(ledger)
-        return ReserveReply(
-            reservation_id=reservation_id, boot_id=ledger.boot_id
-        )
-
-    def _meets_struck(
-        self, ledger: EndpointLedger, request: ReserveRequest
-    ) -> bool:
-        """Tells whether a struck request would run beside another one."""
-        if not request.struck and not self.is_struck(request.fingerprint):
-            return False
-        granted = ledger.reservations.values()
-        return any(self.is_struck(r.fingerprint) for r in granted)
-
-    def _refusal(
-        self, ledger: EndpointLedger, request: ReserveRequest
-    ) -> ResultCode | None:
-        if self.is_closed(ledger.name) or ledger.phase in CLOSED_PHASES:
-            return ResultCode.NO_ENDPOINT
-        if not can_ever_hold(ledger, request):
-            return ResultCode.PROMPT_TOO_LONG
-        if ledger.is_cold and request.hold:
-            return ResultCode.NO_ENDPOINT
-        if ledger.is_cold and not self.gate.may_use_cold(ledger):
-            return ResultCode.OWNERSHIP_PENDING
-        if not ledger.can_bear_alone(request):
-            return ResultCode.QUEUE_FULL
-        return None
-
-    def _check_grant(self, ledger: EndpointLedger) -> None:
-        bounds = ledger.bounds
-        holds = not ledger.is_cold or (
-            ledger.running <= bounds.running
-            and ledger.prompt_tokens <= bounds.prompt_tokens
-            and self.rights.may_use(ledger.name)
-        )
-        self.invariants.check(holds, Invariant.COLD_BOUND, endpoint=ledger.name)
-        closed = self.closings.phase(ledger.name)
-        self.invariants.check(
-            closed is not EndpointPhase.OUT,
-            Invariant.ZONE_OUT,
-            endpoint=ledger.name,
-        )
-        self.invariants.check(
-            closed is not EndpointPhase.LEAVING,
-            Invariant.LEAVING,
-            endpoint=ledger.name,
-        )
-
 
 def _refuse_wait(
     ledger: EndpointLedger, request: ReserveRequest, wait_s: float
--- a/src/auburnswitch/endpoints/reservations.py
+++ b/src/auburnswitch/endpoints/reservations.py
@@ -247,7 +247,9 @@
         hint = self.owner_table.best_hint(held.endpoint)
         if hint.phase in CLOSED_PHASES:
             return "the endpoint's owner grants no new work"
-        if held.use_before == float("inf") and hint.phase in STRICT_PHASES:
+        if hint.phase not in STRICT_PHASES or not held.owner_id:
+            return ""
+        if held.use_before == float("inf") or hint.boot_id != held.boot_id:
             return "the endpoint has turned cold since the grant"
         return ""
 
--- a/tests/endpoints/test_reservations.py
+++ b/tests/endpoints/test_reservations.py
@@ -6,6 +6,7 @@
 import unittest
 
 from auburnswitch.endpoints.client import Attempt
+from auburnswitch.endpoints.load import LoadReport
 from auburnswitch.endpoints.reservations import DispatchRefusedError
 from auburnswitch.observe.tasks import open_task_set
 from auburnswitch.schema.objects import Ticket
@@ -219,3 +220,14 @@
             return reply.code, counts
 
         self.assertEqual(run_virtual(scenario), (ResultCode.OK, [1, 1, 1, 0]))
+
+    def test_grant_on_an_earlier_start_is_not_used(self):
+        async def scenario():
+            table = open_table()
+            client = client_of(table)
+            held = await client.reserve(ask())
+            table.note_load(ENGINE, LoadReport(boot_id="b2"), 0.0)
+            with self.assertRaises(DispatchRefusedError):
+                client.begin(held, ATTEMPT)
+
+        run_virtual(scenario)
