Release to every ledger that may hold the reservation

Cause: a release went to the live owner and to the member that granted it. A ledger that this daemon was about to give up, filled from its own reports, kept the room until reports corrected it. Seen once as a MEMORY_FREED violation in test_frozen_owner_thaws_after_the_ticket (a whole run; passed when run alone). Red: test_release_reaches_a_ledger_that_is_being_given_up; green with the release applied to the own ledger first.

Hints are made at most every 50 ms, not anew for each peer.

--- a/src/auburnswitch/endpoints/owner.py
+++ b/src/auburnswitch/endpoints/owner.py
@@ -42,6 +42,8 @@
     from auburnswitch.schema.settings import Settings
 
 MAX_REPLY_HINTS: Final = 3
+HINT_BATCH_S: Final = 0.05  # heartbeats to peers spread over their interval
+_NEVER: Final = float("-inf")
 
 
 class OwnerTable:
@@ -101,7 +103,7 @@
         self.hints = HintBook()
         self.ledgers: dict[str, EndpointLedger] = {}
         self.queues: dict[str, ReservationQueue] = {}
-        self.hint_batch: tuple[float, list[EndpointHint]] = (-1.0, [])
+        self.hint_batch: tuple[float, list[EndpointHint]] = (_NEVER, [])
         self.granter = Granter(owner_table=self)
         self.is_struck: Callable[[str], bool] = lambda _: False
         state.listeners.append(self.note_state)
@@ -257,7 +259,7 @@
         """Adds hints of the owned endpoints to a heartbeat."""
         made_at, hints = self.hint_batch
         now = monotonic_s()
-        if made_at != now:
+        if now >= made_at + HINT_BATCH_S:
             hints = [self.hint(name) for name in self.owned()]
             self.hint_batch = (now, hints)
         heartbeat.hints = hints
@@ -270,6 +272,7 @@
 
     def note_state(self) -> None:
         """Turns what has been closed cold and refuses what waits for it."""
+        self.hint_batch = (_NEVER, [])
         for name, ledger in list(self.ledgers.items()):
             if self.is_closed(name):
                 self.transitions.note_closed(ledger)
--- a/src/auburnswitch/endpoints/reservations.py
+++ b/src/auburnswitch/endpoints/reservations.py
@@ -276,8 +276,10 @@
         granted_by: str,
         request: ReleaseRequest | ProgressRequest,
     ) -> None:
-        owner_id = self.owner_table.owner_of(endpoint)
-        for member_id in dict.fromkeys((owner_id, granted_by)):
+        members = [self.owner_table.owner_of(endpoint), granted_by]
+        if endpoint in self.owner_table.ledgers:
+            members.insert(0, self.owner_table.view.me.id)
+        for member_id in dict.fromkeys(members):
             await self.calls.send(member_id, request)
 
     def _apply(self, request: ReleaseRequest | ProgressRequest) -> None:
--- a/tests/endpoints/test_reservations.py
+++ b/tests/endpoints/test_reservations.py
@@ -231,3 +231,15 @@
                 client.begin(held, ATTEMPT)
 
         run_virtual(scenario)
+
+    def test_release_reaches_a_ledger_that_is_being_given_up(self):
+        async def scenario():
+            table = open_table()
+            client = client_of(table)
+            held = await client.reserve(ask())
+            held.owner_id = "peer"
+            table.owners = OtherOwner()
+            await client.release(held, succeeded=False)
+            return len(table.ledgers[ENGINE].reservations)
+
+        self.assertEqual(run_virtual(scenario), 0)
