Clear a request of its strikes once it has run to its end

Cause: the strikes go by a fingerprint of team and body, and many callers send the same body. After one crash of an endpoint, every copy of a request that had been in flight there was struck for 15 minutes, and struck requests run one after the other: a service of 10 requests a second came down to 2.5, and a cold engine beside it got no work to warm up with.

A whole answer now clears the fingerprint of its strikes, and the clearing spreads with the strikes. A request that crashes whatever runs it never gets there. Ruled out: the cold engine's hints, which were right all along.

Virtual-time tests now draw their ids from a seed, so that one run is like the next; the test had failed in some runs only.

--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -76,6 +76,8 @@
   3: string boot_id = ""
   // Seconds since the crash.
   4: double age_s = 0
+  // The request has run to its end since.
+  20: bool cleared = false
 }
 
 // Tokens used and requests in flight by one team at one daemon.
--- a/src/auburnswitch/experiments/virtual_time.py
+++ b/src/auburnswitch/experiments/virtual_time.py
@@ -13,6 +13,8 @@
 from async_solipsism.selector import Selector
 from async_solipsism.socket import Queue, Socket
 
+from auburnswitch.experiments.repeatable import repeatable
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
@@ -191,19 +193,25 @@
 def run_virtual(
     function: Callable[[], Awaitable[ResultT]],
     loop_class: type[VirtualLoop] = VirtualLoop,
+    *,
+    seed: int = 1,
 ) -> ResultT:
-    """Runs a coroutine function to its end in virtual time.
+    """Runs a coroutine function to its end in virtual time, repeatably.
 
     Args:
         function: Takes no arguments.
         loop_class: Class of the event loop.
+        seed: Seed of the ids that the program draws.
 
     Returns:
         What it returns.
     """
     loop = loop_class()
     try:
-        with asyncio.Runner(loop_factory=lambda: loop) as runner:
+        with (
+            repeatable(seed),
+            asyncio.Runner(loop_factory=lambda: loop) as runner,
+        ):
             return runner.run(_await(function))
     finally:
         asyncio.set_event_loop(None)
--- a/src/auburnswitch/routing/dispatcher.py
+++ b/src/auburnswitch/routing/dispatcher.py
@@ -136,6 +136,7 @@
                 async with contextlib.aclosing(attempt) as parts:
                     async for part in parts:
                         yield part
+                self.placer.strikes.clear(request.fingerprint)
                 return
             except TimeoutError:
                 yield AnswerFailed(refusal=_deadline(request, progress))
--- a/src/auburnswitch/routing/strikes.py
+++ b/src/auburnswitch/routing/strikes.py
@@ -18,27 +18,33 @@
 SPREAD_S: Final = 3.0  # time for which a peer is told again
 
 Crash = tuple[str, str]  # endpoint and its start
+Notice = tuple[str, Crash, bool]  # fingerprint, crash, whether it is cleared
 
 
 class StrikeBook:
     """The strikes of each request by its fingerprint.
 
-    One crash gives one strike, whoever reports it.
+    One crash gives one strike, whoever reports it. A request that has run to
+    its end since is cleared of its strikes: many callers may send the same
+    request, and one of them was in flight when another request crashed the
+    endpoint.
 
     Attributes:
         retention_s: Time that a strike is remembered, in seconds.
         struck_at: Loop time of each strike in seconds, by crash, by
             fingerprint.
+        cleared: Crashes that no longer count, by fingerprint.
         told: Loop time at which each peer was first told of each strike, in
             seconds.
     """
 
-    __slots__ = ("retention_s", "struck_at", "told")
+    __slots__ = ("cleared", "retention_s", "struck_at", "told")
 
     def __init__(self, *, retention_s: float) -> None:
         self.retention_s = retention_s
         self.struck_at: dict[str, dict[Crash, float]] = {}
-        self.told: dict[str, dict[tuple[str, Crash], float]] = {}
+        self.cleared: dict[str, set[Crash]] = {}
+        self.told: dict[str, dict[Notice, float]] = {}
 
     def add(
         self, fingerprint: str, endpoint: str, boot_id: str, age_s: float = 0.0
@@ -49,7 +55,9 @@
             return False
         crashes[endpoint, boot_id] = monotonic_s() - age_s
         if len(self.struck_at) > MAX_FINGERPRINTS:
-            del self.struck_at[next(iter(self.struck_at))]
+            oldest = next(iter(self.struck_at))
+            del self.struck_at[oldest]
+            self.cleared.pop(oldest, None)
         log_event(
             EventId.CRASH_STRIKE,
             fingerprint=fingerprint,
@@ -58,17 +66,28 @@
         )
         return True
 
+    def clear(self, fingerprint: str) -> None:
+        """Clears a request that has run to its end of its strikes."""
+        if crashes := self.struck_at.get(fingerprint):
+            self.cleared.setdefault(fingerprint, set()).update(crashes)
+
     def count(self, fingerprint: str) -> int:
-        """Returns the strikes of a request that have not expired."""
+        """Returns the strikes of a request that still count."""
+        self._expire(fingerprint)
+        crashes = self.struck_at.get(fingerprint, {})
+        cleared = self.cleared.get(fingerprint, set())
+        return len(crashes.keys() - cleared)
+
+    def _expire(self, fingerprint: str) -> None:
         crashes = self.struck_at.get(fingerprint)
         if not crashes:
-            return 0
+            return
         oldest = monotonic_s() - self.retention_s
         for crash in [c for c, at in crashes.items() if at < oldest]:
             del crashes[crash]
         if not crashes:
             del self.struck_at[fingerprint]
-        return len(crashes)
+            self.cleared.pop(fingerprint, None)
 
     def is_struck(self, fingerprint: str) -> bool:
         """Tells whether a request was in flight at a crash."""
@@ -82,11 +101,12 @@
         """Adds the strikes that a peer has not been told of for long."""
         now = monotonic_s()
         told = self.told.setdefault(peer_id, {})
+        for fingerprint in list(self.struck_at):
+            self._expire(fingerprint)
         known = {
-            (fingerprint, crash)
-            for fingerprint in list(self.struck_at)
-            if self.is_struck(fingerprint)
-            for crash in self.struck_at[fingerprint]
+            (fingerprint, crash, crash in self.cleared.get(fingerprint, ()))
+            for fingerprint, crashes in self.struck_at.items()
+            for crash in crashes
         }
         for key in told.keys() - known:
             del told[key]
@@ -105,14 +125,19 @@
                 strike.boot_id,
                 max(0.0, strike.age_s),
             )
+            crash = (strike.endpoint, strike.boot_id)
+            known = self.struck_at.get(strike.fingerprint, {})
+            if strike.cleared and crash in known:
+                self.cleared.setdefault(strike.fingerprint, set()).add(crash)
 
-    def _strike(self, fingerprint: str, crash: Crash) -> Strike:
+    def _strike(self, fingerprint: str, crash: Crash, cleared: bool) -> Strike:
         endpoint, boot_id = crash
         return Strike(
             fingerprint=fingerprint,
             endpoint=endpoint,
             boot_id=boot_id,
             age_s=monotonic_s() - self.struck_at[fingerprint][crash],
+            cleared=cleared,
         )
 
 
--- a/src/auburnswitch/schema/peers.py
+++ b/src/auburnswitch/schema/peers.py
@@ -239,18 +239,21 @@
     endpoint: str = ""
     boot_id: str = ""
     age_s: float = 0.0
+    cleared: bool = False
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "fingerprint", False),
         2: (TType.STRING, "endpoint", False),
         3: (TType.STRING, "boot_id", False),
         4: (TType.DOUBLE, "age_s", False),
+        20: (TType.BOOL, "cleared", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("fingerprint", None),
         ("endpoint", None),
         ("boot_id", None),
         ("age_s", None),
+        ("cleared", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -258,6 +261,9 @@
         "endpoint": Description(text="", options={}),
         "boot_id": Description(text="", options={}),
         "age_s": Description(text="Seconds since the crash.", options={}),
+        "cleared": Description(
+            text="The request has run to its end since.", options={}
+        ),
     }
 
 
--- a/tests/routing/test_crashes.py
+++ b/tests/routing/test_crashes.py
@@ -129,6 +129,27 @@
 
         self.assertEqual(run_virtual(scenario), (1, 0))
 
+    def test_a_request_that_ran_to_its_end_is_cleared_everywhere(self):
+        async def scenario():
+            first, second = (StrikeBook(retention_s=60) for _ in range(2))
+            first.add("f", "engine-0", "boot-1")
+            for cleared in (False, True):
+                if cleared:
+                    first.clear("f")
+                heartbeat = Heartbeat()
+                first.fill_heartbeat(heartbeat, "peer")
+                second.note_heartbeat(heartbeat)
+                struck = (first.is_struck("f"), second.is_struck("f"))
+                self.assertEqual(struck, (not cleared, not cleared))
+            second.add("f", "engine-0", "boot-1")  # told again of the same
+            self.assertFalse(second.is_struck("f"))
+            second.add("f", "engine-0", "boot-2")
+            self.assertTrue(second.is_struck("f"))
+            await asyncio.sleep(61)
+            return [book.count("f") for book in (first, second)]
+
+        self.assertEqual(run_virtual(scenario), [0, 0])
+
 
 class RetryBudgetTest(unittest.TestCase):
     def test_floor_and_share(self):
