--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -44,6 +44,8 @@
   7: i32 max_running = 0
   // Identifies one start of the endpoint.
   8: string boot_id = ""
+  // Prompt tokens still to prefill by the endpoint's own last load report.
+  50: i64 reported_prefill_tokens = 0
   // Requests that succeeded since the endpoint was cold.
   40: i32 successes = 0
   // Requests that may run at one time while load is rising.
@@ -74,6 +76,8 @@
   3: string boot_id = ""
   // Seconds since the crash.
   4: double age_s = 0
+  // The request has run to its end since.
+  20: bool cleared = false
 }
 
 // Tokens used and requests in flight by one team at one daemon.
@@ -82,6 +86,8 @@
   // Tokens per second over the last seconds.
   2: double tokens_per_second = 0
   3: i32 in_flight = 0
+  // Tokens admitted since the last heartbeat to the receiver.
+  50: i64 tokens = 0
 }
 
 struct Heartbeat {
@@ -129,7 +135,7 @@
   6: i64 answer_tokens = 0
   7: i64 cached_tokens = 0
   8: LengthClass length_class = 0
-  // Time left until the deadline, in seconds.
+  // Time left until the deadline, in seconds; 0 if none is known.
   9: double time_left_s = 0
   10: string fingerprint = ""
   // The request was in flight when an endpoint crashed.
@@ -138,6 +144,14 @@
   13: i64 epoch = 0
   // How long the asker is ready to wait in the owner's queue, in seconds.
   14: double max_wait_s = 0
+  // Longest predicted wait that the asker takes, in seconds; 0 takes any.
+  50: double max_start_wait_s = 0
+  // How long the request has waited at other owners, in seconds.
+  51: double waited_s = 0
+  // Service of the endpoint.
+  52: string service_ = ""
+  // The room is kept until it is released, as a part of a group; only on an endpoint that is not cold.
+  40: bool hold = false
 }
 
 struct ReserveReply {
@@ -150,6 +164,8 @@
   5: string boot_id = ""
   // Seconds from the arrival of the request to its grant.
   40: double waited_s = 0
+  // What the owner knows of its endpoints of the service, best first.
+  50: list<EndpointHint> hints = []
 }
 
 // Ends a reservation, used or not.
--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -18,12 +18,16 @@
 from auburnswitch.callers.in_flight import InFlightCounter
 from auburnswitch.callers.parse import RequestParser
 from auburnswitch.clock import WallClock, monotonic_s
-from auburnswitch.endpoints.client import EndpointClient, guard_trace
+from auburnswitch.endpoints.client import EndpointClient
+from auburnswitch.endpoints.fencing import FencingNumbers
+from auburnswitch.endpoints.handover import Handover
 from auburnswitch.endpoints.instances import InstanceReader
 from auburnswitch.endpoints.monitor import LoadMonitor
+from auburnswitch.endpoints.orders import OrderKeeper
 from auburnswitch.endpoints.orphans import OrphanCollector
 from auburnswitch.endpoints.owner import OwnerTable
 from auburnswitch.endpoints.reservations import ReservationClient
+from auburnswitch.endpoints.weights import LoadAdmission
 from auburnswitch.http_server import HttpServer, ListenError, open_http_server
 from auburnswitch.members.departures import Departures
 from auburnswitch.members.isolation import Isolation
@@ -43,9 +47,16 @@
 from auburnswitch.platform.tickets import TICKETS_PREFIX, TicketStore
 from auburnswitch.platform.watcher import StoreWatcher
 from auburnswitch.results import Refusal, refusal
+from auburnswitch.routing.crashes import CrashJudge
 from auburnswitch.routing.dispatcher import Dispatcher
+from auburnswitch.routing.group_run import GroupRunner
+from auburnswitch.routing.groups import GroupPlacer
 from auburnswitch.routing.placement import Placer
 from auburnswitch.routing.plain import PlainRouter
+from auburnswitch.routing.policy import make_policy
+from auburnswitch.routing.retry_budget import RetryBudget
+from auburnswitch.routing.strikes import StrikeBook
+from auburnswitch.routing.team_limits import TeamLimits
 from auburnswitch.schema.events import EventId
 from auburnswitch.schema.objects import Member
 from auburnswitch.schema.results import ResultCode
@@ -162,6 +173,20 @@
             owner_table=self.owner_table, membership=self.membership
         )
         self.reservations.register(self.peer_server)
+        self.endpoint_client = EndpointClient(
+            session=session, settings=self.settings.endpoints
+        )
+        self.orders = OrderKeeper(
+            owner_table=self.owner_table,
+            client=self.endpoint_client,
+            numbers=FencingNumbers(store=self.store, member_id=self.member.id),
+            admission=LoadAdmission(
+                settings=self.settings.endpoints,
+                session=session,
+                count_daemons=lambda: len(self.view.live_ids()),
+            ),
+            tasks=self.tasks,
+        )
         self.instances = InstanceReader(
             store=self.store, owner_table=self.owner_table
         )
@@ -174,13 +199,9 @@
             self.owner_table.note_heartbeat,
             self.instances.note_heartbeat,
         ]
-        self.membership.handover_sources.append(self.owner_table.fill_handover)
-        self.membership.handover_listeners.append(
-            self.owner_table.note_handover
-        )
-        self.endpoint_client = EndpointClient(
-            session=session, settings=self.settings.endpoints
-        )
+        handover = Handover(owner_table=self.owner_table)
+        self.membership.handover_sources.append(handover.fill)
+        self.membership.handover_listeners.append(handover.take)
         self.orphans = OrphanCollector(
             owner_table=self.owner_table,
             reservations=self.reservations,
@@ -198,9 +219,24 @@
 
     def _build_routing(self, seed: int) -> None:
         client = self.endpoint_client
+        self.strikes = StrikeBook(
+            retention_s=self.settings.routing.strike_retention_s
+        )
+        limits = TeamLimits(
+            state=self.state,
+            view=self.view,
+            interval_s=self.settings.members.heartbeat_interval_s,
+        )
+        self.membership.heartbeat_sources.append(limits.fill_heartbeat)
+        self.membership.heartbeat_listeners.append(limits.note_heartbeat)
+        self.owner_table.is_struck = self.strikes.is_struck
+        self.membership.heartbeat_sources.append(self.strikes.fill_heartbeat)
+        self.membership.heartbeat_listeners.append(self.strikes.note_heartbeat)
         placer = Placer(
             owner_table=self.owner_table,
             reservations=self.reservations,
+            policy=make_policy(self.settings.routing),
+            strikes=self.strikes,
             seed=seed,
         )
         self.dispatcher = Dispatcher(
@@ -209,6 +245,18 @@
             metrics=self.metrics,
             member_id=self.member.id,
             cleanups=self.cleanups,
+            crashes=CrashJudge(
+                strikes=self.strikes, client=client, membership=self.membership
+            ),
+            budget=RetryBudget(settings=self.settings.routing),
+            limits=limits,
+            groups=GroupRunner(
+                groups=GroupPlacer(placer=placer),
+                client=client,
+                metrics=self.metrics,
+                member_id=self.member.id,
+                cleanups=self.cleanups,
+            ),
         )
         claims = ClaimStore(
             store=self.store,
@@ -221,6 +269,7 @@
             client=client,
             claims=claims,
             member_id=self.member.id,
+            limits=limits,
         )
 
     def _build_listeners(self) -> None:
@@ -289,6 +338,7 @@
         self.tasks.start(self.isolation.run(refresh), "store probe")
         self.tasks.start(self.monitor.run(), "load monitor")
         self.tasks.start(self.instances.run(), "instance list")
+        self.tasks.start(self.orders.run(), "orders")
 
     async def drain(self) -> None:
         """Refuses new work, finishes what runs and leaves the roster."""
@@ -327,7 +377,6 @@
     """
     session = aiohttp.ClientSession(
         connector=connector() if connector else aiohttp.TCPConnector(limit=0),
-        trace_configs=[guard_trace()],
     )
     async with session, open_task_set() as tasks:
         daemon = Daemon(
--- a/src/auburnswitch/endpoints/client.py
+++ b/src/auburnswitch/endpoints/client.py
@@ -83,7 +83,7 @@
         self.status = status
 
 
-def guard_trace() -> aiohttp.TraceConfig:
+def _guard_trace() -> aiohttp.TraceConfig:
     """Returns a trace that asks a request's guard before its first byte.
 
     The guard is called once the connection is ready, with no ``await``
@@ -92,6 +92,7 @@
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_end.append(_ask_guard)
     trace.on_connection_reuseconn.append(_ask_guard)
+    trace.freeze()
     return trace
 
 
@@ -116,6 +117,7 @@
     ) -> None:
         self.session = session
         self.settings = settings
+        session.trace_configs.append(_guard_trace())
 
     @contextlib.asynccontextmanager
     async def request(
@@ -213,6 +215,37 @@
             async for frames in _read_frames(response, attempt):
                 yield frames
 
+    async def read_boot_id(self, spec: Endpoint) -> str:
+        """Returns an endpoint's present start, empty without an answer."""
+        with contextlib.suppress(
+            EndpointFailureError, TimeoutError, ValueError, LookupError
+        ):
+            async with (
+                asyncio.timeout(self.settings.connect_timeout_s),
+                self.request(spec, "GET", "/load") as response,
+            ):
+                return str((await response.json())["boot_id"])
+        return ""
+
+    async def free_caches(self, spec: Endpoint, attempt: Attempt) -> bool:
+        """Frees the KV caches of an attempt; returns whether none is left."""
+        with contextlib.suppress(
+            EndpointFailureError, TimeoutError, ValueError, LookupError
+        ):
+            async with (
+                asyncio.timeout(self.settings.connect_timeout_s),
+                self.request(spec, "GET", "/v1/kv") as response,
+            ):
+                caches = (await response.json())["caches"]
+            wanted = (attempt.request_id, attempt.number)
+            freed = [
+                await self.delete(spec, f"/v1/kv/{cache['kv_id']}")
+                for cache in caches
+                if (cache["request_id"], cache["attempt"]) == wanted
+            ]
+            return all(freed)
+        return False
+
     async def cancel(self, spec: Endpoint, attempt: Attempt) -> bool:
         """Cancels an attempt, so that the endpoint frees its memory.
 
@@ -260,6 +293,7 @@
             if payload == _DONE:
                 if frames:
                     yield frames
+                await response.read()  # at its end the connection is kept
                 return
             frames.append(_parse_frame(payload, attempt))
         if frames:
@@ -301,5 +335,4 @@
     "EndpointFailureError",
     "ForeignFrame",
     "Frame",
-    "guard_trace",
 ]
--- a/src/auburnswitch/endpoints/owner.py
+++ b/src/auburnswitch/endpoints/owner.py
@@ -6,24 +6,25 @@
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.endpoints.admission import (
-    can_ever_hold,
-    has_room,
+    late_by_s,
     predicted_wait_s,
+    prefill_rate,
 )
 from auburnswitch.endpoints.closing import Closings
+from auburnswitch.endpoints.granting import MIN_RETRY_AFTER_S, Granter
 from auburnswitch.endpoints.hints import HintBook
-from auburnswitch.endpoints.ledger import CLOSED_PHASES, EndpointLedger
+from auburnswitch.endpoints.ledger import EndpointLedger
 from auburnswitch.endpoints.ownership import OwnerMap
 from auburnswitch.endpoints.queue import ReservationQueue
 from auburnswitch.endpoints.rebuild import Rebuilder
+from auburnswitch.endpoints.survey import StrictGate
 from auburnswitch.endpoints.transitions import Transitions
-from auburnswitch.observe.invariants import Invariant, Invariants
 from auburnswitch.schema.objects import ServiceKind
 from auburnswitch.schema.peers import (
     EndpointHint,
     EndpointPhase,
-    HandoverRequest,
     Heartbeat,
+    LengthClass,
     ReleaseRequest,
     ReserveReply,
     ReserveRequest,
@@ -31,20 +32,29 @@
 from auburnswitch.schema.results import ResultCode
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from auburnswitch.endpoints.load import LoadReport
     from auburnswitch.endpoints.rights import StrictOwnership
     from auburnswitch.members.view import MemberView
+    from auburnswitch.observe.invariants import Invariants
     from auburnswitch.platform.state import ConfigState
     from auburnswitch.schema.settings import Settings
 
-MIN_RETRY_AFTER_S: Final = 1.0
+MAX_REPLY_HINTS: Final = 3
+HINT_BATCH_S: Final = 0.05  # heartbeats to peers spread over their interval
+_NEVER: Final = float("-inf")
 
 
 class OwnerTable:
     """The ledgers of this daemon's endpoints.
 
     Attributes:
-        rights: Tells whether cold endpoints may be used.
+        is_struck: Tells by a fingerprint whether a request was in flight at a
+            crash.
+        rights: Tells whether this daemon is a strict owner.
+        gate: Tells whether cold endpoints may be used.
+        granter: Decides whether a request gets room.
         owners: Owner of each endpoint by the live view.
         closings: Endpoints that receive no new work.
         hints: Newest hint of each endpoint from its owner.
@@ -56,11 +66,13 @@
 
     __slots__ = (
         "closings",
+        "gate",
+        "granter",
         "hint_batch",
         "hints",
         "invariants",
+        "is_struck",
         "ledgers",
-        "next_id",
         "owners",
         "queues",
         "rebuilder",
@@ -85,13 +97,15 @@
         self.state = state
         self.invariants = invariants
         self.rights = rights
+        self.gate = StrictGate(rights=rights)
         self.owners = OwnerMap(view=view, state=state)
         self.closings = Closings(state=state)
         self.hints = HintBook()
         self.ledgers: dict[str, EndpointLedger] = {}
         self.queues: dict[str, ReservationQueue] = {}
-        self.hint_batch: tuple[float, list[EndpointHint]] = (-1.0, [])
-        self.next_id = 0
+        self.hint_batch: tuple[float, list[EndpointHint]] = (_NEVER, [])
+        self.granter = Granter(owner_table=self)
+        self.is_struck: Callable[[str], bool] = lambda _: False
         state.listeners.append(self.note_state)
         self.transitions = Transitions(
             settings=settings.endpoints,
@@ -125,7 +139,8 @@
             ledger = EndpointLedger(name=endpoint, spec=spec)
             self.ledgers[endpoint] = ledger
             self.queues[endpoint] = ReservationQueue(
-                try_reserve=self._try_reserve
+                try_reserve=self.granter.try_reserve,
+                aging_s=self.settings.routing.aging_s,
             )
         ledger.spec = spec
         return ledger
@@ -136,7 +151,7 @@
         if ledger is None:
             return
         if ledger.phase is not EndpointPhase.UNKNOWN:
-            self.hints.note(self._hint_of(ledger))
+            self.hints.note(self.hint_of(ledger))
         self.wake(endpoint)
         del self.queues[endpoint]
 
@@ -152,13 +167,17 @@
         ledger = self.ledger(request.endpoint)
         if ledger is None or not self.owns(request.endpoint):
             return ReserveReply(code=ResultCode.NOT_OWNER)
+        wait_s = self._wait_s(ledger, LengthClass(request.length_class))
+        refused = _refuse_wait(ledger, request, wait_s)
+        if refused is not None and not self._refusal(ledger, request):
+            refused.hints = self._hints_for(request)
+            return refused
         reply: ReserveReply | None = None
         try:
             reply = await self.queues[request.endpoint].reserve(
-                request,
-                member_id,
-                max(MIN_RETRY_AFTER_S, predicted_wait_s(ledger)),
+                request, member_id, max(MIN_RETRY_AFTER_S, wait_s)
             )
+            reply.hints = self._hints_for(request)
         finally:
             granted = ledger.of_request(request)
             if granted is not None and (
@@ -175,9 +194,9 @@
         ledger = self.ledgers.get(request.endpoint)
         if ledger is None:
             return ResultCode.OK
-        if request.reservation_id in ledger.ended:
-            return ResultCode.OK  # released before
         known = ledger.reservations.get(request.reservation_id)
+        if known is not None and known.lingering:
+            return ResultCode.OK  # released before
         if known is not None and request.used:
             self.transitions.note_outcome(ledger, known, request)
         if known is not None and request.may_still_run:
@@ -221,9 +240,14 @@
         if service is not None and service.kind == ServiceKind.PLAIN:
             # A plain service lists no work; its load report must do.
             ledger.listed_at = asked_at - self.settings.endpoints.load_lag_s
-        self._is_strict(ledger)
+        self.gate.note_rights(ledger)
         self.wake(endpoint)
 
+    def note_reloaded(self, ledger: EndpointLedger) -> None:
+        """Takes note that an engine was told to load a model."""
+        self.transitions.note_closed(ledger)
+        self.wake(ledger.name)
+
     def note_unreachable(self, endpoint: str) -> None:
         """Takes note of a load report that could not be read."""
         ledger = self.ledger(endpoint)
@@ -235,7 +259,7 @@
         """Adds hints of the owned endpoints to a heartbeat."""
         made_at, hints = self.hint_batch
         now = monotonic_s()
-        if made_at != now:
+        if now >= made_at + HINT_BATCH_S:
             hints = [self.hint(name) for name in self.owned()]
             self.hint_batch = (now, hints)
         heartbeat.hints = hints
@@ -248,43 +272,18 @@
 
     def note_state(self) -> None:
         """Turns what has been closed cold and refuses what waits for it."""
+        self.hint_batch = (_NEVER, [])
         for name, ledger in list(self.ledgers.items()):
             if self.is_closed(name):
                 self.transitions.note_closed(ledger)
                 self.wake(name)
 
-    def fill_handover(self, request: HandoverRequest) -> None:
-        """Adds what a successor must know of its new endpoints."""
-        for name in request.endpoints:
-            ledger = self.ledgers.get(name)
-            if ledger is None:
-                continue
-            request.states.append(self._hint_of(ledger))
-            for reservation in ledger.reservations.values():
-                request.running.append(reservation.to_work(name))
-                request.holders.append(reservation.member_id)
-
-    def note_handover(self, request: HandoverRequest) -> None:
-        """Takes over the endpoints of a leaving owner."""
-        status = self.view.peers.get(request.member_id)
-        if status is not None:
-            status.leaving = True
-        for hint in request.states:
-            self.hints.note(hint)
-            ledger = self.ledger(hint.endpoint)
-            if ledger is not None:
-                ledger.settling = False
-        for work, holder in zip(request.running, request.holders, strict=True):
-            ledger = self.ledger(work.endpoint)
-            if ledger is not None:
-                ledger.note_work(work, holder)
-
     def hint(self, endpoint: str) -> EndpointHint:
         """Returns what peers should know of an owned endpoint."""
         ledger = self.ledger(endpoint)
         if ledger is None:
             return EndpointHint(endpoint=endpoint)
-        return self._hint_of(ledger)
+        return self.hint_of(ledger)
 
     def best_hint(self, endpoint: str) -> EndpointHint:
         """Returns the own hint of an owned endpoint, else its owner's."""
@@ -305,92 +304,56 @@
         if queue is not None:
             queue.pump()
 
-    def _hint_of(self, ledger: EndpointLedger) -> EndpointHint:
+    def hint_of(self, ledger: EndpointLedger) -> EndpointHint:
+        """Returns what peers should know of a ledger's endpoint."""
         closed = self.closings.phase(ledger.name)
-        wait_s = predicted_wait_s(ledger)
+        load = ledger.load
         return EndpointHint(
             endpoint=ledger.name,
             phase=ledger.phase if closed is None else closed,
             free_tokens=ledger.spec.memory_tokens - ledger.reserved_tokens,
-            short_wait_s=wait_s,
-            long_wait_s=wait_s,
+            short_wait_s=self._wait_s(ledger, LengthClass.SHORT),
+            long_wait_s=self._wait_s(ledger, LengthClass.LONG),
             running=ledger.running,
             max_running=ledger.max_running,
             boot_id=ledger.boot_id,
             successes=ledger.warm_up.successes,
             window=ledger.warm_up.window,
+            reported_prefill_tokens=load.prefill_queued_tokens if load else 0,
         )
 
-    def _try_reserve(
-        self, request: ReserveRequest, member_id: str
-    ) -> ReserveReply | None:
-        """Returns a final reply, or None while there is no room."""
-        ledger = self.ledgers.get(request.endpoint)
-        if ledger is None or not self.owns(request.endpoint):
-            return ReserveReply(code=ResultCode.NOT_OWNER)
-        if refused := self._refusal(ledger, request):
-            return ReserveReply(code=refused, retry_after_s=MIN_RETRY_AFTER_S)
-        if not ledger.bears(request) or not has_room(ledger, request):
-            return None
-        self.next_id += 1
-        reservation_id = f"{self.view.me.id}/{self.next_id}"
-        reservation = ledger.grant(request, member_id, reservation_id)
-        reservation.expected_s = predicted_wait_s(ledger)
-        self._check_grant(ledger)
+    def _wait_s(self, ledger: EndpointLedger, length: LengthClass) -> float:
+        waiting = 0
+        if queue := self.queues.get(ledger.name):
+            waiting = queue.waiting_tokens(length)
+        wait_s = predicted_wait_s(ledger, length)
+        return wait_s + waiting / prefill_rate(ledger)
+
+    def _hints_for(self, request: ReserveRequest) -> list[EndpointHint]:
+        names = self.state.endpoints_of(request.service)
+        hints = [self.hint(name) for name in names if self.owns(name)]
+        long = request.length_class == LengthClass.LONG
+        hints.sort(key=lambda h: h.long_wait_s if long else h.short_wait_s)
+        own = [hint for hint in hints if hint.endpoint == request.endpoint]
+        return own + [h for h in hints if h not in own][:MAX_REPLY_HINTS]
+
+
+def _refuse_wait(
+    ledger: EndpointLedger, request: ReserveRequest, wait_s: float
+) -> ReserveReply | None:
+    """Refuses what would wait longer than its deadline or asker allows."""
+    late_s = late_by_s(ledger, request, wait_s)
+    if late_s > 0 and request.time_left_s:
         return ReserveReply(
-            reservation_id=reservation_id, boot_id=ledger.boot_id
+            code=ResultCode.QUEUE_FULL,
+            retry_after_s=max(MIN_RETRY_AFTER_S, late_s),
         )
-
-    def _refusal(
-        self, ledger: EndpointLedger, request: ReserveRequest
-    ) -> ResultCode | None:
-        if self.is_closed(ledger.name) or ledger.phase in CLOSED_PHASES:
-            return ResultCode.NO_ENDPOINT
-        if not can_ever_hold(ledger, request):
-            return ResultCode.PROMPT_TOO_LONG
-        if ledger.is_cold and not self.may_use_cold(ledger):
-            return ResultCode.OWNERSHIP_PENDING
-        if not ledger.can_bear_alone(request):
-            return ResultCode.QUEUE_FULL
-        return None
-
-    def may_use_cold(self, ledger: EndpointLedger) -> bool:
-        """Tells whether work may be granted on a cold endpoint now."""
-        if ledger.phase is EndpointPhase.UNKNOWN:
-            return False
-        return self._is_strict(ledger) and ledger.is_surveyed
-
-    def needs_survey(self, ledger: EndpointLedger) -> bool:
-        """Tells whether the endpoint's work must be listed first."""
-        return self._is_strict(ledger) and not ledger.is_surveyed
-
-    def _is_strict(self, ledger: EndpointLedger) -> bool:
-        if not self.rights.may_use(ledger.name):
-            ledger.strict_since = None
-            return False
-        if ledger.strict_since is None:
-            ledger.strict_since = monotonic_s()
-        return True
-
-    def _check_grant(self, ledger: EndpointLedger) -> None:
-        bounds = ledger.bounds
-        holds = not ledger.is_cold or (
-            ledger.running <= bounds.running
-            and ledger.prompt_tokens <= bounds.prompt_tokens
-            and self.rights.may_use(ledger.name)
-        )
-        self.invariants.check(holds, Invariant.COLD_BOUND, endpoint=ledger.name)
-        closed = self.closings.phase(ledger.name)
-        self.invariants.check(
-            closed is not EndpointPhase.OUT,
-            Invariant.ZONE_OUT,
-            endpoint=ledger.name,
-        )
-        self.invariants.check(
-            closed is not EndpointPhase.LEAVING,
-            Invariant.LEAVING,
-            endpoint=ledger.name,
+    if 0 < request.max_start_wait_s < wait_s:
+        return ReserveReply(
+            code=ResultCode.QUEUE_FULL,
+            retry_after_s=max(MIN_RETRY_AFTER_S, wait_s),
         )
+    return None
 
 
 __all__ = ["OwnerTable"]
--- a/src/auburnswitch/experiments/virtual_time.py
+++ b/src/auburnswitch/experiments/virtual_time.py
@@ -4,20 +4,24 @@
 
 import asyncio
 import contextlib
+import itertools
 import selectors
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 import aiohttp
 import async_solipsism
 from async_solipsism.selector import Selector
 from async_solipsism.socket import Queue, Socket
 
+from auburnswitch.experiments.repeatable import repeatable
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
     from async_solipsism.clock import Clock
 
 MAX_SLEEP_S = asyncio.base_events.MAXIMUM_SELECT_TIMEOUT
+FIRST_FREE_PORT: Final = 40_000
 
 ResultT = TypeVar("ResultT")
 
@@ -97,7 +101,8 @@
         if timeout is None or timeout >= MAX_SLEEP_S:
             raise async_solipsism.SleepForeverError("nothing left to wait for")
         if timeout > 0:
-            self.clock.advance(timeout)
+            step_s = max(timeout, self.clock.resolution)  # never stands still
+            self.clock.advance(step_s)
         return []
 
     def _add(self, key: selectors.SelectorKey) -> None:
@@ -130,6 +135,24 @@
         own = self._selector
         self._selector = IndexedSelector(own.clock)
         own.close()
+        self._free_ports = itertools.count(FIRST_FREE_PORT)
+
+    async def create_server(
+        self,
+        protocol_factory: Callable[[], asyncio.Protocol],
+        host: str | None = None,
+        port: int | None = None,
+        **kwargs: Any,
+    ) -> asyncio.Server:
+        """Opens a listener; port 0 takes a port that was never used before.
+
+        A port that is closed for a while thus stays its last listener's own.
+        """
+        if port == 0:
+            port = next(self._free_ports)
+        return await super().create_server(
+            protocol_factory, host, port, **kwargs
+        )
 
 
 class SimulatedConnector(aiohttp.TCPConnector):
@@ -170,19 +193,25 @@
 def run_virtual(
     function: Callable[[], Awaitable[ResultT]],
     loop_class: type[VirtualLoop] = VirtualLoop,
+    *,
+    seed: int = 1,
 ) -> ResultT:
-    """Runs a coroutine function to its end in virtual time.
+    """Runs a coroutine function to its end in virtual time, repeatably.
 
     Args:
         function: Takes no arguments.
         loop_class: Class of the event loop.
+        seed: Seed of the ids that the program draws.
 
     Returns:
         What it returns.
     """
     loop = loop_class()
     try:
-        with asyncio.Runner(loop_factory=lambda: loop) as runner:
+        with (
+            repeatable(seed),
+            asyncio.Runner(loop_factory=lambda: loop) as runner,
+        ):
             return runner.run(_await(function))
     finally:
         asyncio.set_event_loop(None)
--- a/src/auburnswitch/routing/dispatcher.py
+++ b/src/auburnswitch/routing/dispatcher.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.endpoints.client import (
@@ -20,6 +20,7 @@
     AnswerStream,
     AnswerText,
 )
+from auburnswitch.routing.groups import GroupReservation
 from auburnswitch.routing.progress import Progress
 from auburnswitch.schema.events import EventId
 from auburnswitch.schema.results import Ran, ResultCode
@@ -30,8 +31,16 @@
     from auburnswitch.endpoints.reservations import HeldReservation
     from auburnswitch.observe.metrics import Metrics
     from auburnswitch.observe.tasks import TaskSet
+    from auburnswitch.routing.crashes import CrashJudge
+    from auburnswitch.routing.group_run import GroupRunner
     from auburnswitch.routing.placement import Placer
     from auburnswitch.routing.request import RoutedRequest
+    from auburnswitch.routing.retry_budget import RetryBudget
+    from auburnswitch.routing.team_limits import TeamLimits
+
+
+GONE_STATUS: Final = 404  # the endpoint does not know the stream any more
+SPENT_RETRY_S: Final = 5.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -52,9 +61,23 @@
         client: Calls endpoints.
         metrics: The daemon's instruments.
         cleanups: Cancellations and releases that go on after an attempt.
+        crashes: Finds out whether a lost endpoint has crashed.
+        budget: Retries that may still be made.
+        limits: Admits requests within their teams' limits.
+        groups: Runs prompts that are larger than one endpoint.
     """
 
-    __slots__ = ("cleanups", "client", "member_id", "metrics", "placer")
+    __slots__ = (
+        "budget",
+        "cleanups",
+        "client",
+        "crashes",
+        "groups",
+        "limits",
+        "member_id",
+        "metrics",
+        "placer",
+    )
 
     def __init__(
         self,
@@ -64,22 +87,42 @@
         metrics: Metrics,
         member_id: str,
         cleanups: TaskSet,
+        crashes: CrashJudge,
+        budget: RetryBudget,
+        limits: TeamLimits,
+        groups: GroupRunner,
     ) -> None:
         self.placer = placer
         self.client = client
         self.metrics = metrics
         self.member_id = member_id
         self.cleanups = cleanups
+        self.crashes = crashes
+        self.budget = budget
+        self.limits = limits
+        self.groups = groups
 
     async def run(self, request: RoutedRequest) -> AsyncIterator[AnswerPart]:
         """Yields the parts of the answer; the last one is its end."""
+        if refused := self.limits.admit(request):
+            yield AnswerFailed(refusal=refused)
+            return
+        try:
+            async with contextlib.aclosing(self._run(request)) as parts:
+                async for part in parts:
+                    yield part
+        finally:
+            self.limits.finish(request)
+
+    async def _run(self, request: RoutedRequest) -> AsyncIterator[AnswerPart]:
         progress = Progress()
         excluded: set[str] = set()
         last_error = ""
+        self.budget.note_admitted()
         while request.attempts < request.max_attempts:
             try:
                 async with asyncio.timeout_at(request.deadline_at):
-                    placed = await self.placer.place(request, excluded)
+                    placed = await self._place(request, excluded)
             except TimeoutError:
                 yield AnswerFailed(refusal=_deadline(request, progress))
                 return
@@ -87,11 +130,13 @@
                 yield AnswerFailed(refusal=_after_attempts(placed, progress))
                 return
             request.attempts += 1
+            dispatched_before = request.dispatched
             try:
-                attempt = self._attempt(request, placed, progress)
+                attempt = self._attempt_on(request, placed, progress)
                 async with contextlib.aclosing(attempt) as parts:
                     async for part in parts:
                         yield part
+                self.placer.strikes.clear(request.fingerprint)
                 return
             except TimeoutError:
                 yield AnswerFailed(refusal=_deadline(request, progress))
@@ -99,11 +144,46 @@
             except EndpointFailureError as error:
                 last_error = str(error)
                 excluded.add(placed.endpoint)
+                sent = error.sent or progress.frames > 0
+                request.dispatched = dispatched_before or sent
+                if sent and (error.lost or error.status == GONE_STATUS):
+                    await self._note_lost(request, placed)
                 if progress.text and not request.allow_continuation:
                     break
+                if sent and not self.budget.take():
+                    yield AnswerFailed(refusal=_spent(progress))
+                    return
                 self._note_retry(request, placed, last_error)
         yield AnswerFailed(refusal=_failed(request, progress, last_error))
 
+    async def _place(
+        self, request: RoutedRequest, excluded: set[str]
+    ) -> HeldReservation | GroupReservation | Refusal:
+        if self.groups.groups.is_needed(request):
+            return await self.groups.groups.place(request, excluded)
+        return await self.placer.place(request, excluded)
+
+    def _attempt_on(
+        self,
+        request: RoutedRequest,
+        placed: HeldReservation | GroupReservation,
+        progress: Progress,
+    ) -> AsyncIterator[AnswerPart]:
+        match placed:
+            case GroupReservation():
+                return self.groups.attempt(request, placed, progress)
+            case _:
+                return self._attempt(request, placed, progress)
+
+    async def _note_lost(
+        self,
+        request: RoutedRequest,
+        held: HeldReservation | GroupReservation,
+    ) -> None:
+        spec = self.placer.owner_table.state.endpoints.get(held.endpoint)
+        if spec is not None and held.boot_id:
+            await self.crashes.note_lost(request, held, spec)
+
     async def _attempt(
         self,
         request: RoutedRequest,
@@ -123,7 +203,7 @@
             member_id=self.member_id,
         )
         started_at = monotonic_s()
-        succeeded = lost = finished = False
+        lost = finished = False
         progress.start_attempt()
         try:
             request.dispatched = True
@@ -141,7 +221,6 @@
                     finished = isinstance(part, AnswerEnd)
                     yield part
                     self._note_prefilled(request, held, started_at)
-            succeeded = True
         except EndpointFailureError as error:
             lost = error.lost
             finished = error.lost
@@ -151,7 +230,7 @@
             end = self._end(
                 held,
                 attempt if runs else None,
-                succeeded=succeeded,
+                succeeded=finished and not lost,
                 endpoint_lost=lost,
             )
             self.cleanups.start(end, "end attempt")
@@ -190,7 +269,10 @@
         self.cleanups.start(progress, "note progress")
 
     def _note_retry(
-        self, request: RoutedRequest, held: HeldReservation, reason: str
+        self,
+        request: RoutedRequest,
+        held: HeldReservation | GroupReservation,
+        reason: str,
     ) -> None:
         if request.attempts >= request.max_attempts:
             return
@@ -213,7 +295,15 @@
 def _failed(request: RoutedRequest, progress: Progress, reason: str) -> Refusal:
     if progress.text:
         return refusal(ResultCode.STREAM_BROKEN, reason)
-    return refusal(ResultCode.ENDPOINT_FAILED, reason, retry_after_s=1)
+    ran = Ran.UNKNOWN if request.dispatched else Ran.NO
+    return refusal(ResultCode.ENDPOINT_FAILED, reason, ran=ran, retry_after_s=1)
+
+
+def _spent(progress: Progress) -> Refusal:
+    ran = Ran.YES if progress.text else Ran.UNKNOWN
+    return refusal(
+        ResultCode.RETRY_BUDGET_SPENT, ran=ran, retry_after_s=SPENT_RETRY_S
+    )
 
 
 def _after_attempts(refused: Refusal, progress: Progress) -> Refusal:
--- a/src/auburnswitch/schema/peers.py
+++ b/src/auburnswitch/schema/peers.py
@@ -104,6 +104,7 @@
     running: int = 0
     max_running: int = 0
     boot_id: str = ""
+    reported_prefill_tokens: int = 0
     successes: int = 0
     window: int = 0
 
@@ -116,6 +117,7 @@
         6: (TType.I32, "running", False),
         7: (TType.I32, "max_running", False),
         8: (TType.STRING, "boot_id", False),
+        50: (TType.I64, "reported_prefill_tokens", False),
         40: (TType.I32, "successes", False),
         41: (TType.I32, "window", False),
     }
@@ -128,6 +130,7 @@
         ("running", None),
         ("max_running", None),
         ("boot_id", None),
+        ("reported_prefill_tokens", None),
         ("successes", None),
         ("window", None),
     ]
@@ -150,6 +153,10 @@
         "boot_id": Description(
             text="Identifies one start of the endpoint.", options={}
         ),
+        "reported_prefill_tokens": Description(
+            text="Prompt tokens still to prefill by the endpoint's own last load report.",
+            options={},
+        ),
         "successes": Description(
             text="Requests that succeeded since the endpoint was cold.",
             options={},
@@ -232,18 +239,21 @@
     endpoint: str = ""
     boot_id: str = ""
     age_s: float = 0.0
+    cleared: bool = False
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "fingerprint", False),
         2: (TType.STRING, "endpoint", False),
         3: (TType.STRING, "boot_id", False),
         4: (TType.DOUBLE, "age_s", False),
+        20: (TType.BOOL, "cleared", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("fingerprint", None),
         ("endpoint", None),
         ("boot_id", None),
         ("age_s", None),
+        ("cleared", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -251,6 +261,9 @@
         "endpoint": Description(text="", options={}),
         "boot_id": Description(text="", options={}),
         "age_s": Description(text="Seconds since the crash.", options={}),
+        "cleared": Description(
+            text="The request has run to its end since.", options={}
+        ),
     }
 
 
@@ -261,16 +274,19 @@
     team: str = ""
     tokens_per_second: float = 0.0
     in_flight: int = 0
+    tokens: int = 0
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "team", False),
         2: (TType.DOUBLE, "tokens_per_second", False),
         3: (TType.I32, "in_flight", False),
+        50: (TType.I64, "tokens", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("team", None),
         ("tokens_per_second", None),
         ("in_flight", None),
+        ("tokens", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -279,6 +295,10 @@
             text="Tokens per second over the last seconds.", options={}
         ),
         "in_flight": Description(text="", options={}),
+        "tokens": Description(
+            text="Tokens admitted since the last heartbeat to the receiver.",
+            options={},
+        ),
     }
 
 
@@ -432,6 +452,10 @@
     team_weight: float = 1.0
     epoch: int = 0
     max_wait_s: float = 0.0
+    max_start_wait_s: float = 0.0
+    waited_s: float = 0.0
+    service: str = ""
+    hold: bool = False
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "endpoint", False),
@@ -448,6 +472,10 @@
         12: (TType.DOUBLE, "team_weight", False),
         13: (TType.I64, "epoch", False),
         14: (TType.DOUBLE, "max_wait_s", False),
+        50: (TType.DOUBLE, "max_start_wait_s", False),
+        51: (TType.DOUBLE, "waited_s", False),
+        52: (TType.STRING, "service", False),
+        40: (TType.BOOL, "hold", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("endpoint", None),
@@ -464,6 +492,10 @@
         ("team_weight", None),
         ("epoch", None),
         ("max_wait_s", None),
+        ("max_start_wait_s", None),
+        ("waited_s", None),
+        ("service", None),
+        ("hold", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {
         "length_class": LengthClass
@@ -478,7 +510,8 @@
         "cached_tokens": Description(text="", options={}),
         "length_class": Description(text="", options={}),
         "time_left_s": Description(
-            text="Time left until the deadline, in seconds.", options={}
+            text="Time left until the deadline, in seconds; 0 if none is known.",
+            options={},
         ),
         "fingerprint": Description(text="", options={}),
         "struck": Description(
@@ -491,6 +524,19 @@
             text="How long the asker is ready to wait in the owner's queue, in seconds.",
             options={},
         ),
+        "max_start_wait_s": Description(
+            text="Longest predicted wait that the asker takes, in seconds; 0 takes any.",
+            options={},
+        ),
+        "waited_s": Description(
+            text="How long the request has waited at other owners, in seconds.",
+            options={},
+        ),
+        "service": Description(text="Service of the endpoint.", options={}),
+        "hold": Description(
+            text="The room is kept until it is released, as a part of a group; only on an endpoint that is not cold.",
+            options={},
+        ),
     }
 
 
@@ -504,6 +550,7 @@
     alternatives: list[str] = field(default_factory=list)
     boot_id: str = ""
     waited_s: float = 0.0
+    hints: list[EndpointHint] = field(default_factory=list)
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I32, "code", False),
@@ -512,6 +559,7 @@
         4: (TType.LIST, "alternatives", TType.STRING, False),
         5: (TType.STRING, "boot_id", False),
         40: (TType.DOUBLE, "waited_s", False),
+        50: (TType.LIST, "hints", (TType.STRUCT, EndpointHint), False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("code", None),
@@ -520,6 +568,7 @@
         ("alternatives", None),
         ("boot_id", None),
         ("waited_s", None),
+        ("hints", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {"code": ResultCode}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -536,6 +585,10 @@
             text="Seconds from the arrival of the request to its grant.",
             options={},
         ),
+        "hints": Description(
+            text="What the owner knows of its endpoints of the service, best first.",
+            options={},
+        ),
     }
 
 
--- a/tests/endpoints/test_reservations.py
+++ b/tests/endpoints/test_reservations.py
@@ -6,6 +6,7 @@
 import unittest
 
 from auburnswitch.endpoints.client import Attempt
+from auburnswitch.endpoints.load import LoadReport
 from auburnswitch.endpoints.reservations import DispatchRefusedError
 from auburnswitch.observe.tasks import open_task_set
 from auburnswitch.schema.objects import Ticket
@@ -176,3 +177,69 @@
         self.assertEqual(
             run_virtual(scenario), (ResultCode.OWNERSHIP_PENDING, 0.0)
         )
+
+    def test_isolated_daemon_dispatches_nothing(self):
+        async def scenario():
+            client = client_of(open_table())
+            held = await client.reserve(ask())
+            client.membership.isolated = True
+            with self.assertRaises(DispatchRefusedError):
+                client.begin(held, ATTEMPT)
+
+        run_virtual(scenario)
+
+    def test_regained_rights_need_a_new_survey(self):
+        async def scenario():
+            table = open_table()
+            ledger = table.ledgers[ENGINE]
+            codes = [(await table.reserve(ask(), "me")).code]
+            table.rights.strict = False
+            codes.append((await table.reserve(ask(), "me")).code)
+            await asyncio.sleep(10)
+            table.rights.strict = True
+            codes.append((await table.reserve(ask(), "me")).code)
+            ledger.listed_at = asyncio.get_running_loop().time()
+            codes.append((await table.reserve(ask(), "me")).code)
+            return codes
+
+        pending = ResultCode.OWNERSHIP_PENDING
+        self.assertEqual(
+            run_virtual(scenario),
+            [ResultCode.OK, pending, pending, ResultCode.OK],
+        )
+
+    def test_lost_release_is_made_good_by_reports(self):
+        async def scenario():
+            table = open_table()
+            reply = await table.reserve(ask(), "peer")
+            counts = []
+            for _ in range(4):
+                table.rebuilder.note_report("peer", [])
+                counts.append(len(table.ledgers[ENGINE].reservations))
+                await asyncio.sleep(1.5)
+            return reply.code, counts
+
+        self.assertEqual(run_virtual(scenario), (ResultCode.OK, [1, 1, 1, 0]))
+
+    def test_grant_on_an_earlier_start_is_not_used(self):
+        async def scenario():
+            table = open_table()
+            client = client_of(table)
+            held = await client.reserve(ask())
+            table.note_load(ENGINE, LoadReport(boot_id="b2"), 0.0)
+            with self.assertRaises(DispatchRefusedError):
+                client.begin(held, ATTEMPT)
+
+        run_virtual(scenario)
+
+    def test_release_reaches_a_ledger_that_is_being_given_up(self):
+        async def scenario():
+            table = open_table()
+            client = client_of(table)
+            held = await client.reserve(ask())
+            held.owner_id = "peer"
+            table.owners = OtherOwner()
+            await client.release(held, succeeded=False)
+            return len(table.ledgers[ENGINE].reservations)
+
+        self.assertEqual(run_virtual(scenario), 0)
