--- a/src/auburnswitch/members/frames.py
+++ b/src/auburnswitch/members/frames.py
@@ -10,12 +10,14 @@
 from __future__ import annotations
 
 import hmac
+import io
 import struct
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Final
 
 from thriftpy2.protocol import TBinaryProtocolFactory
 from thriftpy2.thrift import TDecodeException, TException
-from thriftpy2.utils import deserialize, serialize
+from thriftpy2.transport import TCyBufferedTransport
+from thriftpy2.utils import serialize
 
 from auburnswitch.schema.peers import (
     ClaimsReply,
@@ -43,6 +45,14 @@
 _HEADER: Final = struct.Struct(">IQ16s")
 _SEQUENCE: Final = struct.Struct(">Q")
 _MAC_BYTES: Final = 16
+_DECODE_ERRORS: Final = (
+    TDecodeException,
+    TException,
+    EOFError,
+    MemoryError,
+    TypeError,
+    ValueError,
+)
 _PROTOCOL: Final = TBinaryProtocolFactory()
 _FIELDS: Final[dict[type[Struct], str]] = {
     Heartbeat: "heartbeat",
@@ -120,7 +130,10 @@
 
     def encode(self, envelope: Envelope) -> bytes:
         """Returns the next frame."""
-        payload = serialize(envelope, _PROTOCOL)
+        return self.encode_payload(serialize(envelope, _PROTOCOL))
+
+    def encode_payload(self, payload: bytes) -> bytes:
+        """Returns the next frame with an encoded envelope."""
         mac = _mac(self.key, self.sequence, payload)
         frame = _HEADER.pack(len(payload), self.sequence, mac) + payload
         self.sequence += 1
@@ -170,10 +183,32 @@
     return hmac.digest(key, signed, "sha256")[:_MAC_BYTES]
 
 
+class _PayloadReader:
+    """Reads a payload; the library's own buffer reads on beyond its end."""
+
+    __slots__ = ("buffer",)
+
+    def __init__(self, payload: bytes) -> None:
+        self.buffer = io.BytesIO(payload)
+
+    def read(self, size: int) -> bytes:
+        """Returns up to as many bytes.
+
+        Raises:
+            EOFError: There are none left.
+        """
+        data = self.buffer.read(size)
+        if not data:
+            raise EOFError("the payload is cut short")
+        return data
+
+
 def _decode(payload: bytes) -> Envelope:
     try:
-        envelope: Any = deserialize(Envelope(), payload, _PROTOCOL)
-    except (TDecodeException, TException, EOFError, ValueError) as error:
+        envelope = Envelope()
+        transport = TCyBufferedTransport(_PayloadReader(payload))
+        envelope.read(_PROTOCOL.get_protocol(transport))
+    except _DECODE_ERRORS as error:
         raise FrameError(ResultCode.BAD_FRAME, "cannot be decoded") from error
     return envelope
 
--- a/src/auburnswitch/members/server.py
+++ b/src/auburnswitch/members/server.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from auburnswitch.members.connection import accept_peer
 from auburnswitch.members.frames import FrameError, body_of
@@ -23,6 +23,8 @@
 
     Handler = Callable[[Struct, str], Awaitable[Struct | None]]
 
+CLOSE_TIMEOUT_S: Final = 1.0
+
 
 class PeerServer:
     """Passes each call of a peer to the handler of its message class.
@@ -41,6 +43,7 @@
         "handlers",
         "member_id",
         "port",
+        "serving",
         "settings",
         "shared_key",
     )
@@ -54,6 +57,7 @@
         self.handlers: dict[type[Struct], Handler] = {}
         self.port = settings.port
         self.connections: set[asyncio.StreamWriter] = set()
+        self.serving: set[asyncio.Task[None]] = set()
 
     @contextlib.asynccontextmanager
     async def open(self) -> AsyncIterator[None]:
@@ -68,11 +72,17 @@
         finally:
             server.close()
             for writer in list(self.connections):
-                writer.close()
+                writer.transport.abort()
+            if self.serving:
+                await asyncio.wait(self.serving, timeout=CLOSE_TIMEOUT_S)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self.serving.add(task)
+        task.add_done_callback(self.serving.discard)
         self.connections.add(writer)
         try:
             connection = await accept_peer(
--- a/tests/members/network.py
+++ b/tests/members/network.py
@@ -114,6 +114,7 @@
     ) -> None:
         self.writer = writer
         self.near = near
+        self.closed = False
         self.transport = writer.transport
         self.queue: asyncio.Queue[bytes] = asyncio.Queue()
 
@@ -124,10 +125,15 @@
         if not self.writer.is_closing():
             self.writer.write(data)
 
+    def feed(self, data: bytes) -> None:
+        if not self.closed:
+            self.near.feed_data(data)
+
     def write(self, data: bytes) -> None:
         self.queue.put_nowait(data)
 
     def close(self) -> None:
+        self.closed = True
         self.queue.put_nowait(b"")
         self.near.feed_eof()
 
--- /dev/null
+++ b/tests/members/test_frames.py
@@ -0,0 +1,224 @@
+"""Tests of peer frames under bad input, and of links to bad peers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from auburnswitch.members.connection import connect_peer
+from auburnswitch.members.frames import (
+    FrameError,
+    FrameReader,
+    FrameWriter,
+    body_of,
+    envelope_of,
+)
+from auburnswitch.members.link import PeerLink
+from auburnswitch.members.server import PeerServer
+from auburnswitch.schema.events import EventId
+from auburnswitch.schema.objects import Member
+from auburnswitch.schema.peers import (
+    Done,
+    Envelope,
+    Heartbeat,
+    Hello,
+    StateRequest,
+)
+from auburnswitch.schema.results import ResultCode
+from auburnswitch.schema.settings import PeersSettings
+from tests.virtual_time import run_virtual
+
+KEY = b"k" * 32
+HEADER_BYTES = 28
+CODES = {ResultCode.BAD_FRAME, ResultCode.BAD_SIGNATURE}
+fuzz = settings(derandomize=True, deadline=None, max_examples=300)
+
+
+def read_all(data: bytes, *, key: bytes = KEY) -> list[Envelope]:
+    """Reads frames until the bytes end."""
+
+    async def scenario():
+        stream = asyncio.StreamReader()
+        stream.feed_data(data)
+        stream.feed_eof()
+        reader = FrameReader(key=key, max_bytes=4096)
+        envelopes = []
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                envelopes.append(await reader.read(stream))
+        return envelopes
+
+    return asyncio.run(scenario())
+
+
+def frames(*names: str) -> list[bytes]:
+    writer = FrameWriter(key=KEY)
+    return [
+        writer.encode(envelope_of(StateRequest(state_digest=name)))
+        for name in names
+    ]
+
+
+class FrameTest(unittest.TestCase):
+    def refused(self, data: bytes, **options: bytes) -> None:
+        with self.assertRaises(FrameError) as caught:
+            read_all(data, **options)
+        self.assertIn(caught.exception.code, CODES)
+
+    @fuzz
+    @given(st.binary(max_size=200))
+    def test_random_bytes(self, data):
+        with contextlib.suppress(FrameError):
+            self.assertEqual(read_all(data), [])
+
+    @fuzz
+    @given(st.integers(0, 10_000), st.integers(1, 255))
+    def test_changed_byte(self, place, change):
+        data = bytearray(b"".join(frames("a", "b")))
+        data[place % len(data)] ^= change
+        try:
+            names = [body_of(e).state_digest for e in read_all(bytes(data))]
+        except FrameError as error:
+            self.assertIn(error.code, CODES)
+        else:
+            self.assertIn(names, [[], ["a"]])  # a longer length: cut short
+
+    @fuzz
+    @given(st.integers(0, 10_000))
+    def test_signed_part_of_a_message(self, size):
+        envelope = envelope_of(Heartbeat(sender=Member(id="a"), heard=["b"]))
+        whole = FrameWriter(key=KEY).encode(envelope)[HEADER_BYTES:]
+        part = whole[: size % len(whole)]
+        self.refused(FrameWriter(key=KEY).encode_payload(part))
+
+    def test_message_without_a_body(self):
+        for envelope in (Envelope(), Envelope(done=Done(), hello=Hello())):
+            with self.assertRaises(FrameError):
+                body_of(envelope)
+
+    def test_replay_gap_wrong_key_and_length(self):
+        first, second, third = frames("a", "b", "c")
+        self.assertEqual(len(read_all(first + second + third)), 3)
+        self.refused(first + first)
+        self.refused(first + third)
+        self.refused(second)
+        self.refused(first, key=b"x" * 32)
+        self.refused(b"\xff" + first[1:])
+
+
+class LinkTest(unittest.TestCase):
+    def run_with_server(self, scenario, handler=None):
+        async def opened():
+            peers = PeersSettings(port=0, max_unsent_bytes=65536)
+            server = PeerServer(settings=peers, member_id="b", shared_key=KEY)
+            server.handlers[StateRequest] = handler or self.answer
+            async with server.open():
+                await scenario(server)
+
+        run_virtual(opened)
+
+    async def answer(self, request, peer_id):
+        return Done()
+
+    def connect(self, server, key=KEY):
+        return connect_peer(
+            "127.0.0.1",
+            server.port,
+            member_id="a",
+            shared_key=key,
+            settings=server.settings,
+        )
+
+    def test_wrong_key_is_refused_by_both(self):
+        async def scenario(server):
+            with self.assertLogs("auburnswitch", logging.WARNING) as logs:
+                with self.assertRaises((FrameError, EOFError)):
+                    async with self.connect(server, b"x" * 32):
+                        pass
+                await asyncio.sleep(1)
+            codes = {record.code for record in logs.records}
+            self.assertEqual(codes, {ResultCode.BAD_SIGNATURE})
+
+        self.run_with_server(scenario)
+
+    def test_silent_stranger_is_dropped(self):
+        async def scenario(server):
+            reader, _ = await asyncio.open_connection("127.0.0.1", server.port)
+            async with asyncio.timeout(5):
+                while await reader.read(100):
+                    pass
+            self.assertEqual(server.connections, set())
+
+        self.run_with_server(scenario)
+
+    def test_server_closes_with_calls_under_way(self):
+        async def scenario(server):
+            async with self.connect(server) as connection:
+                call = connection.call(StateRequest(), 1000)
+                task = asyncio.create_task(call)
+                await asyncio.sleep(1)
+            with self.assertRaises(ConnectionError):
+                await task
+
+        async def never(request, peer_id):
+            await asyncio.Event().wait()
+
+        self.run_with_server(scenario, never)
+
+    def test_stalled_peer_is_dropped(self):
+        async def scenario(server):
+            async with self.connect(server) as connection:
+                await asyncio.sleep(1)
+                [writer] = server.connections
+                writer.transport.pause_reading()
+                message = envelope_of(StateRequest(state_digest="x" * 4096))
+                with (
+                    self.assertLogs("auburnswitch", logging.WARNING) as logs,
+                    self.assertRaises(ConnectionError),
+                ):
+                    for _ in range(1000):
+                        connection.send(message)
+                        await asyncio.sleep(0.01)
+                [record] = logs.records
+                self.assertEqual(record.event, EventId.PEER_STALLED)
+
+        self.run_with_server(scenario)
+
+    def test_link_drops_a_peer_that_never_answers(self):
+        async def scenario(server):
+            link = PeerLink(
+                member=Member(id="b", host="127.0.0.1", port=server.port),
+                member_id="a",
+                settings=server.settings,
+                shared_key=KEY,
+                seed=1,
+            )
+            running = asyncio.create_task(link.run())
+            await asyncio.sleep(1)
+            first = link.connection
+            for _ in range(3):
+                self.assertIsNone(await link.call_or_drop(Heartbeat()))
+            await asyncio.sleep(3)
+            self.assertIsNotNone(link.connection)
+            self.assertIsNot(link.connection, first)
+            running.cancel()
+
+        self.run_with_server(scenario)
+
+    def test_reconnecting_is_spread(self):
+        def delays(seed):
+            link = PeerLink(
+                member=Member(id="b"),
+                member_id="a",
+                settings=PeersSettings(),
+                shared_key=KEY,
+                seed=seed,
+            )
+            return [link.random.uniform(0.5, 1.0) for _ in range(3)]
+
+        self.assertNotEqual(delays(1), delays(2))
