--- a/tests/routing/test_crashes.py
+++ b/tests/routing/test_crashes.py
@@ -24,6 +24,7 @@
 
 AUTHORIZATION = {"Authorization": f"Bearer {CALLER_KEY}"}
 INNOCENTS = 24
+ALONE_S = 2.7  # 100 tokens at 25 ms and a prefill of 2,000 tokens
 
 
 def options():
@@ -98,6 +99,34 @@
         self.assertEqual(innocents, ["ok"] * INNOCENTS)
         self.assertEqual(causes, ["prompt"] * 2)
 
+    def test_popular_request_goes_on_after_a_crash(self):
+        async def scenario():
+            async with open_fleet(options()) as fleet:
+                await warm_up(fleet)
+                prompt = "free slots today? ".ljust(8_000, ".")
+                asked = [
+                    asyncio.create_task(ask(fleet, n, prompt, 100))
+                    for n in range(INNOCENTS)
+                ]
+                await asyncio.sleep(1)
+                next(
+                    e for e in fleet.engines.values() if e.batch.jobs()
+                ).crash()
+                before = await asyncio.gather(*asked)
+                again = [ask(fleet, n, prompt, 100) for n in range(INNOCENTS)]
+                after = await asyncio.gather(*again)
+                return [
+                    (
+                        {o.result for o in outcomes},
+                        max(o.total_s for o in outcomes),
+                    )
+                    for outcomes in (before, after)
+                ]
+
+        (_, _), (results, slowest_s) = run_virtual(scenario)
+        self.assertEqual(results, {"ok"})
+        self.assertLess(slowest_s, 2 * ALONE_S)
+
 
 class StrikeBookTest(unittest.TestCase):
     def test_one_crash_gives_one_strike_and_strikes_expire(self):
