Show cold turns of engine stand-ins; excuse calls by time of the loss

The checker excused any call at a daemon that was lost at any time of the run. Now only a call that ran during the loss is excused, and a broken one only by a kill.

--- a/src/auburnswitch/experiments/chaos.py
+++ b/src/auburnswitch/experiments/chaos.py
@@ -11,6 +11,7 @@
 from auburnswitch.experiments.calls import Caller
 from auburnswitch.experiments.checker import (
     Closing,
+    Loss,
     RunHistory,
     StateSample,
     Violation,
@@ -26,6 +27,7 @@
 )
 from auburnswitch.schema.objects import Change, ObjectKind, Service, ServiceKind
 from auburnswitch.standins.answers import BYTES_PER_TOKEN
+from auburnswitch.standins.engine_model import EngineOptions
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Coroutine
@@ -40,6 +42,7 @@
 APPLY_RETRY_S: Final = 1.0
 APPLY_TRIES: Final = 90
 DAEMON_PORTS: Final = 30_000
+COLD_DELAY_S: Final = 1.0
 
 
 class ChaosRun:
@@ -162,25 +165,36 @@
         busy = self.down | self.frozen
         if self._daemon(number) is None or number in busy:
             return
-        self.run.lost_daemons.add(f"entry-{number}")
+        loss = Loss(
+            daemon=f"entry-{number}",
+            lost_at=monotonic_s(),
+            killed=isinstance(action, actions.KillDaemon),
+        )
+        self.run.losses.append(loss)
         match action:
             case actions.KillDaemon(down_s=down_s):
                 self.down.add(number)
                 self.fleet.kill_daemon(number)
-                self._start(self._start_later(number, down_s))
+                self._start(self._start_later(number, down_s, loss))
             case actions.FreezeDaemon(seconds=seconds):
                 self.frozen.add(number)
                 self.fleet.freeze_daemon(number)
-                self._start(self._thaw_later(number, seconds))
+                self._start(self._thaw_later(number, seconds, loss))
 
-    async def _start_later(self, number: int, seconds: float) -> None:
+    async def _start_later(
+        self, number: int, seconds: float, loss: Loss
+    ) -> None:
         await asyncio.sleep(seconds)
         await self.fleet.start_daemon(number)
+        loss.back_at = monotonic_s()
         self.down.discard(number)
 
-    async def _thaw_later(self, number: int, seconds: float) -> None:
+    async def _thaw_later(
+        self, number: int, seconds: float, loss: Loss
+    ) -> None:
         await asyncio.sleep(seconds)
         self.fleet.thaw_daemon(number)
+        loss.back_at = monotonic_s()
         self.frozen.discard(number)
 
     def _replace(self, number: int) -> None:
@@ -202,7 +216,8 @@
             case actions.CrashEngine(engine=number):
                 engines[number].crash()
             case actions.ColdEngine(engine=number):
-                engines[number].turn_cold()
+                if not engines[number].cold:  # only what was warm turns cold
+                    engines[number].turn_cold()
             case actions.FreezeEngine(engine=number, seconds=seconds):
                 engines[number].freeze(seconds)
             case actions.DropConnections(engine=number):
@@ -303,6 +318,7 @@
         plain_services=2,
         connector=connector,
         base_port=DAEMON_PORTS,
+        engine=EngineOptions(cold_delay_s=COLD_DELAY_S),
     )
     async with open_fleet(options) as fleet:
         chaos = ChaosRun(fleet=fleet)
--- a/src/auburnswitch/standins/engine.py
+++ b/src/auburnswitch/standins/engine.py
@@ -86,7 +86,10 @@
         self.incarnation = incarnation
         self.pause = Pause()
         self.batch = Batch(
-            options=self.options, observer=self, pause=self.pause
+            options=self.options,
+            observer=self,
+            pause=self.pause,
+            first_delay_s=lambda: self.warmth.delay_s,
         )
         self.recorder = EngineRecorder(
             actor=self.name, history=self.history, batch=self.batch
--- a/src/auburnswitch/standins/engine_cold.py
+++ b/src/auburnswitch/standins/engine_cold.py
@@ -27,6 +27,11 @@
         self.cold = not options.starts_warm
         self.successes = 0
 
+    @property
+    def delay_s(self) -> float:
+        """Time that a prompt takes longer now, in seconds."""
+        return self.options.cold_delay_s if self.cold else 0.0
+
     def turn_cold(self) -> None:
         """Starts the cold state."""
         self.cold = True
--- a/src/auburnswitch/standins/engine_control.py
+++ b/src/auburnswitch/standins/engine_control.py
@@ -13,6 +13,7 @@
 OPTIONS: Final = frozenset(
     {
         "cache_event_loss",
+        "cold_delay_s",
         "cold_max_running",
         "cold_max_tokens",
         "decode_step_s",
--- a/src/auburnswitch/standins/engine_model.py
+++ b/src/auburnswitch/standins/engine_model.py
@@ -27,6 +27,7 @@
         starts_warm: Whether the first start is warm.
         cold_max_running: Requests that a cold engine bears.
         cold_max_tokens: Prompt tokens that a cold engine bears.
+        cold_delay_s: Time that each prompt takes longer on a cold engine.
         warm_after: Successful requests that end the cold state.
         restart_s: Time that the engine is down after a crash.
         restart_silent: Whether connections are accepted and left without an
@@ -52,6 +53,7 @@
     starts_warm: bool = False
     cold_max_running: int = 2
     cold_max_tokens: int = 20_000
+    cold_delay_s: float = 0.0
     warm_after: int = 8
     restart_s: float = 5.0
     restart_silent: bool = False
