Find the owner's refusal of late requests again; see all task errors

The tool now collects task_failed and invariant_violated events of every daemon, killed ones too, and the checker counts 'internal' as a violation. test_request_that_cannot_start_in_time_is_refused_at_once was red (AttributeError), then green.

--- a/src/auburnswitch/endpoints/granting.py
+++ b/src/auburnswitch/endpoints/granting.py
@@ -43,7 +43,7 @@
         ledger = self.owner_table.ledgers.get(request.endpoint)
         if ledger is None or not self.owner_table.owns(request.endpoint):
             return ReserveReply(code=ResultCode.NOT_OWNER)
-        if refused := self._refusal(ledger, request):
+        if refused := self.refusal(ledger, request):
             return ReserveReply(code=refused, retry_after_s=MIN_RETRY_AFTER_S)
         routing = self.owner_table.settings.routing
         if not ledger.bears(request) or not has_room(ledger, request, routing):
@@ -72,9 +72,10 @@
         granted = ledger.reservations.values()
         return any(self.owner_table.is_struck(r.fingerprint) for r in granted)
 
-    def _refusal(
+    def refusal(
         self, ledger: EndpointLedger, request: ReserveRequest
     ) -> ResultCode | None:
+        """Returns why a request can't be granted by waiting, or None."""
         if (
             self.owner_table.is_closed(ledger.name)
             or ledger.phase in CLOSED_PHASES
--- a/src/auburnswitch/endpoints/owner.py
+++ b/src/auburnswitch/endpoints/owner.py
@@ -169,7 +169,7 @@
             return ReserveReply(code=ResultCode.NOT_OWNER)
         wait_s = self._wait_s(ledger, LengthClass(request.length_class))
         refused = _refuse_wait(ledger, request, wait_s)
-        if refused is not None and not self._refusal(ledger, request):
+        if refused is not None and not self.granter.refusal(ledger, request):
             refused.hints = self._hints_for(request)
             return refused
         reply: ReserveReply | None = None
--- a/src/auburnswitch/experiments/checker.py
+++ b/src/auburnswitch/experiments/checker.py
@@ -17,6 +17,7 @@
 
 CLOSED_BOUND_S: Final = 3.0  # from a ticket's acceptance to the last new work
 DEADLINE_SLACK_S: Final = 1.0
+INTERNAL: Final = "internal"
 OVERLOAD_CAUSE: Final = "cold overload"
 COLD_DETECTION_S: Final = 5.0  # from the last sign of a cold turn
 COLD_SIGNS: Final = 2  # slow answers that show an unannounced cold turn
@@ -31,6 +32,7 @@
     NOT_RUN = "a request refused as not run was not run"
     ENDS_IN_TIME = "an admitted request ends within its time"
     ANSWERED = "a request gets a final answer unless its daemon was lost"
+    NO_INTERNAL_ERROR = "no request ends by an unexpected error"
     CLOSED = "an endpoint out of service or leaving receives no new work"
     COLD_BOUND = "a cold endpoint receives no more than it can bear"
     MEMORY_FREED = "an engine loses no memory for good"
@@ -175,6 +177,9 @@
             detail = f"{call.id} has no answer"
             yield Violation(rule=Rule.ANSWERED, detail=detail)
             continue
+        if call.outcome.result == INTERNAL:
+            detail = f"{call.id} at {call.daemon}"
+            yield Violation(rule=Rule.NO_INTERNAL_ERROR, detail=detail)
         losses = [loss for loss in run.losses if _meets(call, loss)]
         lost = bool(losses)
         killed = any(loss.killed for loss in losses)
--- a/src/auburnswitch/experiments/random_run.py
+++ b/src/auburnswitch/experiments/random_run.py
@@ -19,6 +19,7 @@
 from auburnswitch.clock import monotonic_s
 from auburnswitch.experiments.actions import draw_action
 from auburnswitch.experiments.chaos import open_chaos
+from auburnswitch.experiments.failures import collect_failures
 from auburnswitch.experiments.freezing import FreezableLoop
 from auburnswitch.experiments.repeatable import repeatable
 from auburnswitch.experiments.shrinking import shrink
@@ -98,21 +99,22 @@
 async def _run(actions: Iterable[Action], limit_s: float) -> RunReport:
     report = RunReport()
     started_at = time.perf_counter()
-    async with open_chaos(connector=SimulatedConnector) as chaos:
-        for action in actions:
-            if monotonic_s() >= limit_s:
-                break
-            report.actions.append(action)
-            await chaos.apply(action)
-            await asyncio.sleep(ACTION_INTERVAL_S)
-        violations = await chaos.settle()
-        report.outcomes = _count_outcomes(chaos)
-        report.problems = [
-            f"{violation.rule.name.lower()}: {violation.detail}"
-            for violation in violations
-        ]
-        report.problems += _task_errors(chaos)
-        report.virtual_s = monotonic_s()
+    with collect_failures() as failures:
+        async with open_chaos(connector=SimulatedConnector) as chaos:
+            for action in actions:
+                if monotonic_s() >= limit_s:
+                    break
+                report.actions.append(action)
+                await chaos.apply(action)
+                await asyncio.sleep(ACTION_INTERVAL_S)
+            violations = await chaos.settle()
+            report.outcomes = _count_outcomes(chaos)
+            report.problems = [
+                f"{violation.rule.name.lower()}: {violation.detail}"
+                for violation in violations
+            ]
+            report.problems += failures.problems
+            report.virtual_s = monotonic_s()
     report.wall_s = time.perf_counter() - started_at
     return report
 
@@ -125,15 +127,6 @@
     return dict(sorted(outcomes.items()))
 
 
-def _task_errors(chaos: ChaosRun) -> list[str]:
-    return [
-        f"task_error: {daemon.member.instance}: {error!r}"
-        for daemon in chaos.fleet.daemons.values()
-        for tasks in (daemon.tasks, daemon.cleanups)
-        for error in tasks.errors
-    ]
-
-
 def main(
     seed: int = 1, steps: int = 500, hours: float = 0.0, shrinking: bool = True
 ) -> None:
--- a/tests/endpoints/test_reservations.py
+++ b/tests/endpoints/test_reservations.py
@@ -63,6 +63,14 @@
 
 
 class ReservationTest(unittest.TestCase):
+    def test_request_that_cannot_start_in_time_is_refused_at_once(self):
+        async def scenario():
+            return await open_table().reserve(ask(time_left_s=0.001), "me")
+
+        reply = run_virtual(scenario)
+        self.assertEqual(reply.code, ResultCode.QUEUE_FULL)
+        self.assertGreater(reply.retry_after_s, 0)
+
     def test_unused_reservation_expires_by_the_askers_clock(self):
         async def scenario():
             client = client_of(open_table())
--- a/tests/experiments/test_checker.py
+++ b/tests/experiments/test_checker.py
@@ -86,7 +86,9 @@
     def test_late_missing_or_broken_answer(self):
         late = CallOutcome(result="ok", total_s=12)
         broken = CallOutcome(result="broken", ran="unknown")
+        internal = CallOutcome(result="internal", ran="unknown")
         cases = [
+            (internal, Rule.NO_INTERNAL_ERROR),
             (late, Rule.ENDS_IN_TIME),
             (None, Rule.ANSWERED),
             (broken, Rule.ANSWERED),
