Check whole answers, not run, time and stops where they are decided

EndChecks (routing/ends.py) asserts NOT_RUN, WHOLE_ANSWER, DEADLINE and AT_MOST_ONCE at the end of each request, and the drain asserts GRACEFUL_STOP (no reservation held). The time of a paused daemon or of a slow caller does not count against the deadline. The metric auburnswitch_invariant_violations counts each invariant by name. The fake placer of test_plain got what the checks read. test_no_place_after_a_lost_attempt_does_not_say_not_run passed at once: the placer already knows of the earlier attempt.

--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -36,7 +36,7 @@
 from auburnswitch.members.service import Membership
 from auburnswitch.members.strict import StrictRights
 from auburnswitch.members.view import MemberView
-from auburnswitch.observe.invariants import Invariants
+from auburnswitch.observe.invariants import Invariant, Invariants
 from auburnswitch.observe.logs import configure_logs, log_event
 from auburnswitch.observe.metrics import Metrics
 from auburnswitch.observe.tasks import TaskSet, open_task_set
@@ -108,6 +108,7 @@
         seed = settings.daemon.seed or secrets.randbits(_SEED_BITS)
         self.clock = WallClock()
         self.metrics = Metrics()
+        self.metrics.observe_counter("invariant_violations", invariants.observe)
         self.state = ConfigState()
         self.member = Member(
             id=f"{settings.daemon.instance}.{secrets.token_hex(4)}",
@@ -347,6 +348,8 @@
         await self.in_flight.idle.wait()
         while self.cleanups.tasks:
             await asyncio.sleep(DRAIN_POLL_S)
+        held = len(self.reservations.held)
+        self.invariants.check(not held, Invariant.GRACEFUL_STOP, held=held)
         self.view.leaving = True
         await self.membership.hand_over()
         await asyncio.sleep(self.settings.members.heartbeat_interval_s)
--- a/src/auburnswitch/observe/invariants.py
+++ b/src/auburnswitch/observe/invariants.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 import enum
-from typing import Any
+from typing import TYPE_CHECKING, Any
+
+from opentelemetry.metrics import Observation
 
 from auburnswitch.observe.logs import log_event
 from auburnswitch.schema.events import EventId
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from opentelemetry.metrics import CallbackOptions
+
 
 class Invariant(enum.Enum):
     """Names of the invariants."""
@@ -59,5 +66,11 @@
         if self.strict:
             raise InvariantError(f"{invariant.value}: {details}")
 
+    def observe(self, _: CallbackOptions) -> Iterator[Observation]:
+        """Yields the count of violations of each invariant."""
+        for invariant in Invariant:
+            count = self.violations.get(invariant, 0)
+            yield Observation(count, {"invariant": invariant.name.lower()})
+
 
 __all__ = ["Invariant", "InvariantError", "Invariants"]
--- a/src/auburnswitch/observe/metrics.py
+++ b/src/auburnswitch/observe/metrics.py
@@ -87,6 +87,12 @@
             f"auburnswitch_{name}", callbacks=[callback]
         )
 
+    def observe_counter(self, name: str, callback: CallbackT) -> None:
+        """Registers a counter that is read when metrics are collected."""
+        self.meter.create_observable_counter(
+            f"auburnswitch_{name}", callbacks=[callback]
+        )
+
     def export(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/src/auburnswitch/routing/dispatcher.py
+++ b/src/auburnswitch/routing/dispatcher.py
@@ -20,6 +20,7 @@
     AnswerStream,
     AnswerText,
 )
+from auburnswitch.routing.ends import EndChecks
 from auburnswitch.routing.groups import GroupReservation
 from auburnswitch.routing.progress import Progress
 from auburnswitch.schema.events import EventId
@@ -65,6 +66,7 @@
         budget: Retries that may still be made.
         limits: Admits requests within their teams' limits.
         groups: Runs prompts that are larger than one endpoint.
+        ends: What must hold when a request ends.
     """
 
     __slots__ = (
@@ -72,6 +74,7 @@
         "cleanups",
         "client",
         "crashes",
+        "ends",
         "groups",
         "limits",
         "member_id",
@@ -101,16 +104,20 @@
         self.budget = budget
         self.limits = limits
         self.groups = groups
+        self.ends = EndChecks(owner_table=placer.owner_table)
 
     async def run(self, request: RoutedRequest) -> AsyncIterator[AnswerPart]:
         """Yields the parts of the answer; the last one is its end."""
         if refused := self.limits.admit(request):
             yield AnswerFailed(refusal=refused)
             return
+        resumed_at = monotonic_s()
         try:
             async with contextlib.aclosing(self._run(request)) as parts:
                 async for part in parts:
+                    self._check_end(request, part, resumed_at)
                     yield part
+                    resumed_at = monotonic_s()
         finally:
             self.limits.finish(request)
 
@@ -135,6 +142,8 @@
                 attempt = self._attempt_on(request, placed, progress)
                 async with contextlib.aclosing(attempt) as parts:
                     async for part in parts:
+                        if isinstance(part, AnswerEnd):
+                            self.ends.check_whole(request, progress, part)
                         yield part
                 return
             except TimeoutError:
@@ -155,6 +164,16 @@
                 self._note_retry(request, placed, last_error)
         yield AnswerFailed(refusal=_failed(request, progress, last_error))
 
+    def _check_end(
+        self, request: RoutedRequest, part: AnswerPart, resumed_at: float
+    ) -> None:
+        match part:
+            case AnswerFailed(refusal=refused):
+                self.ends.check_refused(request, refused)
+                self.ends.check_time(request, resumed_at)
+            case AnswerEnd():
+                self.ends.check_time(request, resumed_at)
+
     async def _place(
         self, request: RoutedRequest, excluded: set[str]
     ) -> HeldReservation | GroupReservation | Refusal:
--- a/src/auburnswitch/routing/plain.py
+++ b/src/auburnswitch/routing/plain.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from auburnswitch.clock import monotonic_s
 from auburnswitch.endpoints.client import Attempt, EndpointFailureError
 from auburnswitch.http_client import send_once
 from auburnswitch.platform.claims import (
@@ -17,6 +18,7 @@
     hash_key,
 )
 from auburnswitch.results import Refusal, refusal
+from auburnswitch.routing.ends import EndChecks
 from auburnswitch.schema.objects import Claim, ClaimState
 from auburnswitch.schema.results import Ran, ResultCode
 
@@ -61,7 +63,7 @@
         limits: Admits requests within their teams' limits.
     """
 
-    __slots__ = ("claims", "client", "limits", "member_id", "placer")
+    __slots__ = ("claims", "client", "ends", "limits", "member_id", "placer")
 
     def __init__(
         self,
@@ -77,6 +79,7 @@
         self.claims = claims
         self.member_id = member_id
         self.limits = limits
+        self.ends = EndChecks(owner_table=placer.owner_table)
 
     async def run(
         self, request: RoutedRequest, call: PlainCall
@@ -84,10 +87,16 @@
         """Runs a request to its final answer."""
         if refused := self.limits.admit(request):
             return refused
+        started_at = monotonic_s()
         try:
-            return await self._run(request, call)
+            outcome = await self._run(request, call)
         finally:
             self.limits.finish(request)
+        if isinstance(outcome, Refusal):
+            self.ends.check_refused(request, outcome)
+        self.ends.check_runs(request)
+        self.ends.check_time(request, started_at)
+        return outcome
 
     async def _run(
         self, request: RoutedRequest, call: PlainCall
--- a/tests/routing/plain_support.py
+++ b/tests/routing/plain_support.py
@@ -13,13 +13,19 @@
 from auburnswitch.clock import WallClock, monotonic_s
 from auburnswitch.endpoints.client import Attempt, EndpointClient
 from auburnswitch.endpoints.reservations import HeldReservation
+from auburnswitch.members.view import MemberView
+from auburnswitch.observe.invariants import Invariants
 from auburnswitch.platform.claims import ClaimStore
 from auburnswitch.platform.store import ObjectStore
 from auburnswitch.routing.plain import PlainCall, PlainRouter
 from auburnswitch.routing.request import RoutedRequest
-from auburnswitch.schema.objects import Endpoint
+from auburnswitch.schema.objects import Endpoint, Member
 from auburnswitch.schema.peers import LengthClass, RunningWork
-from auburnswitch.schema.settings import EndpointsSettings, PlatformSettings
+from auburnswitch.schema.settings import (
+    EndpointsSettings,
+    MembersSettings,
+    PlatformSettings,
+)
 from auburnswitch.standins.listener import Listener, open_listener
 from auburnswitch.standins.platform import PlatformStandIn, open_platform
 from tests.virtual_time import SimulatedConnector
@@ -30,7 +36,11 @@
 
     def __init__(self, spec: Endpoint) -> None:
         state = SimpleNamespace(endpoints={"e": spec})
-        self.owner_table = SimpleNamespace(state=state)
+        self.owner_table = SimpleNamespace(
+            state=state,
+            invariants=Invariants(strict=True),
+            view=MemberView(me=Member(id="me"), settings=MembersSettings()),
+        )
         self.reservations = self
         self.refused = None
 
--- a/tests/routing/test_retries.py
+++ b/tests/routing/test_retries.py
@@ -90,6 +90,11 @@
         self.assertEqual(outcome.ran, "no")
         self.assertEqual(started, [])
 
+    def test_no_place_after_a_lost_attempt_does_not_say_not_run(self):
+        outcome, started = run_with_crash(engines=1, crash_after_s=0.5)
+        self.assertNotEqual(outcome.result, "ok")
+        self.assertEqual((outcome.ran, len(started)), ("unknown", 1))
+
     def test_never_past_the_deadline(self):
         outcome, _ = run_with_crash(
             engines=2, crash_after_s=0.9, extra_crashes=1
