Model the chunk that a less urgent prompt still takes

Cause: a hint's wait ran down with its age, and with it the 50 ms that a long prompt in prefill takes to give way, so endpoints with long prefill looked idle; and the model believed a short prompt done while the engine had still been busy with the long one's chunk. Now the chunk is part of the displaced prompt, a prompt counts until its first token, and the asker adds the chunk where the long wait says that one is in prefill.

--- a/src/auburnswitch/endpoints/admission.py
+++ b/src/auburnswitch/endpoints/admission.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
+from auburnswitch.endpoints.backlog import CHUNK_DELAY_S
 from auburnswitch.schema.peers import LengthClass
 
 if TYPE_CHECKING:
@@ -11,8 +12,6 @@
     from auburnswitch.schema.peers import ReserveRequest
     from auburnswitch.schema.settings import RoutingSettings
 
-CHUNK_DELAY_S: Final = 0.05  # until a prompt in prefill gives way
-
 
 def has_room(
     ledger: EndpointLedger, request: ReserveRequest, settings: RoutingSettings
@@ -71,7 +70,7 @@
     """Returns the time until a new prompt's prefill starts, in seconds."""
     rate = prefill_rate(ledger)
     ledger.backlog.update(ledger.reservations, rate)
-    wait_s = ledger.backlog.tokens_before(length) / rate
+    wait_s = ledger.backlog.wait_s(length, rate)
     if ledger.backlog.delays_by_chunk(length):
         wait_s += CHUNK_DELAY_S
     return wait_s
--- a/src/auburnswitch/endpoints/backlog.py
+++ b/src/auburnswitch/endpoints/backlog.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from auburnswitch.clock import monotonic_s
 
@@ -13,6 +13,9 @@
     from auburnswitch.endpoints.ledger import Reservation
     from auburnswitch.schema.peers import LengthClass
 
+CHUNK_DELAY_S: Final = 0.05  # until a prompt in prefill gives way
+OVERDUE_S: Final = 0.02
+
 
 @dataclass(slots=True, kw_only=True)
 class PrefillItem:
@@ -62,10 +65,11 @@
                 continue
             self._advance(reservation.granted_at, rate)
             self.granted += 1
+            left = float(reservation.prefill_tokens)
+            if self.delays_by_chunk(reservation.length_class):
+                left += CHUNK_DELAY_S * rate
             self.items[reservation.id] = PrefillItem(
-                length=reservation.length_class,
-                order=self.granted,
-                left=float(reservation.prefill_tokens),
+                length=reservation.length_class, order=self.granted, left=left
             )
         self._advance(monotonic_s(), rate)
         for held_id in list(self.items):
@@ -73,13 +77,23 @@
             if known is None or not known.prefill_tokens:
                 del self.items[held_id]
 
-    def tokens_before(self, length: LengthClass) -> float:
-        """Returns the tokens left that go before a new prompt."""
-        return sum(i.left for i in self.items.values() if i.length <= length)
+    def wait_s(self, length: LengthClass, rate: float) -> float:
+        """Returns the time that prompts before a new one take, in seconds.
+
+        A prompt without its first token is never believed to be done.
+        """
+        return sum(
+            max(i.left / rate, OVERDUE_S)
+            for i in self.items.values()
+            if i.length <= length
+        )
 
     def delays_by_chunk(self, length: LengthClass) -> bool:
-        """Tells whether a less urgent prompt is believed to be in prefill."""
-        return any(i.left and i.length > length for i in self.items.values())
+        """Tells whether a less urgent prompt must give way to a new one."""
+        items = self.items.values()
+        if any(item.length <= length for item in items):
+            return False  # one of them is in prefill, or goes first
+        return any(item.left for item in items)
 
     def _advance(self, until: float, rate: float) -> None:
         tokens = max(0.0, until - self.modelled_at) * rate
--- a/src/auburnswitch/experiments/placement.py
+++ b/src/auburnswitch/experiments/placement.py
@@ -120,7 +120,9 @@
             settings.endpoints.load_interval_s = BASELINE_LOAD_INTERVAL_S
 
     engine = EngineOptions(
-        starts_warm=True, prefill_tokens_per_second=PREFILL_TOKENS_PER_S
+        starts_warm=True,
+        warm_after=WARM_AFTER,
+        prefill_tokens_per_second=PREFILL_TOKENS_PER_S,
     )
     return FleetOptions(
         engines=ENGINES,
--- a/src/auburnswitch/experiments/zone_move.py
+++ b/src/auburnswitch/experiments/zone_move.py
@@ -144,6 +144,8 @@
                     summary.most_cold = most
             case HistoryKind.REQUEST_FINISHED | HistoryKind.REQUEST_CANCELLED:
                 running[record.actor] -= 1
+            case HistoryKind.CRASHED:
+                running[record.actor] = 0
     return summary
 
 
--- a/src/auburnswitch/routing/placement.py
+++ b/src/auburnswitch/routing/placement.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Final
 
 from auburnswitch.clock import monotonic_s
+from auburnswitch.endpoints.backlog import CHUNK_DELAY_S
 from auburnswitch.endpoints.phases import CLOSED_PHASES, STRICT_PHASES
 from auburnswitch.endpoints.reservations import (
     HeldReservation,
@@ -235,7 +236,10 @@
         wait_s = hint.short_wait_s
         if request.length_class is not LengthClass.SHORT:
             wait_s = hint.long_wait_s
-        return max(0.0, wait_s - age_s) + _penalty_s(request, hint)
+        left_s = max(0.0, wait_s - age_s)
+        if hint.long_wait_s - age_s > max(left_s, CHUNK_DELAY_S):
+            left_s = max(left_s, CHUNK_DELAY_S)  # a long prompt gives way
+        return left_s + _penalty_s(request, hint)
 
     async def _reserve(
         self,
