Prefer what was just heard to stale promises

Cause, seen by logging each ask at load 0.9: a quarter of the short requests used up their calls on endpoints whose hints, up to half a second old, promised no wait, and then queued blindly at another such endpoint (true wait there up to 0.7 s) although an owner had just told of a shorter one. Now a hint's age counts as a wait that may have come (0.2 s a second), and the last call goes to the best endpoint just heard of. More calls were not needed: 74% of the requests need one, 5% four.

--- a/src/auburnswitch/routing/placement.py
+++ b/src/auburnswitch/routing/placement.py
@@ -39,6 +39,9 @@
 ROUND_DELAY_S: Final = 0.05
 OWNER_WAIT_S: Final = 1.0
 WAIT_SLACK_S: Final = 0.01
+FRESH_S: Final = 0.05
+STALENESS: Final = 0.2  # wait that may have come, per second of a hint's age
+STALENESS_LIMIT_S: Final = 1.0
 UNKNOWN_PENALTY_S: Final = 0.5
 FULL_PENALTY_S: Final = 1.0
 SHORT_PROBES: Final = 4
@@ -144,7 +147,7 @@
 
         Each asks for the wait that the next best endpoint promises at most,
         so that a stale hint costs one call and no time. The last call waits
-        in the queue of the best endpoint.
+        in the queue of the best endpoint among those just heard of.
         """
         refusing: set[str] = set()
         last: Refusal | None = None
@@ -155,6 +158,7 @@
             limit_s = self._wait_limit_s(request, names)
             if probe == _probes(request) - 1:
                 limit_s = 0.0
+                names = [n for n in names if self._is_fresh(n)] or names
             waited_s = monotonic_s() - started_at
             reply = await self._reserve(request, names[0], limit_s, waited_s)
             if isinstance(reply, HeldReservation):
@@ -184,6 +188,14 @@
             return 0.0
         return self._wait_s(request, names[1]) + WAIT_SLACK_S
 
+    def _is_fresh(self, name: str) -> bool:
+        return self._hint_age_s(name) <= FRESH_S
+
+    def _hint_age_s(self, name: str) -> float:
+        if self.owner_table.owns(name):
+            return 0.0
+        return self.owner_table.hints.age_s(name)
+
     def _starts_too_late(
         self, request: RoutedRequest, excluded: set[str]
     ) -> bool:
@@ -230,16 +242,15 @@
     def _wait_s(self, request: RoutedRequest, name: str) -> float:
         """Returns the wait that the newest hint of an endpoint promises."""
         hint = self.owner_table.best_hint(name)
-        age_s = 0.0
-        if not self.owner_table.owns(name):
-            age_s = self.owner_table.hints.age_s(name)
+        age_s = self._hint_age_s(name)
         wait_s = hint.short_wait_s
         if request.length_class is not LengthClass.SHORT:
             wait_s = hint.long_wait_s
         left_s = max(0.0, wait_s - age_s)
         if hint.long_wait_s - age_s > max(left_s, CHUNK_DELAY_S):
             left_s = max(left_s, CHUNK_DELAY_S)  # a long prompt gives way
-        return left_s + _penalty_s(request, hint)
+        unseen_s = STALENESS * min(age_s, STALENESS_LIMIT_S)
+        return left_s + unseen_s + _penalty_s(request, hint)
 
     async def _reserve(
         self,
