--- a/src/auburnswitch/endpoints/reservations.py
+++ b/src/auburnswitch/endpoints/reservations.py
@@ -247,7 +247,9 @@
         hint = self.owner_table.best_hint(held.endpoint)
         if hint.phase in CLOSED_PHASES:
             return "the endpoint's owner grants no new work"
-        if held.use_before == float("inf") and hint.phase in STRICT_PHASES:
+        if hint.phase not in STRICT_PHASES or not held.owner_id:
+            return ""
+        if held.use_before == float("inf") or hint.boot_id != held.boot_id:
             return "the endpoint has turned cold since the grant"
         return ""
 
@@ -274,8 +276,10 @@
         granted_by: str,
         request: ReleaseRequest | ProgressRequest,
     ) -> None:
-        owner_id = self.owner_table.owner_of(endpoint)
-        for member_id in dict.fromkeys((owner_id, granted_by)):
+        members = [self.owner_table.owner_of(endpoint), granted_by]
+        if endpoint in self.owner_table.ledgers:
+            members.insert(0, self.owner_table.view.me.id)
+        for member_id in dict.fromkeys(members):
             await self.calls.send(member_id, request)
 
     def _apply(self, request: ReleaseRequest | ProgressRequest) -> None:
