--- a/src/auburnswitch/experiments/placement.py
+++ b/src/auburnswitch/experiments/placement.py
@@ -63,14 +63,16 @@
         load: Offered share of the prefill capacity.
         shared: Whether long prompts are among the requests.
         seed: Seed of the arrivals.
-        duration_s: Time over which requests arrive, in seconds; the first
-            ones, until the queues are full, are not counted.
+        ramp_s: Time until the queues are full, whose requests are not
+            counted, in seconds.
+        duration_s: Time over which counted requests arrive, in seconds.
     """
 
     policy: str
     load: float
     shared: bool = True
     seed: int = 1
+    ramp_s: float = RAMP_S
     duration_s: float = 300.0
 
 
@@ -91,7 +93,7 @@
         load=options.load,
         capacity=ENGINES * PREFILL_TOKENS_PER_S,
         daemons=DAEMONS,
-        duration_s=RAMP_S + options.duration_s,
+        duration_s=options.ramp_s + options.duration_s,
     )
     if not options.shared:
         arrivals = [a for a in arrivals if a.length is not LengthClass.LONG]
@@ -104,7 +106,7 @@
             policy=options.policy, load=options.load, shared=options.shared
         )
         summary.lengths = summarize_lengths(
-            [sample for sample in samples if sample.at_s >= RAMP_S]
+            [sample for sample in samples if sample.at_s >= options.ramp_s]
         )
     return summary
 
