Let newcomers of an outage find each other

Found by the hour without the store, seen red: a daemon started in the outage knew the roster's members and its seed, but not other newcomers, and refused work as isolated once the roster's members had been replaced. A state reply now names the daemons that the peer hears, and is also asked for when a peer hears daemons that are not known here.

--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -202,6 +202,8 @@
 struct StateReply {
   1: objects.Snapshot snapshot
   2: optional objects.Roster roster
+  // Daemons that the peer hears, so that newcomers find each other.
+  30: list<objects.Member> heard_members = []
 }
 
 // A leaving owner gives up its strict rights on endpoints.
--- a/src/auburnswitch/members/service.py
+++ b/src/auburnswitch/members/service.py
@@ -252,13 +252,18 @@
     async def _fetch_state(
         self, link: PeerLink, epoch: int, digest: str
     ) -> None:
-        if digest == self.state.digest and epoch <= self.view.roster.epoch:
+        current = (
+            digest == self.state.digest and epoch <= self.view.roster.epoch
+        )
+        if current and not self.view.misses_peers_of(link.member.id):
             return
         request = StateRequest(state_digest=self.state.digest)
         reply = await link.call_or_drop(request)
         if not isinstance(reply, StateReply):
             return
         self.state.join_snapshot(reply.snapshot)
+        for member in reply.heard_members:
+            self.view.note_member(member)
         if reply.roster is not None:
             self.view.note_roster(reply.roster)
 
@@ -292,7 +297,9 @@
 
     async def _on_state_request(self, _: Any, __: str) -> StateReply:
         return StateReply(
-            snapshot=self.state.snapshot(), roster=self.view.roster
+            snapshot=self.state.snapshot(),
+            roster=self.view.roster,
+            heard_members=self.view.heard_members(),
         )
 
 
--- a/src/auburnswitch/members/view.py
+++ b/src/auburnswitch/members/view.py
@@ -121,6 +121,18 @@
             if status.heard_at >= oldest
         }
 
+    def heard_members(self) -> list[Member]:
+        """Returns the peers heard lately."""
+        heard = self.heard_ids(self.settings.suspect_after_s)
+        return [self.peers[peer_id].member for peer_id in sorted(heard)]
+
+    def misses_peers_of(self, peer_id: str) -> bool:
+        """Tells whether a peer hears daemons that are not known here."""
+        status = self.peers.get(peer_id)
+        if status is None:
+            return False
+        return bool(status.heard_ids - self.peers.keys() - {self.me.id})
+
     def owner_of(self, endpoint: str) -> str:
         """Returns the live member that owns an endpoint, for soft rights."""
         return rendezvous_first(endpoint, self.live_ids())
--- a/src/auburnswitch/schema/peers.py
+++ b/src/auburnswitch/schema/peers.py
@@ -708,19 +708,26 @@
 
     snapshot: Snapshot = field(default_factory=Snapshot)
     roster: Roster | None = None
+    heard_members: list[Member] = field(default_factory=list)
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRUCT, "snapshot", Snapshot, False),
         2: (TType.STRUCT, "roster", Roster, False),
+        30: (TType.LIST, "heard_members", (TType.STRUCT, Member), False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("snapshot", None),
         ("roster", None),
+        ("heard_members", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
         "snapshot": Description(text="", options={}),
         "roster": Description(text="", options={}),
+        "heard_members": Description(
+            text="Daemons that the peer hears, so that newcomers find each other.",
+            options={},
+        ),
     }
 
 
