--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -17,7 +17,7 @@
 from auburnswitch.callers.app import CallerApp
 from auburnswitch.callers.in_flight import InFlightCounter
 from auburnswitch.callers.parse import RequestParser
-from auburnswitch.clock import WallClock, monotonic_s
+from auburnswitch.clock import WallClock
 from auburnswitch.endpoints.client import EndpointClient
 from auburnswitch.endpoints.fencing import FencingNumbers
 from auburnswitch.endpoints.handover import Handover
@@ -157,7 +157,6 @@
             isolation=self.isolation,
             state=self.state,
             tasks=self.tasks,
-            store_age_s=lambda: monotonic_s() - self.watcher.read_at,
             dial=dial,
         )
         self.membership.register(self.peer_server)
--- a/src/auburnswitch/members/isolation.py
+++ b/src/auburnswitch/members/isolation.py
@@ -74,6 +74,10 @@
         near = self.quorum_ids & (heard | {self.view.me.id})
         return bool(heard) and is_majority(near, self.quorum_ids)
 
+    def own_age_s(self) -> float:
+        """Returns the time since this daemon read the store."""
+        return monotonic_s() - self.read_at()
+
     def store_age_s(self) -> float:
         """Returns the time since anyone in this group read the store."""
         heard = self.view.heard_ids(self.view.settings.isolated_after_s)
--- a/src/auburnswitch/members/service.py
+++ b/src/auburnswitch/members/service.py
@@ -34,6 +34,7 @@
     from auburnswitch.schema.settings import Settings
 
 SEED_ID_PREFIX: Final = "seed:"
+LONGEST_AGE_S: Final = 1e9  # infinity is no time
 HANDOVER_ATTEMPTS: Final = 5
 HANDOVER_RETRY_S: Final = 0.2
 
@@ -51,7 +52,6 @@
         heartbeat_listeners: Called with each heartbeat received.
         handover_sources: Called to fill a hand-over to a successor.
         handover_listeners: Called with each hand-over received.
-        store_age_s: Tells the age of the last read of the store.
     """
 
     __slots__ = (
@@ -67,7 +67,6 @@
         "settings",
         "shared_key",
         "state",
-        "store_age_s",
         "strict_rights",
         "tasks",
         "view",
@@ -84,7 +83,6 @@
         isolation: Isolation,
         state: ConfigState,
         tasks: TaskSet,
-        store_age_s: Callable[[], float],
         dial: Dialer = asyncio.open_connection,
     ) -> None:
         self.settings = settings
@@ -95,7 +93,6 @@
         self.isolation = isolation
         self.state = state
         self.tasks = tasks
-        self.store_age_s = store_age_s
         self.dial = dial
         self.links: dict[str, PeerLink] = {}
         self.link_tasks: dict[str, list[asyncio.Task[Any]]] = {}
@@ -131,9 +128,7 @@
         await self._send_handovers(requests)
 
     def _note_roster(self, _: Roster) -> None:
-        for status in self.view.peers.values():
-            if status.member.id not in self.links:
-                self._open_link(status.member)
+        self._update_links()
         for link in self.links.values():
             link.beat_now.set()  # peers wait for this daemon to know it
         requests = self.strict_rights.pass_on(self.state.endpoints)
@@ -231,7 +226,7 @@
             state_digest=self.state.digest,
             leaving=self.view.leaving,
             heard=self.view.live_ids(),
-            store_age_s=min(self.store_age_s(), 1e9),
+            store_age_s=min(self.isolation.own_age_s(), LONGEST_AGE_S),
             former_ids=self.departures.own_former_ids(),
         )
         self.isolation.fill_heartbeat(heartbeat)
