Log isolation only after the time in which it could have ended

Found by the test of two daemons with one instance name, seen red: every start logged event 305 (error) before the first read of the store. The refusal itself is as before. The test also shows that event 332 is logged once and that neither daemon is removed.

--- a/src/auburnswitch/members/isolation.py
+++ b/src/auburnswitch/members/isolation.py
@@ -123,7 +123,10 @@
         """Follows the daemons that come and go; logs changes."""
         if self.has_majority():
             self._follow()
+        awake_s = monotonic_s() - self.view.awake_since
         isolated = self.is_isolated()
+        if isolated and awake_s < self.view.settings.isolated_after_s:
+            return  # it may just not have heard anyone yet
         if isolated != self.isolated:
             self.isolated = isolated
             event = EventId.ISOLATED if isolated else EventId.ISOLATION_ENDED
--- a/tests/members/test_roster.py
+++ b/tests/members/test_roster.py
@@ -146,3 +146,21 @@
                 return await until(lambda: agreed(fleet), 10)
 
         self.assertLess(run_virtual(scenario), 8)
+
+    def test_shared_instance_name_is_told_and_removes_nobody(self):
+        async def scenario():
+            async with open_cuttable(3) as (fleet, _):
+
+                def rename(settings):
+                    settings.daemon.instance = "entry-0"
+
+                fleet.options.tune = rename
+                with self.assertLogs("auburnswitch", logging.ERROR) as logs:
+                    await start(fleet, [3])
+                    await until(lambda: agreed(fleet), 5)
+                    await asyncio.sleep(30)
+                events = {record.event for record in logs.records}
+                self.assertEqual(events, {EventId.INSTANCE_NAME_SHARED})
+                self.assertTrue(agreed(fleet))
+
+        run_virtual(scenario)
