--- a/src/auburnswitch/experiments/placement.py
+++ b/src/auburnswitch/experiments/placement.py
@@ -9,6 +9,7 @@
 import concurrent.futures
 import json
 import multiprocessing
+import sys
 import time
 from dataclasses import dataclass
 from pathlib import Path
@@ -260,7 +261,11 @@
         mp_context=multiprocessing.get_context("spawn"),
         max_tasks_per_child=1,
     ) as pool:
-        return list(pool.map(run_policy, plan))
+        runs = []
+        for summary in pool.map(run_policy, plan):
+            print(*table_lines([summary])[2:], sep="\n", file=sys.stderr)
+            runs.append(summary)
+        return runs
 
 
 if __name__ == "__main__":
