--- a/tests/routing/test_team_limits.py
+++ b/tests/routing/test_team_limits.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import random
 import unittest
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from auburnswitch.experiments.caller import stream_completion
+from auburnswitch.experiments.fleet import (
+    CALLER_KEY,
+    MODEL,
+    TEAM,
+    FleetOptions,
+    open_fleet,
+)
 from auburnswitch.members.view import MemberView
 from auburnswitch.platform.state import ConfigState
 from auburnswitch.routing.request import RoutedRequest
@@ -17,7 +26,7 @@
 from auburnswitch.schema.peers import Heartbeat, LengthClass
 from auburnswitch.schema.results import ResultCode
 from auburnswitch.schema.settings import MembersSettings
-from tests.virtual_time import run_virtual
+from tests.virtual_time import SimulatedConnector, run_virtual
 
 DAEMONS = 9
 INTERVAL_S = 0.5
@@ -103,6 +112,40 @@
     return run_virtual(scenario)
 
 
+async def ask(fleet, number):
+    body = {"model": MODEL, "prompt": "p" * 8_000, "max_tokens": 64}
+    headers = {"Authorization": f"Bearer {CALLER_KEY}"}
+    url = fleet.caller_url(f"entry-{number % 3}")
+    return await stream_completion(fleet.session, url, body, headers)
+
+
+class WholePathTest(unittest.TestCase):
+    def test_second_request_in_flight_is_refused_by_any_daemon(self):
+        async def scenario():
+            options = FleetOptions(connector=SimulatedConnector)
+            async with open_fleet(options) as fleet:
+                digest = hashlib.sha256(CALLER_KEY.encode()).hexdigest()
+                team = Team(key_digests=[digest], max_in_flight=1)
+                change = Change(kind=ObjectKind.TEAM, name=TEAM, team=team)
+                await fleet.apply(fleet.ticket([change]))
+                await fleet.wait_in_force()
+                first = asyncio.create_task(ask(fleet, 0))
+                await asyncio.sleep(2 * INTERVAL_S)  # the usage has spread
+                others = [await ask(fleet, number) for number in range(3)]
+                result = (await first).result
+                await asyncio.sleep(2 * INTERVAL_S)
+                return result, others, await ask(fleet, 1)
+
+        first, others, after = run_virtual(scenario)
+        self.assertEqual(first, "ok")
+        for refused in others:
+            self.assertEqual(
+                (refused.result, refused.ran), ("team_limit", "no")
+            )
+            self.assertGreater(refused.retry_after_s, 0)
+        self.assertEqual(after.result, "ok")
+
+
 class TeamLimitsTest(unittest.TestCase):
     @settings(derandomize=True, deadline=None, max_examples=20)
     @given(st.integers(0, 10**6), st.sampled_from([2_000, 20_000, 100_000]))
