--- a/schema/objects.thrift
+++ b/schema/objects.thrift
@@ -145,6 +145,8 @@
   CLAIMED = 0
   // The outcome is recorded.
   DONE = 1
+  // The request was sent and ended without an answer.
+  UNKNOWN = 2
 }
 
 // A claim on one idempotency key.
@@ -165,11 +167,22 @@
   9: string member_id = ""
   // The recorded answer was too large to keep.
   10: bool body_dropped = false
+  // Wall-clock time after which the claimant does not send the request, in seconds since the epoch.
+  60: double dispatch_by = 0
+  // Wall-clock time at which the request ends at the latest, in seconds since the epoch.
+  61: double deadline_at = 0
 }
 
 // A group of claims stored as one value.
 struct ClaimShard {
   1: list<Claim> claims = []
+  // Names the two shards that took over this one's claims; empty while it has its own.
+  60: string split_into = ""
+}
+
+// How many shards the claims started with; the same for all daemons for ever.
+struct ClaimLayout {
+  1: i32 shards = 0
 }
 
 // The fencing number of orders to one endpoint.
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -66,10 +66,12 @@
   5: double calls_per_second = 40
   // Largest stored value. @unit bytes @min 1024 @max 16777216
   6: i64 max_value_bytes = 1000000
-  // Shards that share the idempotency claims. @min 1 @max 4096
+  // Shards that the idempotency claims start with; what the store already has goes first. @min 1 @max 4096
   7: i32 claim_shards = 16
-  // Time that an idempotency claim is kept. @unit seconds @min 1 @max 2592000
+  // Time that an idempotency claim is kept after its request's deadline. @unit seconds @min 1 @max 2592000
   8: double claim_retention_s = 86400
+  // Size at which a shard of claims is split into two. @unit bytes @min 1024 @max 1000000
+  60: i64 claim_split_bytes = 131072
 }
 
 // Membership of the daemons.
--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -22,6 +22,7 @@
 from auburnswitch.endpoints.monitor import LoadMonitor
 from auburnswitch.endpoints.owner import OwnerTable
 from auburnswitch.endpoints.reservations import ReservationClient
+from auburnswitch.http_client import open_client_session
 from auburnswitch.http_server import HttpServer, ListenError, open_http_server
 from auburnswitch.members.roster import ROSTER_KEY, RosterKeeper
 from auburnswitch.members.server import PeerServer
@@ -53,6 +54,7 @@
     from auburnswitch.schema.settings import Settings
 
 DRAIN_POLL_S: Final = 0.05
+CLAIM_FLUSH_TIMEOUT_S: Final = 5.0
 HEADER_MARGIN_BYTES: Final = 65536  # so that the refusal is a numbered one
 EXIT_OK: Final = 0
 EXIT_BAD_SETTINGS: Final = 2
@@ -172,17 +174,21 @@
             member_id=self.member.id,
             cleanups=self.cleanups,
         )
-        claims = ClaimStore(
+        self.claims = ClaimStore(
             store=self.store,
             settings=self.settings.platform,
             clock=self.clock,
             member_id=self.member.id,
+            tasks=self.tasks,
+            seed=seed,
+            is_gone=self.view.is_gone,
         )
         self.plain = PlainRouter(
             placer=placer,
             client=client,
-            claims=claims,
+            claims=self.claims,
             member_id=self.member.id,
+            invariants=self.invariants,
         )
 
     def _build_listeners(self) -> None:
@@ -281,8 +287,8 @@
     Raises:
         ListenError: A listener's address cannot be bound.
     """
-    session = aiohttp.ClientSession(
-        connector=connector() if connector else aiohttp.TCPConnector(limit=0)
+    session = open_client_session(
+        connector() if connector else aiohttp.TCPConnector(limit=0)
     )
     async with session, open_task_set() as tasks:
         daemon = Daemon(
--- /dev/null
+++ b/src/auburnswitch/experiments/claims_cost.py
@@ -0,0 +1,206 @@
+"""Measures claims a second and store writes per claim.
+
+Compares claims that are committed in groups with one object for each claim
+and a second write for its outcome, on the same stand-in and arrivals.
+
+Usage: python -m auburnswitch.experiments.claims_cost [--seconds 4]
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+from typing import TYPE_CHECKING, Final, Protocol
+
+import aiohttp
+import fire
+
+from auburnswitch.clock import WallClock, monotonic_s
+from auburnswitch.http_client import open_client_session
+from auburnswitch.observe.tasks import open_task_set
+from auburnswitch.platform.claim_shard import Claimed, ClaimOutcome
+from auburnswitch.platform.claims import ClaimStore, hash_key
+from auburnswitch.platform.store import ABSENT, ObjectStore
+from auburnswitch.schema.base import to_json
+from auburnswitch.schema.objects import Claim, ClaimState
+from auburnswitch.schema.settings import PlatformSettings
+from auburnswitch.standins.platform import PlatformStandIn, open_platform
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+DAEMONS: Final = 9
+SHARDS: Final = 16
+STORE_DELAY_S: Final = 0.003
+SERVICE_TIME_S: Final = 0.05
+RATES: Final = (20, 100, 400, 1200)
+ANSWER: Final = b'{"id": "b1", "slot": "09:00"}' * 4
+_HEAD: Final = (
+    "store     offered/s  claimed/s  refused  writes/claim  conflicts  "
+    "bytes/claim  p50 ms  p95 ms"
+)
+
+
+class Claims(Protocol):
+    """What both kinds of claim store offer."""
+
+    async def claim(
+        self, key_hash: str, request_hash: str, *, time_left_s: float
+    ) -> ClaimOutcome | None:
+        """Claims a key."""
+
+    async def record(
+        self, claim: Claim, status: int, content_type: str, body: bytes
+    ) -> None:
+        """Records an answer."""
+
+
+class OneObjectClaims:
+    """The baseline: creates an object for a claim and writes it again."""
+
+    __slots__ = ("store",)
+
+    def __init__(self, *, store: ObjectStore) -> None:
+        self.store = store
+
+    async def claim(
+        self, key_hash: str, request_hash: str, *, time_left_s: float
+    ) -> ClaimOutcome | None:
+        """Claims a key by creating its object."""
+        claim = Claim(
+            key_hash=key_hash,
+            request_hash=request_hash,
+            deadline_at=monotonic_s() + time_left_s,
+        )
+        put = await self.store.put(
+            f"claims/{key_hash}", to_json(claim), expected_version=ABSENT
+        )
+        return Claimed(claim=claim) if put.is_ok() else None
+
+    async def record(
+        self, claim: Claim, status: int, content_type: str, body: bytes
+    ) -> None:
+        """Writes the claim again with its answer."""
+        claim.state, claim.status = ClaimState.DONE, status
+        claim.content_type, claim.body = content_type, body.decode()
+        await self.store.put(f"claims/{claim.key_hash}", to_json(claim))
+
+
+class Load:
+    """Bookings that arrive at a rate at all daemons.
+
+    Attributes:
+        latencies_s: Time that each claim took, in seconds.
+        refused: Claims that failed.
+    """
+
+    __slots__ = ("latencies_s", "random", "refused")
+
+    def __init__(self) -> None:
+        self.latencies_s: list[float] = []
+        self.refused = 0
+        self.random = random.Random(1)
+
+    async def run(
+        self, claims: list[Claims], rate: float, seconds: float
+    ) -> float:
+        """Offers bookings; returns the time until the last had ended."""
+        started = time.perf_counter()
+        async with asyncio.TaskGroup() as group:
+            at_s = 0.0
+            while (at_s := at_s + self.random.expovariate(rate)) < seconds:
+                wait_s = started + at_s - time.perf_counter()
+                if wait_s > 0:
+                    await asyncio.sleep(wait_s)
+                key = hash_key("team", "service", str(self.random.random()))
+                group.create_task(self._book(self.random.choice(claims), key))
+        return time.perf_counter() - started
+
+    async def _book(self, claims: Claims, key: str) -> None:
+        started = time.perf_counter()
+        match await claims.claim(key, "", time_left_s=10):
+            case Claimed(claim=claim):
+                self.latencies_s.append(time.perf_counter() - started)
+                await asyncio.sleep(SERVICE_TIME_S)
+                await claims.record(claim, 201, "application/json", ANSWER)
+            case _:
+                self.refused += 1
+
+
+@contextlib.asynccontextmanager
+async def open_claim_stores(
+    platform: PlatformStandIn, *, grouped: bool
+) -> AsyncIterator[list[Claims]]:
+    """Opens the claim stores of all daemons."""
+    async with contextlib.AsyncExitStack() as stack:
+        tasks = await stack.enter_async_context(open_task_set())
+        stores: list[Claims] = []
+        for number in range(DAEMONS):
+            session = await stack.enter_async_context(
+                open_client_session(aiohttp.TCPConnector(limit=0))
+            )
+            settings = PlatformSettings(url=platform.url, claim_shards=SHARDS)
+            store = ObjectStore(settings=settings, session=session)
+            if not grouped:
+                stores.append(OneObjectClaims(store=store))
+                continue
+            stores.append(
+                ClaimStore(
+                    store=store,
+                    settings=settings,
+                    clock=WallClock(),
+                    member_id=str(number),
+                    tasks=tasks,
+                    seed=number,
+                )
+            )
+        yield stores
+
+
+async def measure(rate: float, seconds: float, *, grouped: bool) -> str:
+    """Offers one rate to one kind of claim store; returns a row."""
+    async with (
+        open_platform() as platform,
+        open_claim_stores(platform, grouped=grouped) as stores,
+    ):
+        platform.delay_s = STORE_DELAY_S
+        load = Load()
+        took_s = await load.run(stores, rate, seconds)
+        claimed = len(load.latencies_s)
+        values = sorted(load.latencies_s) or [0.0]
+        sizes = [len(str(o.value)) for o in platform.store.objects.values()]
+        return (
+            f"{'grouped' if grouped else 'one each':8}  {rate:9}  "
+            f"{claimed / took_s:9.0f}  {load.refused:7}  "
+            f"{platform.calls['put'] / max(1, claimed):12.2f}  "
+            f"{platform.statuses[412]:9}  "
+            f"{sum(sizes) / max(1, claimed):11.0f}  "
+            f"{1000 * values[len(values) // 2]:6.1f}  "
+            f"{1000 * values[len(values) * 95 // 100]:6.1f}"
+        )
+
+
+async def run_all(seconds: float) -> None:
+    """Prints a row for each rate and kind."""
+    print(_HEAD)
+    for rate in RATES:
+        for grouped in (False, True):
+            print(await measure(rate, seconds, grouped=grouped), flush=True)
+
+
+def main(seconds: float = 4.0) -> None:
+    """Runs the measurement.
+
+    Args:
+        seconds: Time that each rate is offered.
+    """
+    asyncio.run(run_all(min(seconds, 60.0)))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
+
+
+__all__ = ["OneObjectClaims", "main", "measure"]
--- a/src/auburnswitch/members/view.py
+++ b/src/auburnswitch/members/view.py
@@ -124,6 +124,12 @@
         """Returns the ids of the agreed members."""
         return [member.id for member in self.roster.members]
 
+    def is_gone(self, member_id: str) -> bool:
+        """Tells whether a member has left the roster and is not heard."""
+        if not self.roster.epoch or member_id in self.roster_ids():
+            return False
+        return member_id not in self.live_ids()
+
     def quorum_at(self) -> float:
         """Returns the time up to which a majority has acknowledged the epoch.
 
--- /dev/null
+++ b/src/auburnswitch/platform/claim_shard.py
@@ -0,0 +1,210 @@
+"""The contents of one shard of claims and the changes made to them."""
+
+from __future__ import annotations
+
+import dataclasses
+from dataclasses import dataclass
+from typing import Any, Final
+
+from auburnswitch.schema.base import SchemaError, from_json, to_json
+from auburnswitch.schema.objects import Claim, ClaimState
+
+MAX_CLOCK_SKEW_S: Final = 5.0
+_DEFAULTS: Final = to_json(Claim())
+_FINAL_STATES: Final = frozenset(
+    state.name.lower() for state in (ClaimState.DONE, ClaimState.UNKNOWN)
+)
+
+
+@dataclass(slots=True, kw_only=True)
+class AddClaim:
+    """Claims a key that is not claimed yet."""
+
+    claim: Claim
+
+
+@dataclass(slots=True, kw_only=True)
+class RecordOutcome:
+    """Records the outcome of a claim; only the owner of its nonce may."""
+
+    claim: Claim
+
+
+@dataclass(slots=True, kw_only=True)
+class DropClaim:
+    """Removes the claim of a request that was certainly not sent."""
+
+    claim: Claim
+
+
+ShardChange = AddClaim | RecordOutcome | DropClaim
+
+
+@dataclass(slots=True, kw_only=True)
+class Claimed:
+    """This daemon holds the claim and may dispatch once."""
+
+    claim: Claim
+
+
+@dataclass(slots=True, kw_only=True)
+class AlreadyClaimed:
+    """Another request claimed the key before.
+
+    Attributes:
+        claim: The earlier claim, with its outcome if that is recorded.
+        same_request: Whether it was for the same request.
+    """
+
+    claim: Claim
+    same_request: bool
+
+
+@dataclass(slots=True, kw_only=True)
+class ClaimUnavailable:
+    """The store gave no answer, so nothing may be dispatched."""
+
+    reason: str
+
+
+ClaimOutcome = Claimed | AlreadyClaimed | ClaimUnavailable
+
+
+class ShardContents:
+    """What a shard holds; its claims stay in their stored form.
+
+    Attributes:
+        claims: Stored form of each claim, by key hash.
+        split_into: Suffix of the two shards that took over, or empty.
+        version: Version of the stored object.
+        fresh: Read from the store for the present commit.
+        changed: Differs from what is stored.
+    """
+
+    __slots__ = ("changed", "claims", "fresh", "split_into", "version")
+
+    def __init__(
+        self, *, value: Any = None, version: int = 0, fresh: bool = False
+    ) -> None:
+        value = value or {}
+        self.claims: dict[str, dict[str, Any]] = {
+            item["key_hash"]: item for item in value.get("claims", [])
+        }
+        self.split_into: str = value.get("split_into", "")
+        self.version = version
+        self.fresh = fresh
+        self.changed = False
+
+    def copy(self) -> ShardContents:
+        """Returns a copy whose changes do not show here."""
+        copied = ShardContents(version=self.version, fresh=self.fresh)
+        copied.claims = dict(self.claims)
+        copied.split_into = self.split_into
+        return copied
+
+    def apply(self, change: ShardChange) -> ClaimOutcome:
+        """Makes a change; its outcome holds once the shard is stored."""
+        claim = change.claim
+        stored = self.claims.get(claim.key_hash)
+        mine = stored is not None and stored["nonce"] == claim.nonce
+        match change:
+            case AddClaim() if stored is not None:
+                return _found(claim, stored)
+            case DropClaim():
+                self.changed = True  # voids writes that are still under way
+                if mine and stored.get("state") not in _FINAL_STATES:
+                    del self.claims[claim.key_hash]
+            case RecordOutcome() if not mine:
+                pass
+            case _:
+                self.changed = True
+                self.claims[claim.key_hash] = encode_claim(claim)
+        return Claimed(claim=claim)
+
+    def prune(self, now_s: float) -> None:
+        """Removes the claims whose time is over."""
+        oldest = now_s - MAX_CLOCK_SKEW_S
+        self.claims = {
+            key: stored
+            for key, stored in self.claims.items()
+            if stored.get("expires_at", 0.0) >= oldest
+        }
+
+    def to_json(self) -> dict[str, Any]:
+        """Returns the value to store."""
+        if self.split_into:
+            return {"split_into": self.split_into}
+        return {"claims": list(self.claims.values())}
+
+    def half(self, depth: int, bit: int) -> ShardContents:
+        """Returns the half of the claims that goes to one of two shards."""
+        contents = ShardContents()
+        contents.claims = {
+            key: stored
+            for key, stored in self.claims.items()
+            if split_bit(key, depth) == bit
+        }
+        return contents
+
+
+def encode_claim(claim: Claim) -> dict[str, Any]:
+    """Returns a claim's stored form, without fields that have defaults."""
+    return {
+        name: value
+        for name, value in to_json(claim).items()
+        if value != _DEFAULTS[name]
+    }
+
+
+def is_final(outcome: ClaimOutcome) -> bool:
+    """Tells whether an outcome cannot change any more."""
+    match outcome:
+        case AlreadyClaimed(claim=claim):
+            return claim.state != ClaimState.CLAIMED
+    return False
+
+
+def first_shard(key_hash: str, shards: int) -> int:
+    """Returns the number of the shard that a key starts in."""
+    return int(key_hash[:8], 16) % shards
+
+
+def split_bit(key_hash: str, depth: int) -> int:
+    """Returns which of two shards a key goes to at a split."""
+    return int(key_hash[8:], 16) >> depth & 1
+
+
+def _found(claim: Claim, stored: dict[str, Any]) -> ClaimOutcome:
+    try:
+        earlier = from_json(Claim, stored)
+    except SchemaError as error:
+        return ClaimUnavailable(reason=f"a stored claim is damaged: {error}")
+    if earlier.nonce == claim.nonce:
+        return Claimed(claim=claim)  # an earlier write took effect
+    return AlreadyClaimed(
+        claim=earlier, same_request=earlier.request_hash == claim.request_hash
+    )
+
+
+def finished_claim(claim: Claim, **outcome: Any) -> Claim:
+    """Returns a copy of a claim with its outcome."""
+    return dataclasses.replace(claim, **outcome)
+
+
+__all__ = [
+    "MAX_CLOCK_SKEW_S",
+    "AddClaim",
+    "AlreadyClaimed",
+    "ClaimOutcome",
+    "ClaimUnavailable",
+    "Claimed",
+    "DropClaim",
+    "RecordOutcome",
+    "ShardChange",
+    "ShardContents",
+    "encode_claim",
+    "finished_claim",
+    "first_shard",
+    "is_final",
+    "split_bit",
+]
--- /dev/null
+++ b/src/auburnswitch/platform/claim_writer.py
@@ -0,0 +1,311 @@
+"""Commits the changes of one shard of claims in groups."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from typing import TYPE_CHECKING, Any, Final
+
+from expression import Result
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.platform.claim_shard import (
+    AddClaim,
+    ClaimOutcome,
+    ClaimUnavailable,
+    DropClaim,
+    ShardChange,
+    ShardContents,
+    is_final,
+)
+from auburnswitch.platform.store import (
+    ABSENT,
+    StoredObject,
+    StoreUnavailable,
+    VersionConflict,
+)
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from auburnswitch.clock import WallClock
+    from auburnswitch.observe.tasks import TaskSet
+    from auburnswitch.platform.store import ObjectStore
+    from auburnswitch.schema.settings import PlatformSettings
+
+MAX_BATCH: Final = 100
+COMMIT_TIME_S: Final = 4.0
+CONFLICT_DELAY_S: Final = 0.005
+LONGEST_CONFLICT_DELAY_S: Final = 0.1
+FIRST_RETRY_DELAY_S: Final = 0.2
+LONGEST_RETRY_DELAY_S: Final = 5.0
+
+
+class PendingChange:
+    """A change that waits for its commit.
+
+    Attributes:
+        change: The change.
+        outcome: What came of it.
+        written: A write that holds it may have taken effect.
+    """
+
+    __slots__ = ("change", "outcome", "written")
+
+    def __init__(self, *, change: ShardChange) -> None:
+        self.change = change
+        self.outcome: asyncio.Future[ClaimOutcome] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.written = False
+
+    def wanted(self) -> bool:
+        """Tells whether the change still has to be committed."""
+        if self.written or not isinstance(self.change, AddClaim):
+            return True
+        return not self.outcome.done()
+
+    def resolve(self, outcome: ClaimOutcome) -> None:
+        """Sets the outcome unless nobody waits for it any more."""
+        if not self.outcome.done():
+            self.outcome.set_result(outcome)
+
+
+class ShardWriter:
+    """Commits all waiting changes of a shard in one conditional write.
+
+    While a commit is under way, further changes gather for the next one. A
+    claim that cannot be committed fails; outcomes and drops are tried again
+    until the store takes them or the claim has expired.
+
+    Attributes:
+        key: Key of the stored object.
+        depth: Splits that led to this shard.
+        waiting: Changes of the next commit.
+        contents: What the shard was last known to hold.
+        split_into: Suffix of the shards that took over, or empty.
+        commits: Conditional writes that took effect.
+    """
+
+    __slots__ = (
+        "clock",
+        "commits",
+        "contents",
+        "depth",
+        "key",
+        "random",
+        "route",
+        "settings",
+        "split_into",
+        "store",
+        "task",
+        "tasks",
+        "waiting",
+        "wake",
+    )
+
+    def __init__(
+        self,
+        *,
+        key: str,
+        depth: int,
+        store: ObjectStore,
+        settings: PlatformSettings,
+        clock: WallClock,
+        tasks: TaskSet,
+        random: random.Random,
+        route: Callable[[PendingChange], None],
+    ) -> None:
+        self.key = key
+        self.depth = depth
+        self.store = store
+        self.settings = settings
+        self.clock = clock
+        self.tasks = tasks
+        self.random = random
+        self.route = route
+        self.waiting: list[PendingChange] = []
+        self.wake = asyncio.Event()
+        self.task: asyncio.Task[Any] | None = None
+        self.contents: ShardContents | None = None
+        self.split_into = ""
+        self.commits = 0
+
+    def submit(self, pending: PendingChange) -> None:
+        """Adds a change to the next commit."""
+        self.waiting.append(pending)
+        self.wake.set()
+        if self.task is None or self.task.done():
+            self.task = self.tasks.start(self._run(), f"commit {self.key}")
+
+    async def _run(self) -> None:
+        delay_s = FIRST_RETRY_DELAY_S
+        while self.waiting:
+            batch = self.waiting[:MAX_BATCH]
+            self.waiting = self.waiting[MAX_BATCH:]
+            failure = await self._commit(batch)
+            if failure is None:
+                delay_s = FIRST_RETRY_DELAY_S
+                continue
+            self._fail(batch, failure)
+            await self._back_off(delay_s)
+            delay_s = min(2 * delay_s, LONGEST_RETRY_DELAY_S)
+
+    async def _back_off(self, delay_s: float) -> None:
+        self.wake.clear()
+        try:
+            async with asyncio.timeout(delay_s * self.random.uniform(0.5, 1)):
+                await self.wake.wait()
+        except TimeoutError:
+            return
+
+    def _fail(self, batch: list[PendingChange], reason: str) -> None:
+        now_s = self.clock.now_s()
+        kept: list[PendingChange] = []
+        for pending in batch:
+            claim = pending.change.claim
+            if claim.expires_at < now_s:
+                pending.resolve(ClaimUnavailable(reason="the claim expired"))
+            elif not isinstance(pending.change, AddClaim):
+                kept.append(pending)
+            else:
+                pending.resolve(ClaimUnavailable(reason=reason))
+                if pending.written:
+                    drop = DropClaim(claim=claim)
+                    kept.append(PendingChange(change=drop))
+        self.waiting = kept + self.waiting
+
+    async def _commit(self, batch: list[PendingChange]) -> str | None:
+        """Commits a batch; returns why it could not, or None."""
+        give_up_at = monotonic_s() + COMMIT_TIME_S
+        delay_s = CONFLICT_DELAY_S
+        reason = "the shard is too busy"
+        if self.contents is not None:
+            self.contents.fresh = False
+        while monotonic_s() < give_up_at:
+            batch[:] = [pending for pending in batch if pending.wanted()]
+            if not batch:
+                return None
+            read = await self._read()
+            if isinstance(read, StoreUnavailable):
+                return read.reason
+            if read.split_into:
+                self._hand_over(read, batch)
+                return None
+            draft = read.copy()
+            draft.prune(self.clock.now_s())
+            outcomes = [draft.apply(pending.change) for pending in batch]
+            if not draft.changed:
+                if read.fresh or all(map(is_final, outcomes)):
+                    self._resolve(batch, outcomes)
+                    return None
+                self.contents = None
+                continue
+            match await self._write(draft, batch):
+                case Result(tag="ok"):
+                    self._resolve(batch, outcomes)
+                    await self._split_if_large()
+                    return None
+                case Result(error=VersionConflict()):
+                    reason = "the shard is too busy"
+                    await asyncio.sleep(delay_s * self.random.random())
+                    delay_s = min(2 * delay_s, LONGEST_CONFLICT_DELAY_S)
+                case Result(error=StoreUnavailable() as error):
+                    if not error.outcome_unknown:
+                        return error.reason
+                    reason = error.reason
+                case _:
+                    if not await self._split(read):
+                        return "the shard of claims is full"
+        return reason
+
+    async def _read(self) -> ShardContents | StoreUnavailable:
+        if self.contents is not None:
+            return self.contents
+        match await self.store.get(self.key):
+            case Result(tag="ok", ok=StoredObject() as stored):
+                self.contents = ShardContents(
+                    value=stored.value, version=stored.version, fresh=True
+                )
+            case Result(tag="ok"):
+                self.contents = ShardContents(version=ABSENT, fresh=True)
+            case Result(error=error):
+                return error
+        return self.contents
+
+    async def _write(
+        self, draft: ShardContents, batch: list[PendingChange]
+    ) -> Result[int, Any]:
+        for pending in batch:
+            pending.written = True
+        self.contents = None  # unknown until the write is answered
+        put = await self.store.put(
+            self.key, draft.to_json(), expected_version=draft.version
+        )
+        match put:
+            case Result(tag="ok", ok=version):
+                draft.version = version
+                draft.fresh = draft.changed = False
+                self.contents = draft
+                self.commits += 1
+        return put
+
+    def _resolve(
+        self, batch: list[PendingChange], outcomes: list[ClaimOutcome]
+    ) -> None:
+        for pending, outcome in zip(batch, outcomes, strict=True):
+            pending.resolve(outcome)
+
+    def _hand_over(
+        self, contents: ShardContents, batch: list[PendingChange]
+    ) -> None:
+        self.split_into = contents.split_into
+        self.contents = None
+        waiting, self.waiting = self.waiting, []
+        for pending in batch + waiting:
+            self.route(pending)
+
+    async def _split_if_large(self) -> None:
+        contents = self.contents
+        if contents is None or len(contents.claims) < 2:
+            return
+        if self.store.size_bytes(contents.to_json()) > (
+            self.settings.claim_split_bytes
+        ):
+            await self._split(contents)
+
+    async def _split(self, contents: ShardContents) -> bool:
+        """Moves the claims to two new shards; returns whether it did.
+
+        The new shards have names of their own, so that daemons which split
+        at the same time do not meet; the conditional write of the old shard
+        decides whose are taken. It fails if a claim has come since.
+        """
+        if len(contents.claims) < 2:
+            return False
+        suffix = secrets.token_hex(4)
+        for bit in (0, 1):
+            half = contents.half(self.depth, bit)
+            put = await self.store.put(
+                child_key(self.key, suffix, bit),
+                half.to_json(),
+                expected_version=ABSENT,
+            )
+            if put.is_error():
+                return False
+        pointer = ShardContents(version=contents.version)
+        pointer.split_into = suffix
+        self.contents = None  # the next commit reads what was decided
+        put = await self.store.put(
+            self.key, pointer.to_json(), expected_version=contents.version
+        )
+        return put.is_ok()
+
+
+def child_key(key: str, suffix: str, bit: int) -> str:
+    """Returns the key of one of the two shards that took over."""
+    return f"{key}.{suffix}{bit}"
+
+
+__all__ = ["PendingChange", "ShardWriter", "child_key"]
--- a/src/auburnswitch/platform/claims.py
+++ b/src/auburnswitch/platform/claims.py
@@ -2,14 +2,33 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import hashlib
+import random
 import secrets
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from expression import Result
 
+from auburnswitch.platform.claim_shard import (
+    MAX_CLOCK_SKEW_S,
+    AddClaim,
+    AlreadyClaimed,
+    Claimed,
+    ClaimOutcome,
+    ClaimUnavailable,
+    DropClaim,
+    RecordOutcome,
+    finished_claim,
+    first_shard,
+    split_bit,
+)
+from auburnswitch.platform.claim_writer import (
+    PendingChange,
+    ShardWriter,
+    child_key,
+)
 from auburnswitch.platform.store import (
     ABSENT,
     StoredObject,
@@ -17,45 +36,22 @@
     VersionConflict,
 )
 from auburnswitch.schema.base import from_json, to_json
-from auburnswitch.schema.objects import Claim, ClaimState
+from auburnswitch.schema.objects import Claim, ClaimLayout, ClaimState
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from auburnswitch.clock import WallClock
+    from auburnswitch.observe.tasks import TaskSet
     from auburnswitch.platform.store import ObjectStore
     from auburnswitch.schema.settings import PlatformSettings
 
 CLAIMS_PREFIX: Final = "claims/"
+LAYOUT_KEY: Final = "claim-layout"
 MAX_RECORDED_BYTES: Final = 4096
-
-
-@dataclass(slots=True, kw_only=True)
-class Claimed:
-    """This daemon holds the claim and may dispatch once."""
-
-    claim: Claim
-
-
-@dataclass(slots=True, kw_only=True)
-class AlreadyClaimed:
-    """Another request claimed the key before.
-
-    Attributes:
-        claim: The earlier claim, with its outcome if that is recorded.
-        same_request: Whether it was for the same request.
-    """
-
-    claim: Claim
-    same_request: bool
-
-
-@dataclass(slots=True, kw_only=True)
-class ClaimUnavailable:
-    """The store gave no answer, so nothing may be dispatched."""
-
-    reason: str
-
-
-ClaimOutcome = Claimed | AlreadyClaimed | ClaimUnavailable
+DISPATCH_WINDOW_S: Final = 10.0
+CLAIM_WAIT_S: Final = 5.0
+RECORD_WAIT_S: Final = 1.0
 
 
 def hash_key(team: str, service: str, key: str) -> str:
@@ -65,14 +61,28 @@
 
 
 class ClaimStore:
-    """Claims keys by creating their object, which only one caller can.
+    """Claims keys, so that only one request of all daemons is dispatched.
 
     Attributes:
         store: The platform's store.
-        settings: How long claims are kept.
+        settings: How long claims are kept and when shards are split.
+        is_gone: Tells whether a member is known to have ended.
+        writers: Writers of the shards in use, by key.
+        shards: Shards that the claims started with; 0 until it is known.
     """
 
-    __slots__ = ("clock", "member_id", "settings", "store")
+    __slots__ = (
+        "clock",
+        "is_gone",
+        "layout_lock",
+        "member_id",
+        "random",
+        "settings",
+        "shards",
+        "store",
+        "tasks",
+        "writers",
+    )
 
     def __init__(
         self,
@@ -81,67 +91,172 @@
         settings: PlatformSettings,
         clock: WallClock,
         member_id: str,
+        tasks: TaskSet,
+        seed: int = 0,
+        is_gone: Callable[[str], bool] = lambda member_id: False,
     ) -> None:
         self.store = store
         self.settings = settings
         self.clock = clock
         self.member_id = member_id
+        self.tasks = tasks
+        self.random = random.Random(seed)
+        self.is_gone = is_gone
+        self.writers: dict[str, ShardWriter] = {}
+        self.shards = 0
+        self.layout_lock = asyncio.Lock()
+
+    async def claim(
+        self, key_hash: str, request_hash: str, *, time_left_s: float
+    ) -> ClaimOutcome:
+        """Claims a key, or returns the earlier claim.
+
+        Args:
+            key_hash: What `hash_key` returned.
+            request_hash: Recognises the same request.
+            time_left_s: Time until the request's deadline, in seconds.
+
+        Returns:
+            The claim. After `Claimed` the request may be sent once, before
+            the claim's ``dispatch_by``; after anything else it must not be.
+        """
+        claim = self._new_claim(key_hash, request_hash, time_left_s)
+        pending = PendingChange(change=AddClaim(claim=claim))
+        try:
+            async with asyncio.timeout(min(CLAIM_WAIT_S, time_left_s)):
+                unavailable = await self._find_layout()
+                if unavailable is not None:
+                    return ClaimUnavailable(reason=unavailable.reason)
+                self._route(pending)
+                return await pending.outcome
+        except TimeoutError:
+            self._drop_if_written(pending)
+            return ClaimUnavailable(reason="the claim took too long")
+        except asyncio.CancelledError:
+            self._drop_if_written(pending)
+            raise
 
-    async def claim(self, key_hash: str, request_hash: str) -> ClaimOutcome:
-        """Claims a key, or returns the earlier claim."""
-        claim = Claim(
+    async def record(
+        self, claim: Claim, status: int, content_type: str, body: bytes
+    ) -> None:
+        """Records the answer to a claimed request.
+
+        Waits for the commit for a short time only; it goes on after that.
+        """
+        dropped = len(body) > MAX_RECORDED_BYTES
+        text = "" if dropped else base64.b64encode(body).decode("ascii")
+        done = finished_claim(
+            claim,
+            state=ClaimState.DONE,
+            status=status,
+            content_type=content_type,
+            body=text,
+            body_dropped=dropped,
+        )
+        pending = PendingChange(change=RecordOutcome(claim=done))
+        self._route(pending)
+        await asyncio.wait({pending.outcome}, timeout=RECORD_WAIT_S)
+
+    def record_unknown(self, claim: Claim) -> None:
+        """Records that a claimed request was sent and has no known outcome."""
+        unknown = finished_claim(claim, state=ClaimState.UNKNOWN)
+        self._route(PendingChange(change=RecordOutcome(claim=unknown)))
+
+    def drop(self, claim: Claim) -> None:
+        """Drops the claim of a request that was certainly not sent."""
+        if self.shards:
+            self._route(PendingChange(change=DropClaim(claim=claim)))
+
+    def _drop_if_written(self, pending: PendingChange) -> None:
+        if pending.written:
+            self.drop(pending.change.claim)
+
+    async def flush(self, timeout_s: float) -> None:
+        """Waits until all changes are committed, up to a timeout."""
+        running = [w.task for w in self.writers.values() if w.task is not None]
+        if running:
+            await asyncio.wait(running, timeout=timeout_s)
+
+    def in_progress(self, claim: Claim) -> bool:
+        """Tells whether a claim without an outcome may still get one.
+
+        While its claimant may still send the request, it always may.
+        """
+        if claim.state != ClaimState.CLAIMED:
+            return False
+        now_s = self.clock.now_s() - MAX_CLOCK_SKEW_S
+        if now_s <= claim.dispatch_by:
+            return True
+        return now_s <= claim.deadline_at and not self.is_gone(claim.member_id)
+
+    def _new_claim(
+        self, key_hash: str, request_hash: str, time_left_s: float
+    ) -> Claim:
+        now_s = self.clock.now_s()
+        deadline_at = now_s + time_left_s
+        return Claim(
             key_hash=key_hash,
             request_hash=request_hash,
             nonce=secrets.token_hex(8),
-            expires_at=self.clock.now_s() + self.settings.claim_retention_s,
             member_id=self.member_id,
+            dispatch_by=min(deadline_at, now_s + DISPATCH_WINDOW_S),
+            deadline_at=deadline_at,
+            expires_at=deadline_at + self.settings.claim_retention_s,
         )
-        put = await self.store.put(
-            CLAIMS_PREFIX + key_hash, to_json(claim), expected_version=ABSENT
-        )
-        match put:
-            case Result(tag="ok"):
-                return Claimed(claim=claim)
-            case Result(error=VersionConflict()):
-                return await self._read_back(claim)
-            case Result(error=StoreUnavailable(outcome_unknown=True)):
-                return await self._read_back(claim)
-            case Result(error=error):
-                return ClaimUnavailable(reason=str(error))
 
-    async def record(
-        self, claim: Claim, status: int, content_type: str, body: bytes
-    ) -> bool:
-        """Records the outcome of a claimed request."""
-        claim.state = ClaimState.DONE
-        claim.status = status
-        claim.content_type = content_type
-        claim.body_dropped = len(body) > MAX_RECORDED_BYTES
-        if not claim.body_dropped:
-            claim.body = base64.b64encode(body).decode("ascii")
-        put = await self.store.put(
-            CLAIMS_PREFIX + claim.key_hash, to_json(claim)
-        )
-        return put.is_ok()
-
-    async def drop(self, claim: Claim) -> None:
-        """Drops the claim of a request that was certainly not dispatched."""
-        await self.store.delete(CLAIMS_PREFIX + claim.key_hash)
-
-    async def _read_back(self, claim: Claim) -> ClaimOutcome:
-        match await self.store.get(CLAIMS_PREFIX + claim.key_hash):
-            case Result(tag="ok", ok=StoredObject(value=value)):
-                stored = from_json(Claim, value)
-            case Result(tag="ok"):
-                return ClaimUnavailable(reason="the claim was not stored")
-            case Result(error=error):
-                return ClaimUnavailable(reason=error.reason)
-        if stored.nonce == claim.nonce:
-            return Claimed(claim=stored)
-        return AlreadyClaimed(
-            claim=stored,
-            same_request=stored.request_hash == claim.request_hash,
-        )
+    def _route(self, pending: PendingChange) -> None:
+        key_hash = pending.change.claim.key_hash
+        key = f"{CLAIMS_PREFIX}{first_shard(key_hash, self.shards):04d}"
+        depth = 0
+        writer = self._writer(key, depth)
+        while writer.split_into:
+            bit = split_bit(key_hash, depth)
+            key = child_key(key, writer.split_into, bit)
+            depth += 1
+            writer = self._writer(key, depth)
+        writer.submit(pending)
+
+    def _writer(self, key: str, depth: int) -> ShardWriter:
+        writer = self.writers.get(key)
+        if writer is None:
+            writer = self.writers[key] = ShardWriter(
+                key=key,
+                depth=depth,
+                store=self.store,
+                settings=self.settings,
+                clock=self.clock,
+                tasks=self.tasks,
+                random=self.random,
+                route=self._route,
+            )
+        return writer
+
+    async def _find_layout(self) -> StoreUnavailable | None:
+        """Learns how many shards there are, which all must agree on."""
+        if self.shards:
+            return None
+        async with self.layout_lock:
+            return await self._read_layout()
+
+    async def _read_layout(self) -> StoreUnavailable | None:
+        while not self.shards:
+            match await self.store.get(LAYOUT_KEY):
+                case Result(tag="ok", ok=StoredObject(value=value)):
+                    self.shards = from_json(ClaimLayout, value).shards
+                    return None
+                case Result(tag="error", error=error):
+                    return error
+            layout = ClaimLayout(shards=self.settings.claim_shards)
+            put = await self.store.put(
+                LAYOUT_KEY, to_json(layout), expected_version=ABSENT
+            )
+            match put:
+                case Result(tag="error", error=VersionConflict()):
+                    continue
+                case Result(tag="error", error=StoreUnavailable() as error):
+                    if not error.outcome_unknown:
+                        return error
+        return None
 
 
 __all__ = [
--- a/src/auburnswitch/platform/store.py
+++ b/src/auburnswitch/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Final
 
@@ -126,6 +127,10 @@
         self.calls = 0
         self.last_success_at = float("-inf")
 
+    def size_bytes(self, value: Any) -> int:
+        """Returns the size at which the store would count a value."""
+        return len(json.dumps(value).encode())
+
     async def get(
         self, key: str
     ) -> Result[StoredObject | None, StoreUnavailable]:
@@ -241,11 +246,12 @@
     ) -> _Reply | StoreUnavailable:
         self.calls += 1
         url = self.settings.url.rstrip("/") + path
+        middlewares = () if method == "GET" else (send_once,)
         try:
             async with (
                 asyncio.timeout(timeout_s),
                 self.session.request(
-                    method, url, middlewares=(send_once,), **options
+                    method, url, middlewares=middlewares, **options
                 ) as response,
             ):
                 body = await response.json()
--- a/src/auburnswitch/routing/plain.py
+++ b/src/auburnswitch/routing/plain.py
@@ -4,11 +4,15 @@
 
 import asyncio
 import base64
+import contextlib
+import hashlib
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from auburnswitch.clock import monotonic_s
 from auburnswitch.endpoints.client import Attempt, EndpointFailureError
 from auburnswitch.http_client import send_once
+from auburnswitch.observe.invariants import Invariant, Invariants
 from auburnswitch.platform.claims import (
     AlreadyClaimed,
     Claimed,
@@ -28,6 +32,9 @@
 
 PASSED_HEADERS: Final = ("content-type", "location", "etag", "cache-control")
 IN_PROGRESS_RETRY_S: Final = 1.0
+STORE_RETRY_S: Final = 2.0
+MAX_UNSENT_ATTEMPTS: Final = 3
+_DIGEST_BYTES: Final = 16
 
 
 @dataclass(slots=True, kw_only=True)
@@ -40,6 +47,15 @@
     headers: dict[str, str] = field(default_factory=dict)
     idempotency_key: str = ""
 
+    def digest(self) -> str:
+        """Returns the hash that recognises the same call."""
+        digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+        content_type = self.headers.get("content-type", "")
+        for part in (self.method, self.path, content_type):
+            digest.update(part.encode() + b"\0")
+        digest.update(self.body)
+        return digest.hexdigest()
+
 
 @dataclass(slots=True, kw_only=True)
 class PlainAnswer:
@@ -50,6 +66,49 @@
     headers: dict[str, str] = field(default_factory=dict)
 
 
+class TooLateError(Exception):
+    """A request was not sent, because its time to be sent was over."""
+
+
+class SendGuard:
+    """Lets a request be sent in time, and only once if it must be.
+
+    Attributes:
+        request: The request.
+        send_before: Loop time after which it must not be sent, in seconds.
+        invariants: Where a second dispatch is reported.
+    """
+
+    __slots__ = ("invariants", "request", "send_before")
+
+    def __init__(
+        self,
+        *,
+        request: RoutedRequest,
+        send_before: float,
+        invariants: Invariants,
+    ) -> None:
+        self.request = request
+        self.send_before = send_before
+        self.invariants = invariants
+
+    def before_send(self) -> None:
+        """Notes the dispatch; nothing runs between this and the sending.
+
+        Raises:
+            TooLateError: It is too late to send the request.
+        """
+        if monotonic_s() > self.send_before:
+            raise TooLateError
+        request = self.request
+        self.invariants.check(
+            request.idempotent or not request.dispatched,
+            Invariant.AT_MOST_ONCE,
+            request_id=request.id,
+        )
+        request.dispatched = True
+
+
 class PlainRouter:
     """Runs plain requests.
 
@@ -57,9 +116,10 @@
         placer: Finds endpoints.
         client: Calls endpoints.
         claims: Claims on idempotency keys.
+        invariants: Where violations are reported.
     """
 
-    __slots__ = ("claims", "client", "member_id", "placer")
+    __slots__ = ("claims", "client", "invariants", "member_id", "placer")
 
     def __init__(
         self,
@@ -68,68 +128,105 @@
         client: EndpointClient,
         claims: ClaimStore,
         member_id: str,
+        invariants: Invariants,
     ) -> None:
         self.placer = placer
         self.client = client
         self.claims = claims
         self.member_id = member_id
+        self.invariants = invariants
 
     async def run(
         self, request: RoutedRequest, call: PlainCall
     ) -> PlainAnswer | Refusal:
         """Runs a request to its final answer."""
         if request.idempotent or not call.idempotency_key:
-            return await self._run_attempts(request, call)
+            return await self._run_attempts(request, call, request.deadline_at)
         key_hash = hash_key(request.team, request.service, call.idempotency_key)
-        match await self.claims.claim(key_hash, request.fingerprint):
+        left_s = request.time_left_s()
+        match await self.claims.claim(
+            key_hash, call.digest(), time_left_s=left_s
+        ):
             case Claimed(claim=claim):
                 return await self._run_claimed(request, call, claim)
             case AlreadyClaimed() as earlier:
-                return _earlier_outcome(earlier)
+                return self._earlier_outcome(earlier)
             case ClaimUnavailable(reason=reason):
                 return refusal(
-                    ResultCode.STORE_UNAVAILABLE, reason, retry_after_s=2
+                    ResultCode.STORE_UNAVAILABLE,
+                    f"the request was not run: {reason}",
+                    retry_after_s=STORE_RETRY_S,
                 )
 
     async def _run_claimed(
         self, request: RoutedRequest, call: PlainCall, claim: Claim
     ) -> PlainAnswer | Refusal:
-        outcome = await self._run_attempts(request, call)
+        left_s = claim.dispatch_by - self.claims.clock.now_s()
+        try:
+            outcome = await self._run_attempts(
+                request, call, monotonic_s() + left_s
+            )
+        except BaseException:
+            self._end_claim(request, claim)
+            raise
         match outcome:
             case PlainAnswer(status=status, body=body, headers=headers):
                 content_type = headers.get("content-type", "")
                 await self.claims.record(claim, status, content_type, body)
-            case Refusal(ran=Ran.NO):
-                await self.claims.drop(claim)
+            case Refusal():
+                self._end_claim(request, claim)
         return outcome
 
+    def _end_claim(self, request: RoutedRequest, claim: Claim) -> None:
+        if request.dispatched:
+            self.claims.record_unknown(claim)
+        else:
+            self.claims.drop(claim)
+
     async def _run_attempts(
-        self, request: RoutedRequest, call: PlainCall
+        self, request: RoutedRequest, call: PlainCall, send_before: float
     ) -> PlainAnswer | Refusal:
         excluded: set[str] = set()
-        attempts = request.max_attempts if request.idempotent else 1
+        unsent = 0
         reason = ""
-        while request.attempts < attempts:
-            try:
-                async with asyncio.timeout_at(request.deadline_at):
-                    placed = await self.placer.place(request, excluded)
+        try:
+            async with asyncio.timeout_at(request.deadline_at):
+                while _may_try(request, unsent):
+                    placed = await self._place(request, excluded, send_before)
                     if isinstance(placed, Refusal):
                         return placed
                     request.attempts += 1
-                    return await self._attempt(request, call, placed)
-            except TimeoutError:
-                ran = Ran.UNKNOWN if request.dispatched else Ran.NO
-                return refusal(ResultCode.DEADLINE_EXCEEDED, ran=ran)
-            except EndpointFailureError as error:
-                reason = str(error)
-                excluded.add(placed.endpoint)
-                if not error.sent and request.attempts == 1:
-                    request.dispatched = False
-        ran = Ran.UNKNOWN if request.dispatched else Ran.NO
-        return refusal(ResultCode.ENDPOINT_FAILED, reason, ran=ran)
+                    try:
+                        return await self._attempt(
+                            request, call, placed, send_before
+                        )
+                    except EndpointFailureError as error:
+                        reason = str(error)
+                        excluded.add(placed.endpoint)
+                    except TooLateError:
+                        reason = "it was too late to send the request"
+                    unsent += 1
+        except TimeoutError:
+            return refusal(ResultCode.DEADLINE_EXCEEDED, ran=_ran(request))
+        return refusal(ResultCode.ENDPOINT_FAILED, reason, ran=_ran(request))
+
+    async def _place(
+        self, request: RoutedRequest, excluded: set[str], send_before: float
+    ) -> HeldReservation | Refusal:
+        if monotonic_s() < send_before:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(send_before):
+                    return await self.placer.place(request, excluded)
+        return refusal(
+            ResultCode.QUEUE_FULL, ran=_ran(request), retry_after_s=1
+        )
 
     async def _attempt(
-        self, request: RoutedRequest, call: PlainCall, held: HeldReservation
+        self,
+        request: RoutedRequest,
+        call: PlainCall,
+        held: HeldReservation,
+        send_before: float,
     ) -> PlainAnswer:
         spec = self.placer.owner_table.state.endpoints[held.endpoint]
         attempt = Attempt(
@@ -137,17 +234,21 @@
             number=request.attempts,
             member_id=self.member_id,
         )
-        headers = call.headers | attempt.headers()
+        guard = SendGuard(
+            request=request,
+            send_before=min(send_before, held.use_before),
+            invariants=self.invariants,
+        )
         succeeded = lost = False
         try:
-            request.dispatched = True
             async with self.client.request(
                 spec,
                 call.method,
                 call.path,
                 data=call.body,
-                headers=headers,
+                headers=call.headers | attempt.headers(),
                 middlewares=(send_once,),
+                trace_request_ctx=guard,
             ) as response:
                 body = await response.read()
             succeeded = response.status < 500
@@ -167,24 +268,49 @@
                 )
             )
 
+    def _earlier_outcome(
+        self, earlier: AlreadyClaimed
+    ) -> PlainAnswer | Refusal:
+        claim = earlier.claim
+        if not earlier.same_request:
+            return refusal(ResultCode.IDEMPOTENCY_KEY_REUSED)
+        if claim.state == ClaimState.DONE:
+            return _recorded_outcome(claim)
+        if self.claims.in_progress(claim):
+            return refusal(
+                ResultCode.IN_PROGRESS, retry_after_s=IN_PROGRESS_RETRY_S
+            )
+        return refusal(ResultCode.OUTCOME_UNKNOWN)
 
-def _earlier_outcome(earlier: AlreadyClaimed) -> PlainAnswer | Refusal:
-    claim = earlier.claim
-    if not earlier.same_request:
-        return refusal(ResultCode.IDEMPOTENCY_KEY_REUSED)
-    if claim.state == ClaimState.DONE and not claim.body_dropped:
-        return PlainAnswer(
-            status=claim.status,
-            body=base64.b64decode(claim.body),
-            headers={
-                "content-type": claim.content_type,
-                "x-idempotent-replay": "true",
-            },
-        )
-    if claim.state == ClaimState.DONE:
+
+def _may_try(request: RoutedRequest, unsent: int) -> bool:
+    if request.dispatched:
+        return request.idempotent and request.attempts < request.max_attempts
+    return unsent < MAX_UNSENT_ATTEMPTS
+
+
+def _recorded_outcome(claim: Claim) -> PlainAnswer | Refusal:
+    if claim.body_dropped:
         message = f"the request ran with HTTP status {claim.status}"
         return refusal(ResultCode.OUTCOME_UNKNOWN, message, ran=Ran.YES)
-    return refusal(ResultCode.IN_PROGRESS, retry_after_s=IN_PROGRESS_RETRY_S)
+    return PlainAnswer(
+        status=claim.status,
+        body=base64.b64decode(claim.body),
+        headers={
+            "content-type": claim.content_type,
+            "x-idempotent-replay": "true",
+        },
+    )
+
+
+def _ran(request: RoutedRequest) -> Ran:
+    return Ran.UNKNOWN if request.dispatched else Ran.NO
 
 
-__all__ = ["PlainAnswer", "PlainCall", "PlainRouter"]
+__all__ = [
+    "PlainAnswer",
+    "PlainCall",
+    "PlainRouter",
+    "SendGuard",
+    "TooLateError",
+]
--- a/src/auburnswitch/schema/objects.py
+++ b/src/auburnswitch/schema/objects.py
@@ -489,6 +489,7 @@
 
     CLAIMED = 0
     DONE = 1
+    UNKNOWN = 2
 
 
 CLAIMSTATE_INFO: Final = {
@@ -496,6 +497,9 @@
         text="Claimed, and perhaps dispatched.", options={}
     ),
     ClaimState.DONE: Description(text="The outcome is recorded.", options={}),
+    ClaimState.UNKNOWN: Description(
+        text="The request was sent and ended without an answer.", options={}
+    ),
 }
 
 
@@ -513,6 +517,8 @@
     body: str = ""
     member_id: str = ""
     body_dropped: bool = False
+    dispatch_by: float = 0.0
+    deadline_at: float = 0.0
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "key_hash", False),
@@ -525,6 +531,8 @@
         8: (TType.STRING, "body", False),
         9: (TType.STRING, "member_id", False),
         10: (TType.BOOL, "body_dropped", False),
+        60: (TType.DOUBLE, "dispatch_by", False),
+        61: (TType.DOUBLE, "deadline_at", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("key_hash", None),
@@ -537,6 +545,8 @@
         ("body", None),
         ("member_id", None),
         ("body_dropped", None),
+        ("dispatch_by", None),
+        ("deadline_at", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {"state": ClaimState}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -559,6 +569,14 @@
         "body_dropped": Description(
             text="The recorded answer was too large to keep.", options={}
         ),
+        "dispatch_by": Description(
+            text="Wall-clock time after which the claimant does not send the request, in seconds since the epoch.",
+            options={},
+        ),
+        "deadline_at": Description(
+            text="Wall-clock time at which the request ends at the latest, in seconds since the epoch.",
+            options={},
+        ),
     }
 
 
@@ -567,14 +585,39 @@
     """A group of claims stored as one value."""
 
     claims: list[Claim] = field(default_factory=list)
+    split_into: str = ""
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
-        1: (TType.LIST, "claims", (TType.STRUCT, Claim), False)
+        1: (TType.LIST, "claims", (TType.STRUCT, Claim), False),
+        60: (TType.STRING, "split_into", False),
     }
-    default_spec: ClassVar[list[tuple[str, Any]]] = [("claims", None)]
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("claims", None),
+        ("split_into", None),
+    ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
         "claims": Description(text="", options={}),
+        "split_into": Description(
+            text="Names the two shards that took over this one's claims; empty while it has its own.",
+            options={},
+        ),
+    }
+
+
+@dataclass(slots=True, kw_only=True)
+class ClaimLayout(Struct):
+    """How many shards the claims started with; the same for all daemons for ever."""
+
+    shards: int = 0
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.I32, "shards", False)
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [("shards", None)]
+    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
+    descriptions: ClassVar[dict[str, Description]] = {
+        "shards": Description(text="", options={}),
     }
 
 
@@ -605,6 +648,7 @@
     "CLAIMSTATE_INFO",
     "Change",
     "Claim",
+    "ClaimLayout",
     "ClaimShard",
     "ClaimState",
     "Endpoint",
--- a/src/auburnswitch/schema/settings.py
+++ b/src/auburnswitch/schema/settings.py
@@ -197,6 +197,7 @@
     max_value_bytes: int = 1000000
     claim_shards: int = 16
     claim_retention_s: float = 86400.0
+    claim_split_bytes: int = 131072
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "url", False),
@@ -207,6 +208,7 @@
         6: (TType.I64, "max_value_bytes", False),
         7: (TType.I32, "claim_shards", False),
         8: (TType.DOUBLE, "claim_retention_s", False),
+        60: (TType.I64, "claim_split_bytes", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("url", None),
@@ -217,6 +219,7 @@
         ("max_value_bytes", None),
         ("claim_shards", None),
         ("claim_retention_s", None),
+        ("claim_split_bytes", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -244,13 +247,17 @@
             options={"unit": "bytes", "min": "1024", "max": "16777216"},
         ),
         "claim_shards": Description(
-            text="Shards that share the idempotency claims.",
+            text="Shards that the idempotency claims start with; what the store already has goes first.",
             options={"min": "1", "max": "4096"},
         ),
         "claim_retention_s": Description(
-            text="Time that an idempotency claim is kept.",
+            text="Time that an idempotency claim is kept after its request's deadline.",
             options={"unit": "seconds", "min": "1", "max": "2592000"},
         ),
+        "claim_split_bytes": Description(
+            text="Size at which a shard of claims is split into two.",
+            options={"unit": "bytes", "min": "1024", "max": "1000000"},
+        ),
     }
 
 
--- a/tests/routing/plain_support.py
+++ b/tests/routing/plain_support.py
@@ -7,12 +7,14 @@
 from types import SimpleNamespace
 from typing import Any
 
-import aiohttp
 from starlette.responses import JSONResponse
 
 from auburnswitch.clock import WallClock, monotonic_s
 from auburnswitch.endpoints.client import EndpointClient
 from auburnswitch.endpoints.reservations import HeldReservation
+from auburnswitch.http_client import open_client_session
+from auburnswitch.observe.invariants import Invariants
+from auburnswitch.observe.tasks import open_task_set
 from auburnswitch.platform.claims import ClaimStore
 from auburnswitch.platform.store import ObjectStore
 from auburnswitch.routing.plain import PlainCall, PlainRouter
@@ -49,11 +51,16 @@
         pass
 
 
+class PatchableClaims(ClaimStore):
+    """Claims whose methods tests may replace."""
+
+
 class CountingService:
     """Counts what it runs, and drops connections after some runs.
 
     Attributes:
         runs: Method and path of each run.
+        run_ids: Request id of each run.
         drop_next: Runs, from now on, whose connection is broken.
         delay_s: Time that a run takes.
         body: What it answers.
@@ -61,6 +68,7 @@
 
     def __init__(self) -> None:
         self.runs: list[str] = []
+        self.run_ids: list[str] = []
         self.drop_next = 0
         self.delay_s = 0.0
         self.body = "done"
@@ -69,6 +77,8 @@
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         await receive()
         self.runs.append(f"{scope['method']} {scope['path']}")
+        headers = dict(scope["headers"])
+        self.run_ids.append(headers[b"x-request-id"].decode())
         if self.drop_next:
             self.drop_next -= 1
             await self.listener.drop_request(scope, receive)
@@ -91,21 +101,22 @@
         self.platform = platform
         self.service = service
         self.routers: list[PlainRouter] = []
-        self.sessions: list[aiohttp.ClientSession] = []
         self.stack = contextlib.AsyncExitStack()
         self.requests = 0
 
     async def add_router(self, **settings: Any) -> PlainRouter:
         session = await self.stack.enter_async_context(
-            aiohttp.ClientSession(connector=SimulatedConnector(limit=0))
+            open_client_session(SimulatedConnector(limit=0))
         )
         platform = PlatformSettings(url=self.platform.url, **settings)
         member_id = f"entry-{len(self.routers)}.0"
-        claims = ClaimStore(
+        claims = PatchableClaims(
             store=ObjectStore(settings=platform, session=session),
             settings=platform,
             clock=WallClock(offset_s=1e9),
             member_id=member_id,
+            tasks=await self.stack.enter_async_context(open_task_set()),
+            seed=len(self.routers) + 1,
         )
         listener = self.service.listener
         spec = Endpoint(service="s", host="127.0.0.1", port=listener.port)
@@ -116,6 +127,7 @@
             ),
             claims=claims,
             member_id=member_id,
+            invariants=Invariants(strict=True),
         )
         self.routers.append(router)
         return router
--- a/tests/routing/test_plain.py
+++ b/tests/routing/test_plain.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+import collections
 import unittest
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from auburnswitch.platform.store import ABSENT
 from auburnswitch.schema.results import Ran, ResultCode
 from tests.routing.plain_support import open_bench
@@ -39,3 +44,355 @@
         error, puts = run_virtual(scenario)
         self.assertTrue(error.outcome_unknown)
         self.assertEqual(puts, 1)
+
+
+class AtMostOnceTest(unittest.TestCase):
+    def test_without_key_one_attempt(self):
+        async def scenario():
+            async with open_bench() as bench:
+                bench.service.drop_next = 1
+                outcome = await bench.run(bench.routers[0], "")
+                return outcome, bench.service.runs, bench.platform.calls
+
+        outcome, runs, calls = run_virtual(scenario)
+        self.assertIs(outcome.ran, Ran.UNKNOWN)
+        self.assertEqual((len(runs), calls["put"]), (1, 0))
+
+    def test_repeated_key_gets_the_recorded_outcome(self):
+        async def scenario():
+            async with open_bench(routers=2) as bench:
+                first, second = bench.routers
+                answers = [await bench.run(r) for r in (first, second, first)]
+                other = await bench.run(second, body=b"other")
+                query = await bench.run(second, path="/book?slot=2")
+                return answers, other, query, len(bench.service.runs)
+
+        answers, other, query, runs = run_virtual(scenario)
+        self.assertEqual({a.body for a in answers}, {answers[0].body})
+        self.assertEqual(runs, 1)
+        self.assertIs(other.code, ResultCode.IDEMPOTENCY_KEY_REUSED)
+        self.assertIs(query.code, ResultCode.IDEMPOTENCY_KEY_REUSED)
+
+    def test_large_outcome_keeps_its_status(self):
+        async def scenario():
+            async with open_bench() as bench:
+                bench.service.body = "x" * 5000
+                await bench.run(bench.routers[0])
+                return await bench.run(bench.routers[0])
+
+        outcome = run_virtual(scenario)
+        self.assertEqual(
+            (outcome.code, outcome.ran), (ResultCode.OUTCOME_UNKNOWN, Ran.YES)
+        )
+        self.assertIn("201", outcome.message)
+
+    def test_same_key_at_nine_daemons_at_once(self):
+        async def scenario(bodies):
+            async with open_bench(routers=9) as bench:
+                bench.service.delay_s = 0.5
+                outcomes = await asyncio.gather(
+                    *(
+                        bench.run(router, body=bodies[n % len(bodies)])
+                        for n, router in enumerate(bench.routers)
+                    )
+                )
+                codes = [getattr(o, "code", None) for o in outcomes]
+                return codes, len(bench.service.runs)
+
+        codes, runs = run_virtual(lambda: scenario([b"a"]))
+        self.assertEqual((codes.count(None), runs), (1, 1))
+        self.assertEqual(codes.count(ResultCode.IN_PROGRESS), 8)
+        codes, runs = run_virtual(lambda: scenario([b"a", b"b"]))
+        self.assertEqual((codes.count(None), runs), (1, 1))
+        self.assertGreater(codes.count(ResultCode.IDEMPOTENCY_KEY_REUSED), 3)
+
+    def test_paused_between_claim_and_dispatch(self):
+        async def scenario(pause_at):
+            async with open_bench(routers=2) as bench:
+                paused, other = bench.routers
+                pause_at(paused)
+                task = asyncio.create_task(bench.run(paused, deadline_s=60))
+                other.claims.is_gone = lambda member_id: True
+                await asyncio.sleep(5)
+                early = await bench.run(other)
+                await asyncio.sleep(20)
+                late = await bench.run(other)
+                woken = await task
+                await paused.claims.flush(5)
+                runs = len(bench.service.runs)
+                again = await bench.run(other)
+                codes = [o.code for o in (early, late, woken)]
+                return codes, woken.ran, runs, again.status
+
+        def after_claim(router):
+            claim = router.claims.claim
+
+            async def paused_claim(*args, **kwargs):
+                outcome = await claim(*args, **kwargs)
+                await asyncio.sleep(30)
+                return outcome
+
+            router.claims.claim = paused_claim
+
+        def before_send(router):
+            connector = router.client.session.connector
+            connect = connector._wrap_create_connection
+
+            async def paused_connect(*args, **kwargs):
+                connection = await connect(*args, **kwargs)
+                if kwargs["addr_infos"][0][4][1] == service_port(router):
+                    await asyncio.sleep(30)
+                return connection
+
+            connector._wrap_create_connection = paused_connect
+            router.client.settings.connect_timeout_s = 60
+
+        def service_port(router):
+            return router.placer.owner_table.state.endpoints["e"].port
+
+        for pause_at in (after_claim, before_send):
+            with self.subTest(pause_at.__name__):
+                codes, ran, runs, status = run_virtual(
+                    lambda pause_at=pause_at: scenario(pause_at)
+                )
+                self.assertEqual(
+                    codes[:2],
+                    [ResultCode.IN_PROGRESS, ResultCode.OUTCOME_UNKNOWN],
+                )
+                self.assertEqual((ran, runs, status), (Ran.NO, 0, 201))
+
+    def test_killed_after_dispatch(self):
+        async def scenario():
+            async with open_bench(routers=2) as bench:
+                killed, other = bench.routers
+                bench.service.delay_s = 5
+                killed.claims.record_unknown = lambda claim: None
+                task = asyncio.create_task(bench.run(killed, deadline_s=60))
+                await asyncio.sleep(1)
+                task.cancel()
+                codes = [(await bench.run(other)).code]
+                await asyncio.sleep(16)
+                codes.append((await bench.run(other)).code)
+                other.claims.is_gone = lambda member_id: True
+                codes.append((await bench.run(other)).code)
+                other.claims.is_gone = lambda member_id: False
+                await asyncio.sleep(60)
+                codes.append((await bench.run(other)).code)
+                return codes, len(bench.service.runs)
+
+        codes, runs = run_virtual(scenario)
+        self.assertEqual(runs, 1)
+        self.assertEqual(
+            codes,
+            [
+                ResultCode.IN_PROGRESS,
+                ResultCode.IN_PROGRESS,
+                ResultCode.OUTCOME_UNKNOWN,
+                ResultCode.OUTCOME_UNKNOWN,
+            ],
+        )
+
+    def test_broken_dispatch_is_unknown_at_once(self):
+        async def scenario():
+            async with open_bench(routers=2) as bench:
+                bench.service.drop_next = 1
+                first = await bench.run(bench.routers[0])
+                second = await bench.run(bench.routers[1])
+                return first.code, second.code, len(bench.service.runs)
+
+        self.assertEqual(
+            run_virtual(scenario),
+            (ResultCode.ENDPOINT_FAILED, ResultCode.OUTCOME_UNKNOWN, 1),
+        )
+
+    def test_unsent_request_drops_its_claim(self):
+        async def scenario():
+            async with open_bench(routers=2) as bench:
+                bench.service.listener.take_down(5)
+                first = await bench.run(bench.routers[0])
+                await asyncio.sleep(6)
+                second = await bench.run(bench.routers[1])
+                return first, second.status, len(bench.service.runs)
+
+        first, status, runs = run_virtual(scenario)
+        self.assertEqual(
+            (first.code, first.ran), (ResultCode.ENDPOINT_FAILED, Ran.NO)
+        )
+        self.assertEqual((status, runs), (201, 1))
+
+
+class StoreFaultTest(unittest.TestCase):
+    """Brings each fault at each step: layout, claim, dispatch, record."""
+
+    async def run_with_fault(self, fault, start_s: float, last_s: float):
+        async with open_bench(routers=2) as bench:
+            first, second = bench.routers
+            bench.platform.delay_s = 0.1
+            bench.service.delay_s = 0.5
+            task = asyncio.create_task(bench.run(first, deadline_s=30))
+            await asyncio.sleep(start_s)
+            fault(bench.platform, True)
+            await asyncio.sleep(last_s)
+            fault(bench.platform, False)
+            outcome = await task
+            ran = list(bench.service.run_ids)
+            await asyncio.sleep(15)
+            again = await bench.run(second)
+            return outcome, ran, again, bench.service.run_ids
+
+    def check(self, fault, start_s: float, last_s: float):
+        outcome, ran, again, run_ids = run_virtual(
+            lambda: self.run_with_fault(fault, start_s, last_s)
+        )
+        self.assertEqual(len(run_ids), 1)
+        self.assertEqual(again.status, 201)
+        if ran:
+            self.assertEqual((outcome.status, again.body), (201, outcome.body))
+        else:
+            self.assertEqual(
+                (outcome.code, outcome.ran),
+                (ResultCode.STORE_UNAVAILABLE, Ran.NO),
+            )
+
+    def test_each_fault_at_each_step(self):
+        def outage(platform, on):
+            platform.outage = on
+
+        def silent(platform, on):
+            platform.silent = on
+
+        def slow(platform, on):
+            platform.delay_s = 3.0 if on else 0.1
+
+        def lost(platform, on):
+            platform.lose_answers = 3 if on else 0
+
+        def lost_and_hung(platform, on):
+            platform.lose_answers, platform.hang_lost = 2 * on, on
+
+        for fault in (outage, silent, slow, lost, lost_and_hung):
+            for step in range(12):
+                with self.subTest(fault=fault.__name__, step=step):
+                    self.check(fault, 0.09 * step, 10)
+
+    def test_claim_of_lost_fate_is_dropped_after_an_outage(self):
+        async def scenario():
+            async with open_bench() as bench:
+                router = bench.routers[0]
+                await bench.run(router, "other")
+                bench.platform.lose_answers = 1
+                bench.platform.delay_s = 0.1
+                task = asyncio.create_task(bench.run(router))
+                await asyncio.sleep(0.15)
+                bench.platform.outage = True
+                refused = await task
+                await asyncio.sleep(60)
+                bench.platform.outage = False
+                await asyncio.sleep(10)
+                again = await bench.run(router)
+                return refused, again.status, len(bench.service.runs)
+
+        refused, status, runs = run_virtual(scenario)
+        self.assertEqual(
+            (refused.code, refused.ran), (ResultCode.STORE_UNAVAILABLE, Ran.NO)
+        )
+        self.assertEqual((status, runs), (201, 2))
+
+    def test_outcome_is_recorded_after_an_outage(self):
+        async def scenario():
+            async with open_bench(routers=2) as bench:
+                first, second = bench.routers
+                bench.service.delay_s = 1
+                task = asyncio.create_task(bench.run(first))
+                await asyncio.sleep(0.5)
+                bench.platform.outage = True
+                answer = await task
+                await asyncio.sleep(3600)
+                down = await bench.run(second)
+                bench.platform.outage = False
+                await asyncio.sleep(10)
+                again = await bench.run(second)
+                return answer, down.code, again, len(bench.service.runs)
+
+        answer, down, again, runs = run_virtual(scenario)
+        self.assertIs(down, ResultCode.STORE_UNAVAILABLE)
+        self.assertEqual((again.body, runs), (answer.body, 1))
+
+
+class RandomRunTest(unittest.TestCase):
+    @settings(max_examples=60, derandomize=True, deadline=None)
+    @given(data=st.data())
+    def test_any_faults(self, data):
+        daemons = data.draw(st.integers(1, 3))
+        requests = data.draw(
+            st.lists(
+                st.tuples(
+                    st.integers(0, daemons - 1),
+                    st.sampled_from(["a", "b"]),
+                    st.sampled_from([b"1", b"1", b"2"]),
+                    st.integers(0, 80),
+                ),
+                min_size=2,
+                max_size=10,
+            )
+        )
+        kinds = ["outage", "silent", "lose_answers", "slow", "drop", "cancel"]
+        faults = data.draw(
+            st.lists(
+                st.tuples(st.sampled_from(kinds), st.integers(0, 60)),
+                max_size=6,
+            )
+        )
+        outcomes, runs, ids = run_virtual(
+            lambda: self.scenario(daemons, requests, faults)
+        )
+        self.assertLessEqual(max(runs.values(), default=0), 1)
+        for request_id, outcome in outcomes.items():
+            if getattr(outcome, "ran", None) is Ran.NO:
+                self.assertNotIn(request_id, ids)
+            if getattr(outcome, "status", 0) == 201 and not outcome.headers.get(
+                "x-idempotent-replay"
+            ):
+                self.assertIn(request_id, ids)
+
+    async def scenario(self, daemons, requests, faults):
+        async with open_bench(
+            routers=daemons, claim_shards=1, claim_split_bytes=1024
+        ) as bench:
+            bench.service.delay_s = 0.3
+            bench.platform.delay_s = 0.05
+            tasks: list[asyncio.Task] = []
+            outcomes, keys = {}, {}
+
+            async def send(router, key, body, at):
+                await asyncio.sleep(at / 10)
+                request_id = f"r{bench.requests + 1}"
+                keys[request_id] = key
+                outcomes[request_id] = await bench.run(
+                    bench.routers[router], key, body=body
+                )
+
+            async def break_it(kind, at):
+                await asyncio.sleep(at / 10)
+                platform = bench.platform
+                match kind:
+                    case "lose_answers":
+                        platform.lose_answers += 1
+                    case "drop":
+                        bench.service.drop_next += 1
+                    case "cancel":
+                        tasks[0].cancel()
+                    case "slow":
+                        platform.delay_s = 2.5
+                        await asyncio.sleep(2)
+                        platform.delay_s = 0.05
+                    case _:
+                        setattr(platform, kind, True)
+                        await asyncio.sleep(2)
+                        setattr(platform, kind, False)
+
+            tasks += [asyncio.create_task(send(*r)) for r in requests]
+            others = [asyncio.create_task(break_it(*f)) for f in faults]
+            await asyncio.gather(*tasks, *others, return_exceptions=True)
+            ids = bench.service.run_ids
+            return outcomes, collections.Counter(keys[i] for i in ids), ids
