--- a/src/auburnswitch/experiments/claims_cost.py
+++ b/src/auburnswitch/experiments/claims_cost.py
@@ -18,7 +18,6 @@
 import fire
 
 from auburnswitch.clock import WallClock, monotonic_s
-from auburnswitch.http_client import open_client_session
 from auburnswitch.observe.tasks import open_task_set
 from auburnswitch.platform.claim_shard import Claimed, ClaimOutcome
 from auburnswitch.platform.claims import ClaimStore, hash_key
@@ -139,7 +138,7 @@
         stores: list[Claims] = []
         for number in range(DAEMONS):
             session = await stack.enter_async_context(
-                open_client_session(aiohttp.TCPConnector(limit=0))
+                aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
             )
             settings = PlatformSettings(url=platform.url, claim_shards=SHARDS)
             store = ObjectStore(settings=settings, session=session)
--- a/src/auburnswitch/routing/plain.py
+++ b/src/auburnswitch/routing/plain.py
@@ -70,45 +70,6 @@
     """A request was not sent, because its time to be sent was over."""
 
 
-class SendGuard:
-    """Lets a request be sent in time, and only once if it must be.
-
-    Attributes:
-        request: The request.
-        send_before: Loop time after which it must not be sent, in seconds.
-        invariants: Where a second dispatch is reported.
-    """
-
-    __slots__ = ("invariants", "request", "send_before")
-
-    def __init__(
-        self,
-        *,
-        request: RoutedRequest,
-        send_before: float,
-        invariants: Invariants,
-    ) -> None:
-        self.request = request
-        self.send_before = send_before
-        self.invariants = invariants
-
-    def before_send(self) -> None:
-        """Notes the dispatch; nothing runs between this and the sending.
-
-        Raises:
-            TooLateError: It is too late to send the request.
-        """
-        if monotonic_s() > self.send_before:
-            raise TooLateError
-        request = self.request
-        self.invariants.check(
-            request.idempotent or not request.dispatched,
-            Invariant.AT_MOST_ONCE,
-            request_id=request.id,
-        )
-        request.dispatched = True
-
-
 class PlainRouter:
     """Runs plain requests.
 
@@ -234,21 +195,24 @@
             number=request.attempts,
             member_id=self.member_id,
         )
-        guard = SendGuard(
-            request=request,
-            send_before=min(send_before, held.use_before),
-            invariants=self.invariants,
-        )
+        begin = self.placer.reservations.guard(held, attempt)
+
+        def guard() -> None:
+            if monotonic_s() > send_before:
+                raise TooLateError
+            begin()
+            self._note_dispatch(request)
+
         succeeded = lost = False
         try:
             async with self.client.request(
                 spec,
                 call.method,
                 call.path,
+                guard=guard,
                 data=call.body,
                 headers=call.headers | attempt.headers(),
                 middlewares=(send_once,),
-                trace_request_ctx=guard,
             ) as response:
                 body = await response.read()
             succeeded = response.status < 500
@@ -268,6 +232,14 @@
                 )
             )
 
+    def _note_dispatch(self, request: RoutedRequest) -> None:
+        self.invariants.check(
+            request.idempotent or not request.dispatched,
+            Invariant.AT_MOST_ONCE,
+            request_id=request.id,
+        )
+        request.dispatched = True
+
     def _earlier_outcome(
         self, earlier: AlreadyClaimed
     ) -> PlainAnswer | Refusal:
@@ -311,6 +283,5 @@
     "PlainAnswer",
     "PlainCall",
     "PlainRouter",
-    "SendGuard",
     "TooLateError",
 ]
--- a/tests/platform/test_claims.py
+++ b/tests/platform/test_claims.py
@@ -8,7 +8,6 @@
 import unittest
 
 from auburnswitch.clock import WallClock
-from auburnswitch.http_client import open_client_session
 from auburnswitch.observe.tasks import open_task_set
 from auburnswitch.platform.claims import (
     AlreadyClaimed,
@@ -20,7 +19,7 @@
 from auburnswitch.platform.store import ObjectStore, VersionConflict
 from auburnswitch.schema.settings import PlatformSettings
 from auburnswitch.standins.platform import open_platform
-from tests.virtual_time import SimulatedConnector, run_virtual
+from tests.virtual_time import open_session, run_virtual
 
 
 @contextlib.asynccontextmanager
@@ -32,9 +31,7 @@
         )
         stores = []
         for number in range(count):
-            session = await stack.enter_async_context(
-                open_client_session(SimulatedConnector(limit=0))
-            )
+            session = await stack.enter_async_context(open_session())
             values = PlatformSettings(url=platform.url, **settings)
             claims = ClaimStore(
                 store=ObjectStore(settings=values, session=session),
--- a/tests/routing/plain_support.py
+++ b/tests/routing/plain_support.py
@@ -7,12 +7,16 @@
 from types import SimpleNamespace
 from typing import Any
 
+import aiohttp
 from starlette.responses import JSONResponse
 
 from auburnswitch.clock import WallClock, monotonic_s
-from auburnswitch.endpoints.client import EndpointClient
+from auburnswitch.endpoints.client import (
+    Attempt,
+    EndpointClient,
+    guard_trace,
+)
 from auburnswitch.endpoints.reservations import HeldReservation
-from auburnswitch.http_client import open_client_session
 from auburnswitch.observe.invariants import Invariants
 from auburnswitch.observe.tasks import open_task_set
 from auburnswitch.platform.claims import ClaimStore
@@ -47,6 +51,9 @@
             work=RunningWork(endpoint="e", reservation_id=request.id),
         )
 
+    def guard(self, held: HeldReservation, attempt: Attempt) -> Any:
+        return lambda: None
+
     async def release(self, held: HeldReservation, **_: Any) -> None:
         pass
 
@@ -106,7 +113,10 @@
 
     async def add_router(self, **settings: Any) -> PlainRouter:
         session = await self.stack.enter_async_context(
-            open_client_session(SimulatedConnector(limit=0))
+            aiohttp.ClientSession(
+                connector=SimulatedConnector(limit=0),
+                trace_configs=[guard_trace()],
+            )
         )
         platform = PlatformSettings(url=self.platform.url, **settings)
         member_id = f"entry-{len(self.routers)}.0"
