Commit each shard of claims at one daemon; bound the calls to the store

A daemon sends a claim to the first live member in rendezvous order of its shard, which commits the claims of all daemons together; the conditional write keeps it safe when that member is wrong, gone or silent, since any daemon then makes the change itself under the same nonce. The store's client has token buckets for reads and writes (a daemon's share of the fleet's rate), slots kept for claims, priorities, and a breaker with jittered back-off.

--- a/schema/peers.thrift
+++ b/schema/peers.thrift
@@ -197,6 +197,34 @@
   42: list<string> holders = []
 }
 
+enum ClaimAction {
+  ADD = 0
+  RECORD = 1
+}
+
+// Asks the daemon that commits a shard of claims to change it.
+struct ClaimRequest {
+  60: ClaimAction action = 0
+  61: objects.Claim claim
+}
+
+enum ClaimVerdict {
+  // The claim was added, or its outcome recorded.
+  DONE = 0
+  // Another claim has the key.
+  EXISTS = 1
+  // The change was not committed in time.
+  UNAVAILABLE = 2
+}
+
+struct ClaimReply {
+  60: ClaimVerdict verdict = 0
+  // The claim that has the key.
+  61: optional objects.Claim earlier
+  // A change that was not committed may have taken effect all the same.
+  62: bool written = false
+}
+
 // One frame of a peer connection; exactly one optional field is set.
 struct Envelope {
   // Pairs a reply with its call; 0 for messages without a reply.
@@ -213,4 +241,6 @@
   11: optional HandoverRequest handover
   12: optional Done done
   13: optional Hello hello
+  60: optional ClaimRequest claim
+  61: optional ClaimReply claim_reply
 }
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -62,7 +62,7 @@
   3: double watch_timeout_s = 30
   // Calls in flight at one time. @min 1 @max 1000
   4: i32 max_concurrency = 8
-  // Calls per second that this daemon may make. @unit calls/s @min 0.1 @max 1000
+  // Reads, and writes, per second that this daemon may make at the most. @unit calls/s @min 0.1 @max 1000
   5: double calls_per_second = 40
   // Largest stored value. @unit bytes @min 1024 @max 16777216
   6: i64 max_value_bytes = 1000000
@@ -72,6 +72,10 @@
   8: double claim_retention_s = 86400
   // Size at which a shard of claims is split into two. @unit bytes @min 1024 @max 1000000
   60: i64 claim_split_bytes = 131072
+  // Reads per second that all daemons together may make, waiting watches included. @unit calls/s @min 1 @max 100000
+  61: double fleet_reads_per_second = 1500
+  // Writes per second that all daemons together may make. @unit calls/s @min 1 @max 100000
+  62: double fleet_writes_per_second = 250
 }
 
 // Membership of the daemons.
--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -23,6 +23,7 @@
 from auburnswitch.endpoints.owner import OwnerTable
 from auburnswitch.endpoints.reservations import ReservationClient
 from auburnswitch.http_server import HttpServer, ListenError, open_http_server
+from auburnswitch.members.claim_forwarder import ClaimForwarder
 from auburnswitch.members.roster import ROSTER_KEY, RosterKeeper
 from auburnswitch.members.server import PeerServer
 from auburnswitch.members.service import Membership
@@ -100,10 +101,15 @@
             host=settings.peers.host,
             port=settings.peers.port,
         )
-        self.store = ObjectStore(settings=settings.platform, session=session)
+        self.view = MemberView(me=self.member, settings=settings.members)
+        self.store = ObjectStore(
+            settings=settings.platform,
+            session=session,
+            member_count=lambda: max(1, len(self.view.roster.members)),
+            seed=seed,
+        )
         self.tickets = TicketStore(store=self.store, state=self.state)
         self.watcher = StoreWatcher(store=self.store, seed=seed)
-        self.view = MemberView(me=self.member, settings=settings.members)
         self.strict_rights = StrictRights(view=self.view)
         self.roster = RosterKeeper(store=self.store, view=self.view)
         self.watcher.handlers[TICKETS_PREFIX] = self.tickets.handle_object
@@ -184,6 +190,10 @@
             seed=seed,
             is_gone=self.view.is_gone,
         )
+        self.claim_forwarder = ClaimForwarder(
+            claims=self.claims, membership=self.membership
+        )
+        self.claim_forwarder.register(self.peer_server)
         self.plain = PlainRouter(
             placer=placer,
             client=client,
--- a/src/auburnswitch/experiments/claims_cost.py
+++ b/src/auburnswitch/experiments/claims_cost.py
@@ -12,14 +12,20 @@
 import contextlib
 import random
 import time
-from typing import TYPE_CHECKING, Final, Protocol
+import zlib
+from typing import TYPE_CHECKING, Any, Final, Protocol
 
 import aiohttp
 import fire
 
 from auburnswitch.clock import WallClock, monotonic_s
 from auburnswitch.observe.tasks import open_task_set
-from auburnswitch.platform.claim_shard import Claimed, ClaimOutcome
+from auburnswitch.platform.claim_shard import (
+    Claimed,
+    ClaimOutcome,
+    ClaimUnavailable,
+)
+from auburnswitch.platform.claim_writer import PendingChange
 from auburnswitch.platform.claims import ClaimStore, hash_key
 from auburnswitch.platform.store import ABSENT, ObjectStore
 from auburnswitch.schema.base import to_json
@@ -33,6 +39,7 @@
 DAEMONS: Final = 9
 SHARDS: Final = 16
 STORE_DELAY_S: Final = 0.003
+PEER_DELAY_S: Final = 0.001
 SERVICE_TIME_S: Final = 0.05
 RATES: Final = (20, 100, 400, 1200)
 ANSWER: Final = b'{"id": "b1", "slot": "09:00"}' * 4
@@ -141,23 +148,48 @@
                 aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
             )
             settings = PlatformSettings(url=platform.url, claim_shards=SHARDS)
-            store = ObjectStore(settings=settings, session=session)
+            store = ObjectStore(
+                settings=settings,
+                session=session,
+                member_count=lambda: DAEMONS,
+            )
             if not grouped:
                 stores.append(OneObjectClaims(store=store))
                 continue
-            stores.append(
-                ClaimStore(
-                    store=store,
-                    settings=settings,
-                    clock=WallClock(),
-                    member_id=str(number),
-                    tasks=tasks,
-                    seed=number,
-                )
+            claims = ClaimStore(
+                store=store,
+                settings=settings,
+                clock=WallClock(),
+                member_id=str(number),
+                tasks=tasks,
+                seed=number,
             )
+            stores.append(claims)
+        if grouped:
+            _connect(stores)
         yield stores
 
 
+def _connect(stores: list[Any]) -> None:
+    """Lets each store's shards be committed by one of the stores.
+
+    A call to another daemon takes the time of a round trip.
+    """
+
+    async def forward(
+        shard: str, pending: PendingChange
+    ) -> ClaimOutcome | None:
+        home = stores[zlib.crc32(shard.encode()) % len(stores)]
+        await asyncio.sleep(PEER_DELAY_S)
+        there = PendingChange(change=pending.change, for_peer=True)
+        outcome = await home.commit_for_peer(there, 1.0)
+        pending.written = there.written
+        return None if isinstance(outcome, ClaimUnavailable) else outcome
+
+    for store in stores:
+        store.forward = forward
+
+
 async def measure(rate: float, seconds: float, *, grouped: bool) -> str:
     """Offers one rate to one kind of claim store; returns a row."""
     async with (
--- /dev/null
+++ b/src/auburnswitch/members/claim_forwarder.py
@@ -0,0 +1,114 @@
+"""Sends claims to the daemon that commits their shard.
+
+Any daemon may change any shard by a conditional write. When one of them does
+so for all, writes do not conflict and hold the claims of the whole fleet.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final
+
+from auburnswitch.members.frames import FrameError
+from auburnswitch.members.rendezvous import rendezvous_first
+from auburnswitch.platform.claim_shard import (
+    AddClaim,
+    AlreadyClaimed,
+    Claimed,
+    ClaimOutcome,
+    RecordOutcome,
+    same_request,
+)
+from auburnswitch.platform.claim_writer import PendingChange
+from auburnswitch.schema.peers import (
+    ClaimAction,
+    ClaimReply,
+    ClaimRequest,
+    ClaimVerdict,
+)
+
+if TYPE_CHECKING:
+    from auburnswitch.members.server import PeerServer
+    from auburnswitch.members.service import Membership
+    from auburnswitch.platform.claims import ClaimStore
+
+FORWARD_TIMEOUT_S: Final = 1.0
+
+
+class ClaimForwarder:
+    """Both sides of forwarded claims.
+
+    Attributes:
+        claims: This daemon's claims.
+        membership: Links to the other daemons.
+    """
+
+    __slots__ = ("claims", "membership")
+
+    def __init__(self, *, claims: ClaimStore, membership: Membership) -> None:
+        self.claims = claims
+        self.membership = membership
+        claims.forward = self.forward
+
+    def register(self, server: PeerServer) -> None:
+        """Registers the handler of forwarded claims."""
+        server.handlers[ClaimRequest] = self._on_request
+
+    async def forward(
+        self, shard: str, pending: PendingChange
+    ) -> ClaimOutcome | None:
+        """Has another daemon make a change, and notes if it may have.
+
+        Returns:
+            The outcome; None if this daemon has to make the change itself,
+            even though the other may have made it.
+        """
+        change = pending.change
+        view = self.membership.view
+        home = rendezvous_first(shard, view.live_ids())
+        link = self.membership.links.get(home)
+        if home == view.me.id or link is None or link.connection is None:
+            return None
+        action = (
+            ClaimAction.ADD
+            if isinstance(change, AddClaim)
+            else ClaimAction.RECORD
+        )
+        request = ClaimRequest(action=action, claim=change.claim)
+        pending.written = True
+        try:
+            reply = await link.call(request, FORWARD_TIMEOUT_S)
+        except (OSError, TimeoutError, FrameError):
+            return None
+        match reply:
+            case ClaimReply(verdict=ClaimVerdict.DONE):
+                return Claimed(claim=change.claim)
+            case ClaimReply(verdict=ClaimVerdict.EXISTS, earlier=earlier):
+                return AlreadyClaimed(
+                    claim=earlier,
+                    same_request=same_request(change.claim, earlier),
+                )
+            case ClaimReply(written=written):
+                pending.written = written
+        return None
+
+    async def _on_request(self, request: Any, _: str) -> ClaimReply:
+        claim = request.claim
+        change = (
+            AddClaim(claim=claim)
+            if request.action == ClaimAction.ADD
+            else RecordOutcome(claim=claim)
+        )
+        pending = PendingChange(
+            change=change, timeout_s=FORWARD_TIMEOUT_S, for_peer=True
+        )
+        match await self.claims.commit_for_peer(pending, FORWARD_TIMEOUT_S):
+            case Claimed():
+                return ClaimReply(verdict=ClaimVerdict.DONE)
+            case AlreadyClaimed(claim=earlier):
+                return ClaimReply(verdict=ClaimVerdict.EXISTS, earlier=earlier)
+        return ClaimReply(
+            verdict=ClaimVerdict.UNAVAILABLE, written=pending.written
+        )
+
+
+__all__ = ["ClaimForwarder"]
--- a/src/auburnswitch/members/frames.py
+++ b/src/auburnswitch/members/frames.py
@@ -18,6 +18,8 @@
 from thriftpy2.utils import deserialize, serialize
 
 from auburnswitch.schema.peers import (
+    ClaimReply,
+    ClaimRequest,
     Done,
     Envelope,
     HandoverRequest,
@@ -43,6 +45,8 @@
 _MAC_BYTES: Final = 16
 _PROTOCOL: Final = TBinaryProtocolFactory()
 _FIELDS: Final[dict[type[Struct], str]] = {
+    ClaimRequest: "claim",
+    ClaimReply: "claim_reply",
     Heartbeat: "heartbeat",
     HeartbeatAck: "heartbeat_ack",
     ReserveRequest: "reserve",
--- /dev/null
+++ b/src/auburnswitch/platform/breaker.py
@@ -0,0 +1,62 @@
+"""Keeps calls from a store that does not answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from auburnswitch.clock import monotonic_s
+
+if TYPE_CHECKING:
+    import random
+
+FAILURES_TO_OPEN: Final = 3
+FIRST_DELAY_S: Final = 0.25
+LONGEST_DELAY_S: Final = 2.0
+
+
+class Breaker:
+    """Opens after failures in a row and lets one call through now and then.
+
+    Attributes:
+        failures: Failures since the last success.
+        next_try_at: Loop time of the next call that is let through, in
+            seconds.
+    """
+
+    __slots__ = ("delay_s", "failures", "next_try_at", "random")
+
+    def __init__(self, *, random: random.Random) -> None:
+        self.random = random
+        self.failures = 0
+        self.delay_s = FIRST_DELAY_S
+        self.next_try_at = 0.0
+
+    def wait_s(self) -> float:
+        """Returns the time until a call is let through, 0 if it is now."""
+        if self.failures < FAILURES_TO_OPEN:
+            return 0.0
+        return max(0.0, self.next_try_at - monotonic_s())
+
+    def note_call(self) -> None:
+        """Notes that a call is let through; others wait for its end."""
+        if self.failures >= FAILURES_TO_OPEN:
+            self._set_next_try()
+
+    def note_success(self) -> None:
+        """Notes an answer of the store."""
+        self.failures = 0
+        self.delay_s = FIRST_DELAY_S
+
+    def note_failure(self) -> None:
+        """Notes a call without an answer, or answered as an outage."""
+        self.failures += 1
+        if self.failures >= FAILURES_TO_OPEN:
+            self._set_next_try()
+            self.delay_s = min(2 * self.delay_s, LONGEST_DELAY_S)
+
+    def _set_next_try(self) -> None:
+        delay_s = self.delay_s * self.random.uniform(0.5, 1.0)
+        self.next_try_at = monotonic_s() + delay_s
+
+
+__all__ = ["Breaker"]
--- a/src/auburnswitch/platform/claim_shard.py
+++ b/src/auburnswitch/platform/claim_shard.py
@@ -182,10 +182,15 @@
     if earlier.nonce == claim.nonce:
         return Claimed(claim=claim)  # an earlier write took effect
     return AlreadyClaimed(
-        claim=earlier, same_request=earlier.request_hash == claim.request_hash
+        claim=earlier, same_request=same_request(claim, earlier)
     )
 
 
+def same_request(claim: Claim, earlier: Claim) -> bool:
+    """Tells whether two claims are for the same request."""
+    return claim.request_hash == earlier.request_hash
+
+
 def finished_claim(claim: Claim, **outcome: Any) -> Claim:
     """Returns a copy of a claim with its outcome."""
     return dataclasses.replace(claim, **outcome)
@@ -206,5 +211,6 @@
     "finished_claim",
     "first_shard",
     "is_final",
+    "same_request",
     "split_bit",
 ]
--- a/src/auburnswitch/platform/claim_writer.py
+++ b/src/auburnswitch/platform/claim_writer.py
@@ -20,6 +20,7 @@
 )
 from auburnswitch.platform.store import (
     ABSENT,
+    CallPriority,
     StoredObject,
     StoreUnavailable,
     VersionConflict,
@@ -49,12 +50,22 @@
         change: The change.
         outcome: What came of it.
         written: A write that holds it may have taken effect.
+        give_up_at: Loop time after which a claim is not written any more.
+        for_peer: The change is another daemon's.
     """
 
-    __slots__ = ("change", "outcome", "written")
+    __slots__ = ("change", "for_peer", "give_up_at", "outcome", "written")
 
-    def __init__(self, *, change: ShardChange) -> None:
+    def __init__(
+        self,
+        *,
+        change: ShardChange,
+        timeout_s: float = COMMIT_TIME_S,
+        for_peer: bool = False,
+    ) -> None:
         self.change = change
+        self.for_peer = for_peer
+        self.give_up_at = monotonic_s() + timeout_s
         self.outcome: asyncio.Future[ClaimOutcome] = (
             asyncio.get_running_loop().create_future()
         )
@@ -62,9 +73,11 @@
 
     def wanted(self) -> bool:
         """Tells whether the change still has to be committed."""
-        if self.written or not isinstance(self.change, AddClaim):
+        if not isinstance(self.change, AddClaim):
             return True
-        return not self.outcome.done()
+        if self.for_peer and monotonic_s() > self.give_up_at:
+            return False  # its owner may have dropped it since
+        return self.written or not self.outcome.done()
 
     def resolve(self, outcome: ClaimOutcome) -> None:
         """Sets the outcome unless nobody waits for it any more."""
@@ -171,7 +184,7 @@
                 kept.append(pending)
             else:
                 pending.resolve(ClaimUnavailable(reason=reason))
-                if pending.written:
+                if pending.written and not pending.for_peer:
                     drop = DropClaim(claim=claim)
                     kept.append(PendingChange(change=drop))
         self.waiting = kept + self.waiting
@@ -223,7 +236,7 @@
     async def _read(self) -> ShardContents | StoreUnavailable:
         if self.contents is not None:
             return self.contents
-        match await self.store.get(self.key):
+        match await self.store.get(self.key, priority=CallPriority.CLAIM):
             case Result(tag="ok", ok=StoredObject() as stored):
                 self.contents = ShardContents(
                     value=stored.value, version=stored.version, fresh=True
@@ -241,7 +254,10 @@
             pending.written = True
         self.contents = None  # unknown until the write is answered
         put = await self.store.put(
-            self.key, draft.to_json(), expected_version=draft.version
+            self.key,
+            draft.to_json(),
+            expected_version=draft.version,
+            priority=CallPriority.CLAIM,
         )
         match put:
             case Result(tag="ok", ok=version):
--- a/src/auburnswitch/platform/claims.py
+++ b/src/auburnswitch/platform/claims.py
@@ -7,6 +7,7 @@
 import hashlib
 import random
 import secrets
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Final
 
 from expression import Result
@@ -31,6 +32,7 @@
 )
 from auburnswitch.platform.store import (
     ABSENT,
+    CallPriority,
     StoredObject,
     StoreUnavailable,
     VersionConflict,
@@ -39,13 +41,13 @@
 from auburnswitch.schema.objects import Claim, ClaimLayout, ClaimState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from auburnswitch.clock import WallClock
     from auburnswitch.observe.tasks import TaskSet
     from auburnswitch.platform.store import ObjectStore
     from auburnswitch.schema.settings import PlatformSettings
 
+Forward = Callable[[str, PendingChange], Awaitable["ClaimOutcome | None"]]
+
 CLAIMS_PREFIX: Final = "claims/"
 LAYOUT_KEY: Final = "claim-layout"
 MAX_RECORDED_BYTES: Final = 4096
@@ -66,6 +68,7 @@
     Attributes:
         store: The platform's store.
         settings: How long claims are kept and when shards are split.
+        forward: Has another daemon make a change, if one should.
         is_gone: Tells whether a member is known to have ended.
         writers: Writers of the shards in use, by key.
         shards: Shards that the claims started with; 0 until it is known.
@@ -73,6 +76,7 @@
 
     __slots__ = (
         "clock",
+        "forward",
         "is_gone",
         "layout_lock",
         "member_id",
@@ -102,6 +106,7 @@
         self.tasks = tasks
         self.random = random.Random(seed)
         self.is_gone = is_gone
+        self.forward: Forward | None = None
         self.writers: dict[str, ShardWriter] = {}
         self.shards = 0
         self.layout_lock = asyncio.Lock()
@@ -127,6 +132,8 @@
                 unavailable = await self._find_layout()
                 if unavailable is not None:
                     return ClaimUnavailable(reason=unavailable.reason)
+                if outcome := await self._forward(pending):
+                    return outcome
                 self._route(pending)
                 return await pending.outcome
         except TimeoutError:
@@ -154,9 +161,32 @@
             body_dropped=dropped,
         )
         pending = PendingChange(change=RecordOutcome(claim=done))
+        if await self._forward(pending):
+            return
         self._route(pending)
         await asyncio.wait({pending.outcome}, timeout=RECORD_WAIT_S)
 
+    async def commit_for_peer(
+        self, pending: PendingChange, timeout_s: float
+    ) -> ClaimOutcome:
+        """Commits another daemon's change with the next group."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                unavailable = await self._find_layout()
+                if unavailable is not None:
+                    return ClaimUnavailable(reason=unavailable.reason)
+                self._route(pending)
+                return await pending.outcome
+        except TimeoutError:
+            return ClaimUnavailable(reason="the claim took too long")
+
+    async def _forward(self, pending: PendingChange) -> ClaimOutcome | None:
+        if self.forward is None:
+            return None
+        key_hash = pending.change.claim.key_hash
+        shard = f"claims {first_shard(key_hash, self.shards)}"
+        return await self.forward(shard, pending)
+
     def record_unknown(self, claim: Claim) -> None:
         """Records that a claimed request was sent and has no known outcome."""
         unknown = finished_claim(claim, state=ClaimState.UNKNOWN)
@@ -240,7 +270,7 @@
 
     async def _read_layout(self) -> StoreUnavailable | None:
         while not self.shards:
-            match await self.store.get(LAYOUT_KEY):
+            match await self.store.get(LAYOUT_KEY, priority=CallPriority.CLAIM):
                 case Result(tag="ok", ok=StoredObject(value=value)):
                     self.shards = from_json(ClaimLayout, value).shards
                     return None
@@ -248,7 +278,10 @@
                     return error
             layout = ClaimLayout(shards=self.settings.claim_shards)
             put = await self.store.put(
-                LAYOUT_KEY, to_json(layout), expected_version=ABSENT
+                LAYOUT_KEY,
+                to_json(layout),
+                expected_version=ABSENT,
+                priority=CallPriority.CLAIM,
             )
             match put:
                 case Result(tag="error", error=VersionConflict()):
--- a/src/auburnswitch/platform/store.py
+++ b/src/auburnswitch/platform/store.py
@@ -4,99 +4,43 @@
 
 import asyncio
 import json
+import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Final
 
 import aiohttp
 from expression import Error, Ok, Result
 
+from auburnswitch.clock import monotonic_s
 from auburnswitch.http_client import send_once
+from auburnswitch.platform.breaker import Breaker
+from auburnswitch.platform.call_limiter import (
+    CallLimiter,
+    CallPriority,
+    CallSlots,
+    RateBucket,
+)
+from auburnswitch.platform.store_types import (
+    ABSENT,
+    Instance,
+    Listing,
+    RevisionExpired,
+    StoredObject,
+    StoreError,
+    StoreUnavailable,
+    ValueTooLarge,
+    VersionConflict,
+    WatchBatch,
+    WatchError,
+    WatchEvent,
+)
 
 if TYPE_CHECKING:
-    from auburnswitch.schema.settings import PlatformSettings
-
-ABSENT: Final = 0  # version of an object that does not exist
-_WATCH_GRACE_S: Final = 5.0
-
-
-@dataclass(slots=True, kw_only=True)
-class StoredObject:
-    """One object of the store."""
-
-    key: str
-    version: int
-    value: Any
-
-
-@dataclass(slots=True, kw_only=True)
-class Listing:
-    """All objects under a prefix at one revision."""
-
-    items: list[StoredObject]
-    revision: int
-
-
-@dataclass(slots=True, kw_only=True)
-class WatchEvent:
-    """One change seen by a watch."""
-
-    deleted: bool
-    object: StoredObject
-
-
-@dataclass(slots=True, kw_only=True)
-class WatchBatch:
-    """Changes up to a revision."""
-
-    events: list[WatchEvent]
-    revision: int
-
-
-@dataclass(slots=True, kw_only=True)
-class Instance:
-    """One entry of the platform's lagging list of instances."""
-
-    name: str
-    zone: str
-    leaving: bool
-
-
-@dataclass(slots=True, kw_only=True)
-class StoreUnavailable:
-    """The store gave no usable answer.
-
-    Attributes:
-        reason: What happened.
-        outcome_unknown: A write may have taken effect.
-        retry_after_s: When the store asked to be called again, in seconds.
-    """
-
-    reason: str
-    outcome_unknown: bool = False
-    retry_after_s: float = 0.0
-
-
-@dataclass(slots=True, kw_only=True)
-class VersionConflict:
-    """A conditional write found another version."""
-
-    version: int
-
-
-@dataclass(slots=True, kw_only=True)
-class ValueTooLarge:
-    """A value is larger than the store holds."""
-
-    limit_bytes: int
-
-
-@dataclass(slots=True, kw_only=True)
-class RevisionExpired:
-    """The store no longer keeps the changes after a revision."""
+    from collections.abc import Callable
 
+    from auburnswitch.schema.settings import PlatformSettings
 
-StoreError = StoreUnavailable | VersionConflict | ValueTooLarge
-WatchError = StoreUnavailable | RevisionExpired
+WATCH_GRACE_S: Final = 1.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -109,33 +53,73 @@
 class ObjectStore:
     """Calls the platform's object API.
 
+    Calls are bounded in number and rate, so that the whole fleet stays under
+    the store's limits, and are refused at once while the store does not
+    answer, but for one now and then.
+
     Attributes:
         settings: Address and bounds of the calls.
         session: HTTP session the calls go through.
+        member_count: Returns how many daemons share the store's limits.
         calls: Calls made so far.
         last_success_at: Loop time of the last answer, in seconds.
+        breaker: Keeps calls from a store that does not answer.
+        reads: Bounds the reads.
+        writes: Bounds the writes.
     """
 
-    __slots__ = ("calls", "last_success_at", "semaphore", "session", "settings")
+    __slots__ = (
+        "breaker",
+        "calls",
+        "last_success_at",
+        "member_count",
+        "random",
+        "reads",
+        "session",
+        "settings",
+        "writes",
+    )
 
     def __init__(
-        self, *, settings: PlatformSettings, session: aiohttp.ClientSession
+        self,
+        *,
+        settings: PlatformSettings,
+        session: aiohttp.ClientSession,
+        member_count: Callable[[], int] = lambda: 1,
+        seed: int = 0,
     ) -> None:
         self.settings = settings
         self.session = session
-        self.semaphore = asyncio.Semaphore(settings.max_concurrency)
+        self.member_count = member_count
         self.calls = 0
         self.last_success_at = float("-inf")
+        self.random = random.Random(seed)
+        self.breaker = Breaker(random=self.random)
+        slots = CallSlots(count=settings.max_concurrency)
+        self.reads = CallLimiter(
+            bucket=RateBucket(rate=self._read_rate), slots=slots
+        )
+        self.writes = CallLimiter(
+            bucket=RateBucket(rate=self._write_rate), slots=slots
+        )
+
+    def _read_rate(self) -> float:
+        share = self.settings.fleet_reads_per_second / self.member_count()
+        return min(self.settings.calls_per_second, share)
+
+    def _write_rate(self) -> float:
+        share = self.settings.fleet_writes_per_second / self.member_count()
+        return min(self.settings.calls_per_second, share)
 
     def size_bytes(self, value: Any) -> int:
         """Returns the size at which the store would count a value."""
         return len(json.dumps(value).encode())
 
     async def get(
-        self, key: str
+        self, key: str, *, priority: CallPriority = CallPriority.NORMAL
     ) -> Result[StoredObject | None, StoreUnavailable]:
         """Reads an object; an absent one is None."""
-        match await self._call("GET", f"/objects/{key}"):
+        match await self._call("GET", f"/objects/{key}", priority):
             case _Reply(status=200, body=body):
                 return Ok(_stored(body))
             case _Reply(status=404):
@@ -146,7 +130,12 @@
                 return Error(error)
 
     async def put(
-        self, key: str, value: Any, *, expected_version: int | None = None
+        self,
+        key: str,
+        value: Any,
+        *,
+        expected_version: int | None = None,
+        priority: CallPriority = CallPriority.NORMAL,
     ) -> Result[int, StoreError]:
         """Writes an object.
 
@@ -155,13 +144,14 @@
             value: Any JSON value.
             expected_version: Version that the object must have; ``ABSENT``
                 creates it; None writes unconditionally.
+            priority: Order among the calls that wait.
 
         Returns:
             The new version.
         """
         headers = _condition(expected_version)
         reply = await self._call(
-            "PUT", f"/objects/{key}", headers=headers, json=value
+            "PUT", f"/objects/{key}", priority, headers=headers, json=value
         )
         match reply:
             case _Reply(status=200, body=body):
@@ -177,11 +167,17 @@
                 return Error(error)
 
     async def delete(
-        self, key: str, *, expected_version: int | None = None
+        self,
+        key: str,
+        *,
+        expected_version: int | None = None,
+        priority: CallPriority = CallPriority.NORMAL,
     ) -> Result[None, StoreError]:
         """Deletes an object; an absent one counts as deleted."""
         headers = _condition(expected_version)
-        reply = await self._call("DELETE", f"/objects/{key}", headers=headers)
+        reply = await self._call(
+            "DELETE", f"/objects/{key}", priority, headers=headers
+        )
         match reply:
             case _Reply(status=200 | 404):
                 return Ok(None)
@@ -192,9 +188,13 @@
             case error:
                 return Error(error)
 
-    async def list(self, prefix: str) -> Result[Listing, StoreUnavailable]:
+    async def list(
+        self, prefix: str, *, priority: CallPriority = CallPriority.NORMAL
+    ) -> Result[Listing, StoreUnavailable]:
         """Reads all objects under a prefix."""
-        reply = await self._call("GET", "/objects", params={"prefix": prefix})
+        reply = await self._call(
+            "GET", "/objects", priority, params={"prefix": prefix}
+        )
         match reply:
             case _Reply(status=200, body=body):
                 items = [_stored(item) for item in body["items"]]
@@ -210,8 +210,14 @@
         """Waits for changes under a prefix after a revision."""
         wait_s = self.settings.watch_timeout_s
         params = {"prefix": prefix, "since": revision, "timeout": wait_s}
+        if unavailable := self._check_breaker():
+            return Error(unavailable)
+        try:  # a waiting watch holds no slot
+            await self.reads.take_token(timeout_s=wait_s)
+        except TimeoutError:
+            return Error(StoreUnavailable(reason="too many calls wait"))
         reply = await self._send(
-            "GET", "/watch", wait_s + _WATCH_GRACE_S, params=params
+            "GET", "/watch", wait_s + WATCH_GRACE_S, params=params
         )
         match reply:
             case _Reply(status=200, body=body):
@@ -226,7 +232,7 @@
 
     async def instances(self) -> Result[list[Instance], StoreUnavailable]:
         """Reads the platform's lagging list of instances."""
-        match await self._call("GET", "/instances"):
+        match await self._call("GET", "/instances", CallPriority.BACKGROUND):
             case _Reply(status=200, body=body):
                 return Ok([_instance(item) for item in body["instances"]])
             case _Reply() as reply:
@@ -235,16 +241,57 @@
                 return Error(error)
 
     async def _call(
-        self, method: str, path: str, **options: Any
+        self,
+        method: str,
+        path: str,
+        priority: CallPriority,
+        **options: Any,
     ) -> _Reply | StoreUnavailable:
-        async with self.semaphore:
-            timeout_s = self.settings.call_timeout_s
+        limiter = self.reads if method == "GET" else self.writes
+        timeout_s = self.settings.call_timeout_s
+        if unavailable := self._check_breaker():
+            return unavailable
+        admitted = limiter.admit(priority, timeout_s=timeout_s)
+        try:
+            await admitted.__aenter__()
+        except TimeoutError:
+            return StoreUnavailable(reason="too many calls wait for the store")
+        try:
+            if unavailable := self._check_breaker():
+                return unavailable
             return await self._send(method, path, timeout_s, **options)
+        finally:
+            await admitted.__aexit__(None, None, None)
+
+    def _check_breaker(self) -> StoreUnavailable | None:
+        wait_s = self.breaker.wait_s()
+        if not wait_s:
+            return None
+        return StoreUnavailable(
+            reason="the store did not answer lately", retry_after_s=wait_s
+        )
 
     async def _send(
         self, method: str, path: str, timeout_s: float, **options: Any
     ) -> _Reply | StoreUnavailable:
         self.calls += 1
+        self.breaker.note_call()
+        reply = await self._exchange(method, path, timeout_s, **options)
+        match reply:
+            case _Reply(status=429):
+                limiter = self.reads if method == "GET" else self.writes
+                limiter.bucket.pause(self.random.uniform(0.1, 1.0))
+                self.breaker.note_success()
+            case _Reply(status=status) if status < 500:
+                self.breaker.note_success()
+                self.last_success_at = monotonic_s()
+            case _:
+                self.breaker.note_failure()
+        return reply
+
+    async def _exchange(
+        self, method: str, path: str, timeout_s: float, **options: Any
+    ) -> _Reply | StoreUnavailable:
         url = self.settings.url.rstrip("/") + path
         middlewares = () if method == "GET" else (send_once,)
         try:
@@ -266,8 +313,6 @@
             reason = str(error) or type(error).__name__
             unknown = method != "GET"
             return StoreUnavailable(reason=reason, outcome_unknown=unknown)
-        if response.status < 500 and response.status != 429:
-            self.last_success_at = asyncio.get_running_loop().time()
         return _Reply(
             status=response.status, body=body, headers=response.headers
         )
@@ -313,6 +358,7 @@
 
 __all__ = [
     "ABSENT",
+    "CallPriority",
     "Instance",
     "Listing",
     "ObjectStore",
--- a/src/auburnswitch/schema/peers.py
+++ b/src/auburnswitch/schema/peers.py
@@ -701,6 +701,95 @@
     }
 
 
+class ClaimAction(enum.IntEnum):
+    """Generated from the schema."""
+
+    ADD = 0
+    RECORD = 1
+
+
+CLAIMACTION_INFO: Final = {
+    ClaimAction.ADD: Description(text="", options={}),
+    ClaimAction.RECORD: Description(text="", options={}),
+}
+
+
+@dataclass(slots=True, kw_only=True)
+class ClaimRequest(Struct):
+    """Asks the daemon that commits a shard of claims to change it."""
+
+    action: ClaimAction = ClaimAction.ADD
+    claim: Claim = field(default_factory=Claim)
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        60: (TType.I32, "action", False),
+        61: (TType.STRUCT, "claim", Claim, False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("action", None),
+        ("claim", None),
+    ]
+    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {
+        "action": ClaimAction
+    }
+    descriptions: ClassVar[dict[str, Description]] = {
+        "action": Description(text="", options={}),
+        "claim": Description(text="", options={}),
+    }
+
+
+class ClaimVerdict(enum.IntEnum):
+    """Generated from the schema."""
+
+    DONE = 0
+    EXISTS = 1
+    UNAVAILABLE = 2
+
+
+CLAIMVERDICT_INFO: Final = {
+    ClaimVerdict.DONE: Description(
+        text="The claim was added, or its outcome recorded.", options={}
+    ),
+    ClaimVerdict.EXISTS: Description(
+        text="Another claim has the key.", options={}
+    ),
+    ClaimVerdict.UNAVAILABLE: Description(
+        text="The change was not committed in time.", options={}
+    ),
+}
+
+
+@dataclass(slots=True, kw_only=True)
+class ClaimReply(Struct):
+    """Generated from the schema."""
+
+    verdict: ClaimVerdict = ClaimVerdict.DONE
+    earlier: Claim | None = None
+    written: bool = False
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        60: (TType.I32, "verdict", False),
+        61: (TType.STRUCT, "earlier", Claim, False),
+        62: (TType.BOOL, "written", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("verdict", None),
+        ("earlier", None),
+        ("written", None),
+    ]
+    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {
+        "verdict": ClaimVerdict
+    }
+    descriptions: ClassVar[dict[str, Description]] = {
+        "verdict": Description(text="", options={}),
+        "earlier": Description(text="The claim that has the key.", options={}),
+        "written": Description(
+            text="A change that was not committed may have taken effect all the same.",
+            options={},
+        ),
+    }
+
+
 @dataclass(slots=True, kw_only=True)
 class Envelope(Struct):
     """One frame of a peer connection; exactly one optional field is set."""
@@ -718,6 +807,8 @@
     handover: HandoverRequest | None = None
     done: Done | None = None
     hello: Hello | None = None
+    claim: ClaimRequest | None = None
+    claim_reply: ClaimReply | None = None
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "call_id", False),
@@ -733,6 +824,8 @@
         11: (TType.STRUCT, "handover", HandoverRequest, False),
         12: (TType.STRUCT, "done", Done, False),
         13: (TType.STRUCT, "hello", Hello, False),
+        60: (TType.STRUCT, "claim", ClaimRequest, False),
+        61: (TType.STRUCT, "claim_reply", ClaimReply, False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("call_id", None),
@@ -748,6 +841,8 @@
         ("handover", None),
         ("done", None),
         ("hello", None),
+        ("claim", None),
+        ("claim_reply", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -767,10 +862,18 @@
         "handover": Description(text="", options={}),
         "done": Description(text="", options={}),
         "hello": Description(text="", options={}),
+        "claim": Description(text="", options={}),
+        "claim_reply": Description(text="", options={}),
     }
 
 
 __all__ = [
+    "CLAIMACTION_INFO",
+    "CLAIMVERDICT_INFO",
+    "ClaimAction",
+    "ClaimReply",
+    "ClaimRequest",
+    "ClaimVerdict",
     "Done",
     "ENDPOINTPHASE_INFO",
     "EndpointHint",
--- a/src/auburnswitch/schema/settings.py
+++ b/src/auburnswitch/schema/settings.py
@@ -198,6 +198,8 @@
     claim_shards: int = 16
     claim_retention_s: float = 86400.0
     claim_split_bytes: int = 131072
+    fleet_reads_per_second: float = 1500.0
+    fleet_writes_per_second: float = 250.0
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "url", False),
@@ -209,6 +211,8 @@
         7: (TType.I32, "claim_shards", False),
         8: (TType.DOUBLE, "claim_retention_s", False),
         60: (TType.I64, "claim_split_bytes", False),
+        61: (TType.DOUBLE, "fleet_reads_per_second", False),
+        62: (TType.DOUBLE, "fleet_writes_per_second", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("url", None),
@@ -220,6 +224,8 @@
         ("claim_shards", None),
         ("claim_retention_s", None),
         ("claim_split_bytes", None),
+        ("fleet_reads_per_second", None),
+        ("fleet_writes_per_second", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -239,7 +245,7 @@
             options={"min": "1", "max": "1000"},
         ),
         "calls_per_second": Description(
-            text="Calls per second that this daemon may make.",
+            text="Reads, and writes, per second that this daemon may make at the most.",
             options={"unit": "calls/s", "min": "0.1", "max": "1000"},
         ),
         "max_value_bytes": Description(
@@ -258,6 +264,14 @@
             text="Size at which a shard of claims is split into two.",
             options={"unit": "bytes", "min": "1024", "max": "1000000"},
         ),
+        "fleet_reads_per_second": Description(
+            text="Reads per second that all daemons together may make, waiting watches included.",
+            options={"unit": "calls/s", "min": "1", "max": "100000"},
+        ),
+        "fleet_writes_per_second": Description(
+            text="Writes per second that all daemons together may make.",
+            options={"unit": "calls/s", "min": "1", "max": "100000"},
+        ),
     }
 
 
--- a/tests/platform/test_claims.py
+++ b/tests/platform/test_claims.py
@@ -9,6 +9,8 @@
 
 from auburnswitch.clock import WallClock
 from auburnswitch.observe.tasks import open_task_set
+from auburnswitch.platform.claim_shard import AddClaim, first_shard
+from auburnswitch.platform.claim_writer import PendingChange
 from auburnswitch.platform.claims import (
     AlreadyClaimed,
     Claimed,
@@ -196,3 +198,45 @@
                 self.assertIsInstance(second, AlreadyClaimed)
             else:
                 self.assertIsInstance(first, ClaimUnavailable)
+
+
+class ForwardTest(unittest.TestCase):
+    def test_lost_reply_of_the_committing_daemon(self):
+        async def scenario():
+            async with open_claims(2) as (platform, stores):
+                asker, home = stores
+
+                async def forward(_, pending):
+                    pending.written = True
+                    there = PendingChange(change=pending.change, for_peer=True)
+                    await home.commit_for_peer(there, 1)
+
+                asker.forward = forward
+                outcome = await claim(asker, "a")
+                again = await claim(home, "a")
+                return outcome, again, platform.calls["put"]
+
+        outcome, again, puts = run_virtual(scenario)
+        self.assertIsInstance(outcome, Claimed)
+        self.assertIsInstance(again, AlreadyClaimed)
+        self.assertEqual(puts, 2)
+
+    def test_committing_daemon_leaves_drops_to_the_owner(self):
+        async def scenario():
+            async with open_claims(2) as (platform, stores):
+                asker, home = stores
+                await claim(home, "other")
+                pending = PendingChange(
+                    change=AddClaim(claim=asker._new_claim("a" * 32, "", 10)),
+                    for_peer=True,
+                )
+                platform.lose_answers, platform.hang_lost = 1, True
+                outcome = await home.commit_for_peer(pending, 1)
+                await asyncio.sleep(10)
+                key = f"claims/{first_shard('a' * 32, home.shards):04d}"
+                stored = platform.store.objects[key].value["claims"]
+                return outcome, pending.written, len(stored)
+
+        outcome, written, stored = run_virtual(scenario)
+        self.assertIsInstance(outcome, ClaimUnavailable)
+        self.assertEqual((written, stored), (True, 1))
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,107 @@
+"""Tests of the bounds of calls to the store."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import unittest
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.platform.store import CallPriority, ObjectStore
+from auburnswitch.schema.settings import PlatformSettings
+from auburnswitch.standins.platform import open_platform
+from tests.virtual_time import open_session, run_virtual
+
+
+@contextlib.asynccontextmanager
+async def open_store(members: int = 1, **settings):
+    """Opens a platform and a client of it."""
+    async with open_platform() as platform, open_session() as session:
+        values = PlatformSettings(url=platform.url, **settings)
+        yield (
+            platform,
+            ObjectStore(
+                settings=values, session=session, member_count=lambda: members
+            ),
+        )
+
+
+class LimitTest(unittest.TestCase):
+    def test_rate_is_a_share_of_the_fleets(self):
+        async def scenario():
+            async with open_store(
+                members=10, fleet_writes_per_second=100, call_timeout_s=60
+            ) as (_, store):
+                started = monotonic_s()
+                await asyncio.gather(*(store.put(str(n), n) for n in range(60)))
+                return monotonic_s() - started
+
+        self.assertAlmostEqual(run_virtual(scenario), 5, delta=0.1)
+
+    def test_concurrency_is_bounded_and_claims_go_first(self):
+        async def scenario():
+            async with open_store(max_concurrency=4) as (platform, store):
+                platform.delay_s = 1.0
+                ended: list[str] = []
+
+                async def read(name: str, priority: CallPriority):
+                    await store.get("a", priority=priority)
+                    ended.append(name)
+
+                group = [
+                    asyncio.create_task(read("read", CallPriority.NORMAL))
+                    for _ in range(3)
+                ]
+                await asyncio.sleep(0.1)
+                group += [
+                    asyncio.create_task(read("claim", CallPriority.CLAIM))
+                    for _ in range(2)
+                ]
+                await asyncio.sleep(0.1)
+                in_flight = platform.calls["get"]
+                await asyncio.gather(*group)
+                return in_flight, ended
+
+        in_flight, ended = run_virtual(scenario)
+        self.assertEqual(in_flight, 4)
+        self.assertEqual(ended, ["read"] * 2 + ["claim"] * 2 + ["read"])
+
+
+class BreakerTest(unittest.TestCase):
+    def test_outage_of_an_hour(self):
+        async def scenario(fault: str):
+            async with open_store() as (platform, store):
+                await store.put("a", 1)
+                setattr(platform, fault, True)
+                before = sum(platform.calls.values())
+                waits = []
+                for _ in range(3600):
+                    asked = monotonic_s()
+                    await store.get("a")
+                    waits.append(monotonic_s() - asked)
+                    await asyncio.sleep(max(0, 1 - waits[-1]))
+                calls = sum(platform.calls.values()) - before
+                setattr(platform, fault, False)
+                await asyncio.sleep(2)
+                return calls, sum(waits) / 3600, await store.get("a")
+
+        for fault in ("outage", "silent"):
+            with self.subTest(fault):
+                calls, wait_s, read = run_virtual(
+                    lambda fault=fault: scenario(fault)
+                )
+                self.assertLess(calls, 3600)
+                self.assertLess(wait_s, 1.5)
+                self.assertEqual(read.ok.value, 1)
+
+    def test_too_many_calls_are_not_an_outage(self):
+        async def scenario():
+            async with open_store(calls_per_second=1000) as (platform, store):
+                platform.reads.rate = platform.reads.burst = 5
+                platform.reads.tokens = 0
+                read = [await store.get("a") for _ in range(8)]
+                return read, store.breaker.failures
+
+        read, failures = run_virtual(scenario)
+        self.assertTrue(any(r.is_ok() for r in read))
+        self.assertEqual(failures, 0)
