--- a/src/auburnswitch/endpoints/load.py
+++ b/src/auburnswitch/endpoints/load.py
@@ -15,6 +15,7 @@
         running: Requests that run.
         waiting: Requests that wait in the endpoint.
         memory_used_tokens: Memory in use, in tokens.
+        prefill_queued_tokens: Prompt tokens still to prefill.
         leaving: The endpoint says that it is leaving.
     """
 
@@ -22,6 +23,7 @@
     running: int = 0
     waiting: int = 0
     memory_used_tokens: int = 0
+    prefill_queued_tokens: int = 0
     leaving: bool = False
 
     @property
@@ -43,6 +45,7 @@
         running=_count(body.get("running")),
         waiting=_count(body.get("waiting")),
         memory_used_tokens=_count(body.get("memory_used_tokens")),
+        prefill_queued_tokens=_count(body.get("prefill_queued_tokens")),
         leaving=body.get("leaving") is True,
     )
 
--- a/src/auburnswitch/endpoints/reservations.py
+++ b/src/auburnswitch/endpoints/reservations.py
@@ -129,6 +129,20 @@
         self.held[held.id] = held
         return held
 
+    def hold_unasked(
+        self, work: RunningWork, use_before: float
+    ) -> HeldReservation:
+        """Holds work that no owner has granted; heartbeats report it."""
+        held = HeldReservation(
+            endpoint=work.endpoint,
+            owner_id="",
+            use_before=use_before,
+            boot_id="",
+            work=work,
+        )
+        self.held[held.id] = held
+        return held
+
     def guard(
         self, held: HeldReservation, attempt: Attempt
     ) -> Callable[[], None]:
--- a/src/auburnswitch/members/claim_forwarder.py
+++ b/src/auburnswitch/members/claim_forwarder.py
@@ -21,9 +21,9 @@
 from auburnswitch.platform.claim_writer import PendingChange
 from auburnswitch.schema.peers import (
     ClaimAction,
-    ClaimReply,
-    ClaimRequest,
     ClaimVerdict,
+    KeyClaimReply,
+    KeyClaimRequest,
 )
 
 if TYPE_CHECKING:
@@ -51,7 +51,7 @@
 
     def register(self, server: PeerServer) -> None:
         """Registers the handler of forwarded claims."""
-        server.handlers[ClaimRequest] = self._on_request
+        server.handlers[KeyClaimRequest] = self._on_request
 
     async def forward(
         self, shard: str, pending: PendingChange
@@ -73,25 +73,25 @@
             if isinstance(change, AddClaim)
             else ClaimAction.RECORD
         )
-        request = ClaimRequest(action=action, claim=change.claim)
+        request = KeyClaimRequest(action=action, claim=change.claim)
         pending.written = True
         try:
             reply = await link.call(request, FORWARD_TIMEOUT_S)
         except (OSError, TimeoutError, FrameError):
             return None
         match reply:
-            case ClaimReply(verdict=ClaimVerdict.DONE):
+            case KeyClaimReply(verdict=ClaimVerdict.DONE):
                 return Claimed(claim=change.claim)
-            case ClaimReply(verdict=ClaimVerdict.EXISTS, earlier=earlier):
+            case KeyClaimReply(verdict=ClaimVerdict.EXISTS, earlier=earlier):
                 return AlreadyClaimed(
                     claim=earlier,
                     same_request=same_request(change.claim, earlier),
                 )
-            case ClaimReply(written=written):
+            case KeyClaimReply(written=written):
                 pending.written = written
         return None
 
-    async def _on_request(self, request: Any, _: str) -> ClaimReply:
+    async def _on_request(self, request: Any, _: str) -> KeyClaimReply:
         claim = request.claim
         change = (
             AddClaim(claim=claim)
@@ -103,10 +103,12 @@
         )
         match await self.claims.commit_for_peer(pending, FORWARD_TIMEOUT_S):
             case Claimed():
-                return ClaimReply(verdict=ClaimVerdict.DONE)
+                return KeyClaimReply(verdict=ClaimVerdict.DONE)
             case AlreadyClaimed(claim=earlier):
-                return ClaimReply(verdict=ClaimVerdict.EXISTS, earlier=earlier)
-        return ClaimReply(
+                return KeyClaimReply(
+                    verdict=ClaimVerdict.EXISTS, earlier=earlier
+                )
+        return KeyClaimReply(
             verdict=ClaimVerdict.UNAVAILABLE, written=pending.written
         )
 
--- a/src/auburnswitch/members/frames.py
+++ b/src/auburnswitch/members/frames.py
@@ -18,14 +18,16 @@
 from thriftpy2.utils import deserialize, serialize
 
 from auburnswitch.schema.peers import (
-    ClaimReply,
-    ClaimRequest,
+    ClaimsReply,
+    ClaimsRequest,
     Done,
     Envelope,
     HandoverRequest,
     Heartbeat,
     HeartbeatAck,
     Hello,
+    KeyClaimReply,
+    KeyClaimRequest,
     ProgressRequest,
     ReleaseRequest,
     ReserveReply,
@@ -45,8 +47,8 @@
 _MAC_BYTES: Final = 16
 _PROTOCOL: Final = TBinaryProtocolFactory()
 _FIELDS: Final[dict[type[Struct], str]] = {
-    ClaimRequest: "claim",
-    ClaimReply: "claim_reply",
+    KeyClaimRequest: "key_claim",
+    KeyClaimReply: "key_claim_reply",
     Heartbeat: "heartbeat",
     HeartbeatAck: "heartbeat_ack",
     ReserveRequest: "reserve",
@@ -58,6 +60,8 @@
     HandoverRequest: "handover",
     Done: "done",
     Hello: "hello",
+    ClaimsRequest: "claims",
+    ClaimsReply: "claims_reply",
 }
 
 
--- a/src/auburnswitch/standins/platform_api.py
+++ b/src/auburnswitch/standins/platform_api.py
@@ -13,7 +13,7 @@
 
 from auburnswitch.standins.control import control_routes
 from auburnswitch.standins.history import HistoryKind
-from auburnswitch.standins.listener import Listener, wait_disconnected
+from auburnswitch.standins.lost_answer import LostAnswer
 from auburnswitch.standins.object_store import (
     CompactedError,
     ConditionFailedError,
@@ -22,7 +22,6 @@
 
 if TYPE_CHECKING:
     from starlette.requests import Request
-    from starlette.types import Receive, Scope, Send
 
     from auburnswitch.standins.platform import PlatformStandIn
 
@@ -93,7 +92,7 @@
             return self._answer({"error": str(error)}, 400)
         except ConditionFailedError as error:
             return self._answer({"version": error.version}, 412)
-        return self._write_answer(key, written.version)
+        return self._write_answer("put", key, written.version)
 
     async def delete(self, request: Request) -> Response:
         """Deletes an object."""
@@ -110,7 +109,7 @@
             return self._answer({"version": error.version}, 412)
         if not existed:
             return self._answer({"error": "no such object"}, 404)
-        return self._write_answer(key, platform.store.revision)
+        return self._write_answer("delete", key, platform.store.revision)
 
     async def watch(self, request: Request) -> Response:
         """Waits for changes under a prefix after a revision."""
@@ -185,10 +184,16 @@
         self.platform.statuses[status] += 1
         return JSONResponse(content, status, headers)
 
-    def _write_answer(self, key: str, version: int) -> Response:
+    def _write_answer(self, operation: str, key: str, version: int) -> Response:
         platform = self.platform
         history, name = platform.history, platform.name
-        history.add(name, HistoryKind.WRITE_ACCEPTED, key=key, version=version)
+        history.add(
+            name,
+            HistoryKind.WRITE_ACCEPTED,
+            operation=operation,
+            key=key,
+            version=version,
+        )
         if platform.lose_answers > 0:
             platform.lose_answers -= 1
             history.add(name, HistoryKind.ANSWER_LOST, key=key, version=version)
@@ -198,24 +203,6 @@
         return self._answer({"key": key, "version": version})
 
 
-class LostAnswer(Response):
-    """Gives no answer: breaks the connection or leaves the caller waiting."""
-
-    def __init__(self, *, listener: Listener, hang: bool) -> None:
-        super().__init__()
-        self.listener = listener
-        self.hang = hang
-
-    async def __call__(
-        self, scope: Scope, receive: Receive, send: Send
-    ) -> None:
-        """Ends the request without an answer."""
-        if self.hang:
-            await wait_disconnected(receive)
-        else:
-            await self.listener.drop_request(scope, receive)
-
-
 def _expected(request: Request) -> int | None:
     if request.headers.get("if-none-match") == "*":
         return 0
