--- a/schema/objects.thrift
+++ b/schema/objects.thrift
@@ -107,6 +107,12 @@
   7: optional Endpoint endpoint
 }
 
+// The newest change of one object and the ticket that made it.
+struct VersionedChange {
+  1: i64 number = 0
+  2: Change change
+}
+
 // A numbered change of configuration. A later number supersedes an earlier one.
 struct Ticket {
   1: i64 number = 0
@@ -115,18 +121,16 @@
   4: list<Change> changes = []
   // Wall-clock time of acceptance, in seconds since the epoch.
   5: double accepted_at = 0
-}
-
-// The newest change of one object and the ticket that made it.
-struct VersionedChange {
-  1: i64 number = 0
-  2: Change change
+  // Operator whose key the ticket came with.
+  60: string operator_ = ""
+  // What the ticket's objects were before, as its daemon knew them; an object without an entry was not there.
+  61: list<VersionedChange> before = []
 }
 
 // The join of many tickets.
 struct Snapshot {
   1: list<VersionedChange> entries = []
-  // Every ticket up to this number is included.
+  // Highest number among the included tickets; a lower one may still come.
   2: i64 included_through = 0
 }
 
--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -39,9 +39,14 @@
 from auburnswitch.observe.tasks import TaskSet, open_task_set
 from auburnswitch.operators.app import OperatorApp
 from auburnswitch.platform.claims import ClaimStore
+from auburnswitch.platform.compaction import TicketPoller
 from auburnswitch.platform.state import ConfigState
 from auburnswitch.platform.store import ObjectStore
-from auburnswitch.platform.tickets import TICKETS_PREFIX, TicketStore
+from auburnswitch.platform.tickets import (
+    PUBLISHED_PREFIX,
+    SNAPSHOT_KEY,
+    TicketStore,
+)
 from auburnswitch.platform.watcher import StoreWatcher
 from auburnswitch.results import Refusal, refusal
 from auburnswitch.routing.dispatcher import Dispatcher
@@ -100,7 +105,7 @@
         seed = settings.daemon.seed or secrets.randbits(_SEED_BITS)
         self.clock = WallClock()
         self.metrics = Metrics()
-        self.state = ConfigState()
+        self.state = ConfigState(invariants=invariants)
         self.member = Member(
             id=f"{settings.daemon.instance}.{secrets.token_hex(4)}",
             instance=settings.daemon.instance,
@@ -129,7 +134,13 @@
             synced=self.watcher.synced,
             seed=seed,
         )
-        self.watcher.handlers[TICKETS_PREFIX] = self.tickets.handle_object
+        self.watcher.handlers[PUBLISHED_PREFIX] = self.tickets.handle_ticket
+        self.watcher.handlers[SNAPSHOT_KEY] = self.tickets.handle_snapshot
+        self.poller = TicketPoller(
+            store=self.store,
+            tickets=self.tickets,
+            is_poller=lambda: self.view.live_ids()[:1] == [self.member.id],
+        )
         self.watcher.handlers[ROSTER_KEY] = self.roster.handle_object
         self.cleanups = TaskSet()
         self._build_members(dial)
@@ -302,6 +313,7 @@
         self.tasks.start(self.watcher.run(), "watcher")
         self.tasks.start(self.roster.run(), "roster")
         self.tasks.start(self.membership.run(), "membership")
+        self.tasks.start(self.poller.run(), "ticket poller")
         refresh = self.watcher.refresh
         self.tasks.start(self.isolation.run(refresh), "store probe")
         self.tasks.start(self.monitor.run(), "load monitor")
--- a/src/auburnswitch/operators/check.py
+++ b/src/auburnswitch/operators/check.py
@@ -53,7 +53,7 @@
     after = ConfigState()
     after.join_snapshot(state.snapshot())
     after.join_ticket(ticket)
-    report.errors += _check_references(ticket, after)
+    report.errors += _check_references(ticket, state, after)
     report.warnings += _find_warnings(ticket, state, after)
     return report
 
@@ -149,16 +149,23 @@
     return all(character in "0123456789abcdef" for character in text)
 
 
-def _check_references(ticket: Ticket, after: ConfigState) -> Iterator[str]:
+def _check_references(
+    ticket: Ticket, before: ConfigState, after: ConfigState
+) -> Iterator[str]:
+    """Finds the references that this ticket breaks.
+
+    What a race of two tickets has broken does not keep a third from being
+    accepted.
+    """
     changed = {(c.kind, c.name) for c in ticket.changes}
-    for name, endpoint in after.endpoints.items():
-        if endpoint.service not in after.services:
-            yield f"endpoint {name!r}: unknown service {endpoint.service!r}"
-        if endpoint.zone not in after.zones:
-            yield f"endpoint {name!r}: unknown zone {endpoint.zone!r}"
+    for name, reason in after.dangling.items():
+        touched = (ObjectKind.ENDPOINT, name) in changed
+        if touched or name not in before.dangling:
+            yield f"endpoint {name!r}: {reason}"
     for name, service in after.services.items():
+        touched = (ObjectKind.SERVICE, name) in changed
         for team in service.teams:
-            if team not in after.teams:
+            if team not in after.teams and (touched or team in before.teams):
                 yield f"service {name!r}: unknown team {team!r}"
     owners: dict[str, str] = {}
     for name, team in after.teams.items():
@@ -171,6 +178,8 @@
 def _find_warnings(
     ticket: Ticket, before: ConfigState, after: ConfigState
 ) -> Iterator[str]:
+    for name, reason in after.dangling.items():
+        yield f"endpoint {name!r} is left out: {reason}"
     for name in after.services:
         if not after.endpoints_of(name):
             yield f"service {name!r} has no endpoint"
--- /dev/null
+++ b/src/auburnswitch/platform/compaction.py
@@ -0,0 +1,124 @@
+"""Folds published tickets into a snapshot and reads them regularly."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+from expression import Result
+
+from auburnswitch.platform.state import ConfigState
+from auburnswitch.platform.store import ABSENT, CallPriority, StoredObject
+from auburnswitch.platform.tickets import PUBLISHED_PREFIX, SNAPSHOT_KEY
+from auburnswitch.schema.base import SchemaError, from_json, to_json
+from auburnswitch.schema.objects import Snapshot, Ticket
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from auburnswitch.platform.store import Listing, ObjectStore
+    from auburnswitch.platform.tickets import TicketStore
+
+POLL_INTERVAL_S: Final = 2.0
+COMPACT_FROM_TICKETS: Final = 32
+
+
+class TicketPoller:
+    """Reads the published tickets again and again in one of the daemons.
+
+    So a ticket is found when watches miss it and the daemon that accepted it
+    is gone; the others learn it from their peers. When there are many, they
+    are folded into the snapshot.
+
+    Attributes:
+        store: The platform's store.
+        tickets: Joins what is read.
+        is_poller: Tells whether it is for this daemon to read.
+    """
+
+    __slots__ = ("is_poller", "store", "tickets")
+
+    def __init__(
+        self,
+        *,
+        store: ObjectStore,
+        tickets: TicketStore,
+        is_poller: Callable[[], bool],
+    ) -> None:
+        self.store = store
+        self.tickets = tickets
+        self.is_poller = is_poller
+
+    async def run(self) -> None:
+        """Reads for ever."""
+        while True:
+            await asyncio.sleep(POLL_INTERVAL_S)
+            if self.is_poller():
+                await self.poll()
+
+    async def poll(self) -> None:
+        """Joins the published tickets, and folds them if there are many."""
+        match await self.store.list(PUBLISHED_PREFIX):
+            case Result(tag="ok", ok=listing):
+                for item in listing.items:
+                    self.tickets.handle_ticket(item)
+                if len(listing.items) >= COMPACT_FROM_TICKETS:
+                    await self.compact(listing)
+
+    async def compact(self, listing: Listing) -> bool:
+        """Folds tickets into the stored snapshot, then removes them.
+
+        Only what the conditionally written snapshot holds is removed. A
+        ticket that is published later, with whatever number, is not in the
+        listing and stays for the next time.
+
+        Returns:
+            Whether the snapshot was written.
+        """
+        match await self.store.get(SNAPSHOT_KEY):
+            case Result(tag="ok", ok=stored):
+                folded = _fold(stored, listing.items)
+            case _:
+                return False
+        if folded is None:
+            return False
+        version = stored.version if stored is not None else ABSENT
+        put = await self.store.put(
+            SNAPSHOT_KEY,
+            to_json(folded),
+            expected_version=version,
+            priority=CallPriority.BACKGROUND,
+        )
+        if put.is_error():
+            return False  # the next poll tries again
+        for item in listing.items:
+            await self.store.delete(
+                item.key,
+                expected_version=item.version,
+                priority=CallPriority.BACKGROUND,
+            )
+        return True
+
+
+def _fold(
+    stored: StoredObject | None, items: list[StoredObject]
+) -> Snapshot | None:
+    state = ConfigState()
+    included = 0
+    try:
+        if stored is not None:
+            snapshot = from_json(Snapshot, stored.value)
+            included = snapshot.included_through
+            state.join_snapshot(snapshot)
+        for item in items:
+            ticket = from_json(Ticket, item.value)
+            included = max(included, ticket.number)
+            state.join_ticket(ticket)
+    except SchemaError:
+        return None  # nothing that can't be read is removed
+    folded = state.snapshot()
+    folded.included_through = included
+    return folded
+
+
+__all__ = ["TicketPoller"]
--- a/src/auburnswitch/platform/state.py
+++ b/src/auburnswitch/platform/state.py
@@ -6,6 +6,7 @@
 import json
 from typing import TYPE_CHECKING
 
+from auburnswitch.observe.invariants import Invariant, Invariants
 from auburnswitch.schema.base import to_json
 from auburnswitch.schema.objects import (
     AvailabilityZone,
@@ -36,16 +37,22 @@
         zones: Availability zones in force, by name.
         services: Services in force, by name.
         endpoints: Endpoints in force, by name.
+        dangling: What is wrong with each endpoint that is left out, since
+            its service or zone is not there, by the endpoint's name.
         team_of_digest: Team name by caller-key digest.
         digest: Digest of the state; equal states have equal digests.
         listeners: Called after each change of the state.
+        invariants: Where a state that reverts is reported.
     """
 
     __slots__ = (
         "_by_service",
+        "_joined_numbers",
+        "dangling",
         "digest",
         "endpoints",
         "entries",
+        "invariants",
         "listeners",
         "services",
         "team_of_digest",
@@ -53,9 +60,11 @@
         "zones",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, *, invariants: Invariants | None = None) -> None:
         self.entries: dict[ObjectKey, VersionedChange] = {}
         self.listeners: list[Callable[[], None]] = []
+        self.invariants = invariants or Invariants()
+        self._joined_numbers: dict[ObjectKey, int] = {}
         self._rebuild()
 
     def join_ticket(self, ticket: Ticket) -> bool:
@@ -72,6 +81,19 @@
         ]
         return self._finish(any(changed))
 
+    def has_joined(self, ticket: Ticket) -> bool:
+        """Tells whether a ticket, or later ones of its objects, is in force."""
+        keys = [(ObjectKind(c.kind), c.name) for c in ticket.changes]
+        return all(
+            self._joined_numbers.get(key, 0) >= ticket.number for key in keys
+        )
+
+    def before(self, ticket: Ticket) -> list[VersionedChange]:
+        """Returns the entries that a ticket supersedes."""
+        keys = [(ObjectKind(c.kind), c.name) for c in ticket.changes]
+        known = [self.entries[key] for key in keys if key in self.entries]
+        return [entry for entry in known if entry.number < ticket.number]
+
     def snapshot(self) -> Snapshot:
         """Returns the whole state."""
         entries = [self.entries[key] for key in sorted(self.entries)]
@@ -99,11 +121,24 @@
 
     def _finish(self, changed: bool) -> bool:
         if changed:
+            self._check_monotonic()
             self._rebuild()
             for listener in self.listeners:
                 listener()
         return changed
 
+    def _check_monotonic(self) -> None:
+        numbers = {key: entry.number for key, entry in self.entries.items()}
+        reverted = [
+            key
+            for key, number in self._joined_numbers.items()
+            if numbers.get(key, 0) < number
+        ]
+        self.invariants.check(
+            not reverted, Invariant.STATE_MONOTONIC, objects=reverted
+        )
+        self._joined_numbers = numbers
+
     def _rebuild(self) -> None:
         self.teams: dict[str, Team] = {}
         self.zones: dict[str, AvailabilityZone] = {}
@@ -111,6 +146,7 @@
         self.endpoints: dict[str, Endpoint] = {}
         for entry in self.entries.values():
             self._apply(entry.change)
+        self._leave_out_dangling()
         self.team_of_digest = {
             digest: name
             for name, team in self.teams.items()
@@ -122,6 +158,16 @@
             self._by_service.setdefault(service, []).append(name)
         self.digest = self._compute_digest()
 
+    def _leave_out_dangling(self) -> None:
+        self.dangling: dict[str, str] = {}
+        for name, endpoint in self.endpoints.items():
+            if endpoint.service not in self.services:
+                self.dangling[name] = f"unknown service {endpoint.service!r}"
+            elif endpoint.zone not in self.zones:
+                self.dangling[name] = f"unknown zone {endpoint.zone!r}"
+        for name in self.dangling:
+            del self.endpoints[name]
+
     def _apply(self, change: Change) -> None:
         if change.deleted:
             return
@@ -144,9 +190,10 @@
 
 
 def ticket_digest(ticket: Ticket) -> str:
-    """Returns a digest of a ticket's content, without its acceptance time."""
+    """Returns a digest of what the operator wrote in a ticket."""
     body = to_json(ticket)
-    body.pop("accepted_at", None)
+    for name in ("accepted_at", "operator", "before"):
+        body.pop(name, None)
     text = json.dumps(body, sort_keys=True)
     return hashlib.sha256(text.encode()).hexdigest()
 
--- a/src/auburnswitch/platform/tickets.py
+++ b/src/auburnswitch/platform/tickets.py
@@ -1,8 +1,16 @@
-"""Stores change tickets and reads them back."""
+"""Stores change tickets and reads them back.
+
+A ticket is kept for ever under its number, and its creation there decides
+which content the number has. It is then published where all daemons see it;
+published tickets are folded into a snapshot and removed. A ticket that is
+published again after that has the same content, and joining it has no effect.
+"""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING, Any, Final
 
 from expression import Error, Ok, Result
 
@@ -10,6 +18,7 @@
 from auburnswitch.platform.state import ticket_digest
 from auburnswitch.platform.store import (
     ABSENT,
+    CallPriority,
     StoreUnavailable,
     ValueTooLarge,
     VersionConflict,
@@ -18,21 +27,30 @@
 from auburnswitch.results import Refusal, refusal
 from auburnswitch.schema.base import SchemaError, from_json, to_json
 from auburnswitch.schema.events import EventId
-from auburnswitch.schema.objects import Ticket
+from auburnswitch.schema.objects import Snapshot, Ticket
 from auburnswitch.schema.results import Ran, ResultCode
 
 if TYPE_CHECKING:
     from auburnswitch.platform.state import ConfigState
     from auburnswitch.platform.store import ObjectStore, StoredObject
 
-TICKETS_PREFIX: Final = CONFIG_PREFIX + "tickets/"
+TICKETS_PREFIX: Final = "tickets/"
+PUBLISHED_PREFIX: Final = CONFIG_PREFIX + "tickets/"
+SNAPSHOT_KEY: Final = CONFIG_PREFIX + "snapshot"
+WRITE_ATTEMPTS: Final = 3
+RETRY_DELAY_S: Final = 0.3
 
 
 def ticket_key(number: int) -> str:
-    """Returns the store key of a ticket."""
+    """Returns the key under which a ticket is kept."""
     return f"{TICKETS_PREFIX}{number:010d}"
 
 
+def published_key(number: int) -> str:
+    """Returns the key under which a ticket is published."""
+    return f"{PUBLISHED_PREFIX}{number:010d}"
+
+
 class TicketStore:
     """Accepts tickets into the store.
 
@@ -47,50 +65,90 @@
         self.store = store
         self.state = state
 
-    def handle_object(self, item: StoredObject) -> None:
-        """Joins a stored ticket into the state."""
-        try:
-            ticket = from_json(Ticket, item.value)
-        except SchemaError as error:
-            log_event(EventId.TICKET_REFUSED, key=item.key, reason=str(error))
-            return
-        if self.state.join_ticket(ticket):
+    def handle_ticket(self, item: StoredObject) -> None:
+        """Joins a published ticket into the state."""
+        ticket = _decode(Ticket, item)
+        if ticket is not None and self.state.join_ticket(ticket):
             log_event(
                 EventId.STATE_CHANGED,
                 number=ticket.number,
                 digest=self.state.digest,
             )
 
+    def handle_snapshot(self, item: StoredObject) -> None:
+        """Joins the stored snapshot into the state."""
+        snapshot = _decode(Snapshot, item)
+        if snapshot is not None and self.state.join_snapshot(snapshot):
+            log_event(EventId.STATE_CHANGED, digest=self.state.digest)
+
     async def accept(self, ticket: Ticket) -> Result[Ticket, Refusal]:
-        """Accepts a ticket: creates its object, which no other may have.
+        """Accepts a ticket: keeps it under its number and publishes it.
 
-        The same ticket again is accepted, unchanged.
+        The same ticket again is accepted, unchanged, and published again.
 
         Returns:
-            The ticket as stored.
+            The ticket as kept.
         """
-        key = ticket_key(ticket.number)
+        ticket.before = self.state.before(ticket)
+        value = to_json(ticket)
+        size_bytes = self.store.size_bytes(value)
+        if size_bytes > self.store.settings.max_value_bytes:
+            return Error(self._too_large(size_bytes))
+        match await self._keep(ticket, value, size_bytes):
+            case Result(tag="ok", ok=kept):
+                return await self._publish(kept)
+            case Result(error=refused):
+                return Error(refused)
+
+    async def _keep(
+        self, ticket: Ticket, value: Any, size_bytes: int
+    ) -> Result[Ticket, Refusal]:
         put = await self.store.put(
-            key, to_json(ticket), expected_version=ABSENT
+            ticket_key(ticket.number),
+            value,
+            expected_version=ABSENT,
+            priority=CallPriority.TICKET,
         )
         match put:
             case Result(tag="ok"):
-                self.state.join_ticket(ticket)
-                log_event(EventId.TICKET_ACCEPTED, number=ticket.number)
                 return Ok(ticket)
             case Result(error=VersionConflict()):
-                return await self._compare_stored(ticket)
-            case Result(error=ValueTooLarge(limit_bytes=limit)):
-                message = f"the ticket is larger than {limit} bytes"
-                return Error(refusal(ResultCode.TICKET_TOO_LARGE, message))
+                return await self._compare_kept(ticket)
+            case Result(error=ValueTooLarge()):
+                return Error(self._too_large(size_bytes))
             case Result(error=StoreUnavailable(outcome_unknown=True)):
-                return await self._compare_stored(ticket)
+                return await self._compare_kept(ticket)
             case Result(error=error):
                 return Error(_unavailable(error, Ran.NO))
 
+    async def _publish(self, ticket: Ticket) -> Result[Ticket, Refusal]:
+        value = to_json(dataclasses.replace(ticket, before=[]))
+        error = StoreUnavailable(reason="")
+        for attempt in range(WRITE_ATTEMPTS):
+            if attempt:
+                await asyncio.sleep(RETRY_DELAY_S)
+            put = await self.store.put(
+                published_key(ticket.number),
+                value,
+                expected_version=ABSENT,
+                priority=CallPriority.TICKET,
+            )
+            match put:
+                case Result(tag="ok") | Result(error=VersionConflict()):
+                    self.state.join_ticket(ticket)
+                    log_event(EventId.TICKET_ACCEPTED, number=ticket.number)
+                    return Ok(ticket)
+                case Result(error=StoreUnavailable() as error):
+                    continue
+        refused = _unavailable(error, Ran.UNKNOWN)
+        refused.message += "; the ticket is kept: apply it again to publish it"
+        return Error(refused)
+
     async def read(self, number: int) -> Result[Ticket, Refusal]:
-        """Reads a stored ticket."""
-        match await self.store.get(ticket_key(number)):
+        """Reads a kept ticket."""
+        match await self.store.get(
+            ticket_key(number), priority=CallPriority.TICKET
+        ):
             case Result(tag="ok", ok=None):
                 message = f"no ticket has number {number}"
                 return Error(refusal(ResultCode.TICKET_NOT_FOUND, message))
@@ -100,7 +158,7 @@
                 return Error(_unavailable(error, Ran.NO))
 
     async def list(self) -> Result[list[Ticket], Refusal]:
-        """Reads all stored tickets, in order of number."""
+        """Reads all kept tickets, in order of number."""
         match await self.store.list(TICKETS_PREFIX):
             case Result(tag="ok", ok=listing):
                 items = [from_json(Ticket, i.value) for i in listing.items]
@@ -108,18 +166,39 @@
             case Result(error=error):
                 return Error(_unavailable(error, Ran.NO))
 
-    async def _compare_stored(self, ticket: Ticket) -> Result[Ticket, Refusal]:
+    async def _compare_kept(self, ticket: Ticket) -> Result[Ticket, Refusal]:
         match await self.read(ticket.number):
-            case Result(tag="ok", ok=stored):
-                if ticket_digest(stored) == ticket_digest(ticket):
-                    self.state.join_ticket(stored)
-                    return Ok(stored)
+            case Result(tag="ok", ok=kept):
+                if ticket_digest(kept) == ticket_digest(ticket):
+                    return Ok(kept)
                 message = f"ticket {ticket.number} exists with other content"
                 return Error(refusal(ResultCode.TICKET_CONFLICT, message))
             case Result(error=error):
-                if error.code is ResultCode.STORE_UNAVAILABLE:
-                    error.ran = Ran.UNKNOWN
-                return Error(error)
+                message = "the store gave no answer; apply the ticket again"
+                return Error(
+                    refusal(
+                        ResultCode.STORE_UNAVAILABLE,
+                        message,
+                        ran=Ran.UNKNOWN,
+                        retry_after_s=error.retry_after_s or 1.0,
+                    )
+                )
+
+    def _too_large(self, size_bytes: int) -> Refusal:
+        limit = self.store.settings.max_value_bytes
+        message = (
+            f"the ticket and what its objects were before take {size_bytes} "
+            f"bytes, more than the {limit} bytes that a stored value can have"
+        )
+        return refusal(ResultCode.TICKET_TOO_LARGE, message)
+
+
+def _decode(kind: type[Any], item: StoredObject) -> Any:
+    try:
+        return from_json(kind, item.value)
+    except SchemaError as error:
+        log_event(EventId.TICKET_REFUSED, key=item.key, reason=str(error))
+        return None
 
 
 def _unavailable(error: StoreUnavailable, ran: Ran) -> Refusal:
@@ -131,4 +210,11 @@
     )
 
 
-__all__ = ["TICKETS_PREFIX", "TicketStore", "ticket_key"]
+__all__ = [
+    "PUBLISHED_PREFIX",
+    "SNAPSHOT_KEY",
+    "TICKETS_PREFIX",
+    "TicketStore",
+    "published_key",
+    "ticket_key",
+]
--- a/src/auburnswitch/platform/watcher.py
+++ b/src/auburnswitch/platform/watcher.py
@@ -25,6 +25,7 @@
 CONFIG_PREFIX: Final = "config/"
 FIRST_DELAY_S: Final = 0.2
 LONGEST_DELAY_S: Final = 3.0
+SHORTEST_WATCH_S: Final = 0.5
 
 
 class StoreWatcher:
@@ -60,7 +61,10 @@
         self.read_at = float("-inf")
 
     async def run(self) -> None:
-        """Lists, then watches for ever; backs off while the store is down."""
+        """Lists, then watches for ever.
+
+        Backs off while the store is down and when watches end at once.
+        """
         delay_s = FIRST_DELAY_S
         while True:
             if await self._step():
@@ -95,13 +99,15 @@
         return False
 
     async def _watch(self, revision: int) -> bool:
+        asked_at = monotonic_s()
         match await self.store.watch(CONFIG_PREFIX, revision):
             case Result(tag="ok", ok=batch):
                 self._take(batch)
-                return True
+                waited_s = monotonic_s() - asked_at
+                return bool(batch.events) or waited_s >= SHORTEST_WATCH_S
             case Result(error=RevisionExpired()):
                 self.revision = None
-                return True
+                return False
             case Result(error=StoreUnavailable() as error):
                 self._note_unavailable(error)
         return False
--- a/src/auburnswitch/schema/objects.py
+++ b/src/auburnswitch/schema/objects.py
@@ -364,6 +364,28 @@
     }
 
 
+@dataclass(slots=True, kw_only=True)
+class VersionedChange(Struct):
+    """The newest change of one object and the ticket that made it."""
+
+    number: int = 0
+    change: Change = field(default_factory=Change)
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.I64, "number", False),
+        2: (TType.STRUCT, "change", Change, False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("number", None),
+        ("change", None),
+    ]
+    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
+    descriptions: ClassVar[dict[str, Description]] = {
+        "number": Description(text="", options={}),
+        "change": Description(text="", options={}),
+    }
+
+
 @dataclass(slots=True, kw_only=True)
 class Ticket(Struct):
     """A numbered change of configuration. A later number supersedes an earlier one."""
@@ -373,6 +395,8 @@
     note: str = ""
     changes: list[Change] = field(default_factory=list)
     accepted_at: float = 0.0
+    operator: str = ""
+    before: list[VersionedChange] = field(default_factory=list)
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "number", False),
@@ -380,6 +404,8 @@
         3: (TType.STRING, "note", False),
         4: (TType.LIST, "changes", (TType.STRUCT, Change), False),
         5: (TType.DOUBLE, "accepted_at", False),
+        60: (TType.STRING, "operator", False),
+        61: (TType.LIST, "before", (TType.STRUCT, VersionedChange), False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("number", None),
@@ -387,6 +413,8 @@
         ("note", None),
         ("changes", None),
         ("accepted_at", None),
+        ("operator", None),
+        ("before", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -398,28 +426,13 @@
             text="Wall-clock time of acceptance, in seconds since the epoch.",
             options={},
         ),
-    }
-
-
-@dataclass(slots=True, kw_only=True)
-class VersionedChange(Struct):
-    """The newest change of one object and the ticket that made it."""
-
-    number: int = 0
-    change: Change = field(default_factory=Change)
-
-    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
-        1: (TType.I64, "number", False),
-        2: (TType.STRUCT, "change", Change, False),
-    }
-    default_spec: ClassVar[list[tuple[str, Any]]] = [
-        ("number", None),
-        ("change", None),
-    ]
-    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
-    descriptions: ClassVar[dict[str, Description]] = {
-        "number": Description(text="", options={}),
-        "change": Description(text="", options={}),
+        "operator": Description(
+            text="Operator whose key the ticket came with.", options={}
+        ),
+        "before": Description(
+            text="What the ticket's objects were before, as its daemon knew them; an object without an entry was not there.",
+            options={},
+        ),
     }
 
 
@@ -442,7 +455,8 @@
     descriptions: ClassVar[dict[str, Description]] = {
         "entries": Description(text="", options={}),
         "included_through": Description(
-            text="Every ticket up to this number is included.", options={}
+            text="Highest number among the included tickets; a lower one may still come.",
+            options={},
         ),
     }
 
--- /dev/null
+++ b/tests/platform/test_tickets.py
@@ -0,0 +1,221 @@
+"""Tests of the acceptance, the publication and the folding of tickets."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import unittest
+import unittest.mock
+
+from auburnswitch.observe.invariants import Invariants
+from auburnswitch.platform.compaction import TicketPoller
+from auburnswitch.platform.state import ConfigState
+from auburnswitch.platform.store import ObjectStore
+from auburnswitch.platform.tickets import (
+    PUBLISHED_PREFIX,
+    SNAPSHOT_KEY,
+    TICKETS_PREFIX,
+    TicketStore,
+)
+from auburnswitch.platform.watcher import StoreWatcher
+from auburnswitch.schema.objects import Ticket
+from auburnswitch.schema.results import Ran, ResultCode
+from auburnswitch.schema.settings import PlatformSettings
+from auburnswitch.standins.platform import open_platform
+from tests.platform.test_state import zone
+from tests.virtual_time import open_session, run_virtual
+
+
+class Node:
+    """The part of a daemon that handles tickets."""
+
+    def __init__(self, url: str, session, **settings) -> None:
+        values = PlatformSettings(url=url, **settings)
+        self.store = ObjectStore(settings=values, session=session)
+        self.state = ConfigState(invariants=Invariants(strict=True))
+        self.tickets = TicketStore(store=self.store, state=self.state)
+        self.watcher = StoreWatcher(store=self.store, seed=1)
+        self.watcher.handlers[PUBLISHED_PREFIX] = self.tickets.handle_ticket
+        self.watcher.handlers[SNAPSHOT_KEY] = self.tickets.handle_snapshot
+        self.poller = TicketPoller(
+            store=self.store, tickets=self.tickets, is_poller=lambda: True
+        )
+
+    async def accept(self, number: int, *changes):
+        ticket = Ticket(number=number, author="x", changes=list(changes))
+        return await self.tickets.accept(ticket)
+
+
+@contextlib.asynccontextmanager
+async def open_nodes(count: int = 1, **settings):
+    """Opens a platform and some nodes; their watches are not started."""
+    async with open_platform() as platform, open_session() as session:
+        nodes = [Node(platform.url, session, **settings) for _ in range(count)]
+        yield platform, nodes
+
+
+class AcceptTest(unittest.TestCase):
+    def test_same_number(self):
+        async def scenario():
+            async with open_nodes(2) as (platform, (first, second)):
+                one, again, other = await asyncio.gather(
+                    first.accept(1, zone("a")),
+                    second.accept(1, zone("a")),
+                    second.accept(1, zone("a", out=True)),
+                )
+                return one, again, other, len(platform.store.objects)
+
+        one, again, other, count = run_virtual(scenario)
+        self.assertTrue(one.is_ok() and again.is_ok())
+        self.assertIs(other.error.code, ResultCode.TICKET_CONFLICT)
+        self.assertEqual(count, 2)
+
+    def test_too_large_names_size_and_limit(self):
+        async def scenario():
+            async with open_nodes(max_value_bytes=2000) as (_, (node,)):
+                changes = [zone(f"z{n}") for n in range(100)]
+                return (await node.accept(1, *changes)).error
+
+        error = run_virtual(scenario)
+        self.assertIs(error.code, ResultCode.TICKET_TOO_LARGE)
+        self.assertRegex(error.message, r"\d{4,} bytes.* 2000 bytes")
+
+    def test_each_fault_at_each_step(self):
+        async def scenario(fault: str, step: int):
+            async with open_nodes(2) as (platform, (node, other)):
+                await node.accept(1, zone("a"))
+                platform.delay_s = 0.1
+                task = asyncio.create_task(node.accept(2, zone("a", out=True)))
+                await asyncio.sleep(0.05 * step)
+                value = 2 if fault == "lose_answers" else True
+                setattr(platform, fault, value)
+                await asyncio.sleep(6)
+                setattr(platform, fault, type(value)(0))
+                outcome = await task
+                written = [
+                    platform.store.version(f"{prefix}{2:010}")
+                    for prefix in (TICKETS_PREFIX, PUBLISHED_PREFIX)
+                ]
+                await asyncio.sleep(3)
+                again = await other.accept(2, zone("a", out=True))
+                await node.poller.poll()
+                return outcome, written, again, node.state.zones["a"].out
+
+        for fault in ("outage", "silent", "lose_answers"):
+            for step in range(6):
+                with self.subTest(fault=fault, step=step):
+                    outcome, written, again, out = run_virtual(
+                        lambda fault=fault, step=step: scenario(fault, step)
+                    )
+                    if outcome.is_ok():
+                        self.assertTrue(all(written))
+                    elif outcome.error.ran is Ran.NO:
+                        self.assertFalse(any(written))
+                    self.assertTrue(again.is_ok())
+                    self.assertTrue(out)
+
+
+class CompactionTest(unittest.TestCase):
+    def test_starting_daemon_reads_the_snapshot(self):
+        async def scenario():
+            async with open_nodes(3) as (platform, (first, second, late)):
+                for number in range(10, 50):
+                    zones = zone(f"z{number % 7}", out=number % 2 == 0)
+                    await first.accept(number, zones)
+                await asyncio.gather(first.poller.poll(), second.poller.poll())
+                left = len(platform.store.list_objects(PUBLISHED_PREFIX))
+                lower = await second.accept(5, zone("low", out=True))
+                reused = await second.accept(10, zone("z3"))
+                repeated = await second.accept(11, zone("z4"))
+                await late.watcher._list()
+                await first.poller.poll()
+                await second.watcher._list()
+                digests = [n.state.digest for n in (first, second, late)]
+                return left, lower, reused, repeated, digests, late.state
+
+        left, lower, reused, repeated, digests, state = run_virtual(scenario)
+        self.assertEqual(left, 0)
+        self.assertTrue(lower.is_ok() and repeated.is_ok())
+        self.assertIs(reused.error.code, ResultCode.TICKET_CONFLICT)
+        self.assertEqual(len(set(digests)), 1)
+        self.assertTrue(state.zones["low"].out)
+
+    def test_second_snapshot_keeps_the_first(self):
+        async def scenario():
+            async with open_nodes(3) as (_, (first, second, late)):
+                for node, start in ((first, 1), (second, 100)):
+                    for number in range(start, start + 35):
+                        await node.accept(number, zone(f"z{number}"))
+                    await node.poller.poll()
+                await late.watcher._list()
+                return len(late.state.zones)
+
+        self.assertEqual(run_virtual(scenario), 70)
+
+    def test_ticket_published_during_a_compaction_stays(self):
+        async def scenario(delay_s: float):
+            async with open_nodes(2) as (platform, (first, second)):
+                for number in range(10, 50):
+                    await first.accept(number, zone("a"))
+                platform.delay_s = 0.05
+                task = asyncio.create_task(first.poller.poll())
+                await asyncio.sleep(delay_s)
+                await second.accept(1, zone("b", out=True))
+                await second.accept(60, zone("a", out=True))
+                await task
+                fresh = Node(platform.url, first.store.session)
+                await fresh.watcher._list()
+                zones = fresh.state.zones
+                return zones["a"].out, zones["b"].out
+
+        for tenths in range(0, 8):
+            with self.subTest(tenths=tenths):
+                found = run_virtual(lambda t=tenths: scenario(t / 20))
+                self.assertEqual(found, (True, True))
+
+
+class WatchTest(unittest.TestCase):
+    def follow(self, fault):
+        async def scenario():
+            async with open_nodes(2) as (platform, (writer, node)):
+                tasks = [
+                    asyncio.create_task(node.watcher.run()),
+                    asyncio.create_task(node.poller.run()),
+                ]
+                await asyncio.sleep(1)
+                restore = fault(platform, node)
+                await asyncio.sleep(1)
+                calls = platform.calls["watch"]
+                await writer.accept(1, zone("a"))
+                await asyncio.sleep(8)
+                calls = platform.calls["watch"] - calls
+                restore()
+                for task in tasks:
+                    task.cancel()
+                return "a" in node.state.zones, calls
+
+        return run_virtual(scenario)
+
+    def test_watch_that_skips(self):
+        def broken(platform, _):
+            platform.watch_broken = True
+            return lambda: None
+
+        self.assertTrue(self.follow(broken)[0])
+
+    def test_watch_that_hangs(self):
+        async def watch(*_):
+            await asyncio.sleep(3600)
+
+        with unittest.mock.patch.object(StoreWatcher, "_watch", watch):
+            found, _ = self.follow(lambda *_: lambda: None)
+        self.assertTrue(found)
+
+    def test_watch_that_ends_at_once_does_not_spin(self):
+        def ends(platform, node):
+            node.store.settings.watch_timeout_s = 0.0
+            return lambda: None
+
+        found, calls = self.follow(ends)
+        self.assertTrue(found)
+        self.assertLess(calls, 40)
