--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -34,7 +34,7 @@
   1: string host = "127.0.0.1"
   // TCP port to listen on. @min 0 @max 65535
   2: i32 port = 8081
-  // File with the operator key; empty accepts no operator calls but health and metrics. @secret-file
+  // File with the operator keys, one on each line as "name:key"; empty accepts no operator calls but health and metrics. @secret-file
   3: string key_file = ""
 }
 
--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -18,12 +18,16 @@
 from auburnswitch.callers.in_flight import InFlightCounter
 from auburnswitch.callers.parse import RequestParser
 from auburnswitch.clock import WallClock, monotonic_s
-from auburnswitch.endpoints.client import EndpointClient, guard_trace
+from auburnswitch.endpoints.client import EndpointClient
+from auburnswitch.endpoints.fencing import FencingNumbers
+from auburnswitch.endpoints.handover import Handover
 from auburnswitch.endpoints.instances import InstanceReader
 from auburnswitch.endpoints.monitor import LoadMonitor
+from auburnswitch.endpoints.orders import OrderKeeper
 from auburnswitch.endpoints.orphans import OrphanCollector
 from auburnswitch.endpoints.owner import OwnerTable
 from auburnswitch.endpoints.reservations import ReservationClient
+from auburnswitch.endpoints.weights import LoadAdmission
 from auburnswitch.http_server import HttpServer, ListenError, open_http_server
 from auburnswitch.members.claim_forwarder import ClaimForwarder
 from auburnswitch.members.departures import Departures
@@ -38,6 +42,7 @@
 from auburnswitch.observe.metrics import Metrics
 from auburnswitch.observe.tasks import TaskSet, open_task_set
 from auburnswitch.operators.app import OperatorApp
+from auburnswitch.operators.keys import OperatorKeys
 from auburnswitch.platform.claims import ClaimStore
 from auburnswitch.platform.compaction import TicketPoller
 from auburnswitch.platform.state import ConfigState
@@ -62,6 +67,7 @@
     from collections.abc import AsyncIterator, Callable
 
     from auburnswitch.members.connection import Dialer
+    from auburnswitch.schema.objects import Ticket
     from auburnswitch.schema.settings import Settings
 
 DRAIN_POLL_S: Final = 0.05
@@ -181,6 +187,20 @@
             owner_table=self.owner_table, membership=self.membership
         )
         self.reservations.register(self.peer_server)
+        self.endpoint_client = EndpointClient(
+            session=session, settings=self.settings.endpoints
+        )
+        self.orders = OrderKeeper(
+            owner_table=self.owner_table,
+            client=self.endpoint_client,
+            numbers=FencingNumbers(store=self.store, member_id=self.member.id),
+            admission=LoadAdmission(
+                settings=self.settings.endpoints,
+                session=session,
+                count_daemons=lambda: len(self.view.live_ids()),
+            ),
+            tasks=self.tasks,
+        )
         self.instances = InstanceReader(
             store=self.store, owner_table=self.owner_table
         )
@@ -193,13 +213,9 @@
             self.owner_table.note_heartbeat,
             self.instances.note_heartbeat,
         ]
-        self.membership.handover_sources.append(self.owner_table.fill_handover)
-        self.membership.handover_listeners.append(
-            self.owner_table.note_handover
-        )
-        self.endpoint_client = EndpointClient(
-            session=session, settings=self.settings.endpoints
-        )
+        handover = Handover(owner_table=self.owner_table)
+        self.membership.handover_sources.append(handover.fill)
+        self.membership.handover_listeners.append(handover.take)
         self.orphans = OrphanCollector(
             owner_table=self.owner_table,
             reservations=self.reservations,
@@ -263,17 +279,32 @@
         self.in_flight = InFlightCounter(app=self.caller_app.build())
         key_file = self.settings.operators.key_file
         self.operator_app = OperatorApp(
-            key=read_secret(key_file) if key_file else b"",
+            keys=OperatorKeys(text=read_secret(key_file) if key_file else b""),
             tickets=self.tickets,
             owner_table=self.owner_table,
             metrics=self.metrics,
             clock=self.clock,
             refuse_new=self.refuse_new,
             status=self.status,
+            in_force=self.in_force,
         )
         self.callers: HttpServer | None = None
         self.operators: HttpServer | None = None
 
+    def in_force(self, ticket: Ticket) -> tuple[list[str], list[str]]:
+        """Returns the daemons in which a ticket is in force, or is not yet.
+
+        A peer counts once it is known to have the same state as this daemon.
+        """
+        joined = self.state.has_joined(ticket)
+        in_force: list[str] = []
+        pending: list[str] = []
+        for member_id in self.view.live_ids():
+            status = self.view.peers.get(member_id)
+            same = status is None or status.state_digest == self.state.digest
+            (in_force if joined and same else pending).append(member_id)
+        return in_force, pending
+
     def refuse_new(self) -> Refusal | None:
         """Returns why new work is refused, or None."""
         if self.stopping:
@@ -294,6 +325,7 @@
             "ready": refused is None,
             "reason": "" if refused is None else refused.code.name.lower(),
             "state_digest": self.state.digest,
+            "left_out_endpoints": self.state.dangling,
             "roster_epoch": self.view.roster.epoch,
             "strict_rights": self.view.has_quorum(),
             "roster": self.view.roster_ids(),
@@ -318,6 +350,7 @@
         self.tasks.start(self.isolation.run(refresh), "store probe")
         self.tasks.start(self.monitor.run(), "load monitor")
         self.tasks.start(self.instances.run(), "instance list")
+        self.tasks.start(self.orders.run(), "orders")
 
     async def drain(self) -> None:
         """Refuses new work, finishes what runs and leaves the roster."""
@@ -356,7 +389,6 @@
     """
     session = aiohttp.ClientSession(
         connector=connector() if connector else aiohttp.TCPConnector(limit=0),
-        trace_configs=[guard_trace()],
     )
     async with session, open_task_set() as tasks:
         daemon = Daemon(
--- a/src/auburnswitch/endpoints/client.py
+++ b/src/auburnswitch/endpoints/client.py
@@ -83,7 +83,7 @@
         self.status = status
 
 
-def guard_trace() -> aiohttp.TraceConfig:
+def _guard_trace() -> aiohttp.TraceConfig:
     """Returns a trace that asks a request's guard before its first byte.
 
     The guard is called once the connection is ready, with no ``await``
@@ -91,6 +91,7 @@
     """
     trace = aiohttp.TraceConfig()
     trace.on_request_headers_sent.append(_ask_guard)  # just before it is sent
+    trace.freeze()
     return trace
 
 
@@ -115,6 +116,7 @@
     ) -> None:
         self.session = session
         self.settings = settings
+        session.trace_configs.append(_guard_trace())
 
     @contextlib.asynccontextmanager
     async def request(
@@ -300,5 +302,4 @@
     "EndpointFailureError",
     "ForeignFrame",
     "Frame",
-    "guard_trace",
 ]
--- a/src/auburnswitch/operators/app.py
+++ b/src/auburnswitch/operators/app.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import hmac
+import math
 from typing import TYPE_CHECKING, Any
 
 from expression import Result
@@ -11,6 +11,7 @@
 from starlette.routing import Route
 
 from auburnswitch.observe.logs import log_event
+from auburnswitch.operators.audit import AuditFilter, audit_entries
 from auburnswitch.operators.check import check_ticket
 from auburnswitch.results import Refusal, RefusalError, refusal
 from auburnswitch.schema.base import SchemaError, from_json, to_json
@@ -26,6 +27,7 @@
     from auburnswitch.clock import WallClock
     from auburnswitch.endpoints.owner import OwnerTable
     from auburnswitch.observe.metrics import Metrics
+    from auburnswitch.operators.keys import OperatorKeys
     from auburnswitch.platform.tickets import TicketStore
 
 
@@ -33,16 +35,19 @@
     """Serves tickets, status, health and metrics.
 
     Attributes:
-        key: Operator key; empty refuses every call that needs it.
+        keys: Operator keys; without any, no call that needs one is taken.
         tickets: Accepts and reads tickets.
         owner_table: What is known of the endpoints.
         refuse_new: Returns why new work is refused, or None.
         status: Returns the daemon's status as JSON.
+        in_force: Returns the daemons in which a ticket is in force, and
+            those in which it is not.
     """
 
     __slots__ = (
         "clock",
-        "key",
+        "in_force",
+        "keys",
         "metrics",
         "owner_table",
         "refuse_new",
@@ -53,21 +58,23 @@
     def __init__(
         self,
         *,
-        key: bytes,
+        keys: OperatorKeys,
         tickets: TicketStore,
         owner_table: OwnerTable,
         metrics: Metrics,
         clock: WallClock,
         refuse_new: Callable[[], Refusal | None],
         status: Callable[[], dict[str, Any]],
+        in_force: Callable[[Ticket], tuple[list[str], list[str]]],
     ) -> None:
-        self.key = key
+        self.keys = keys
         self.tickets = tickets
         self.owner_table = owner_table
         self.metrics = metrics
         self.clock = clock
         self.refuse_new = refuse_new
         self.status = status
+        self.in_force = in_force
 
     def build(self) -> Starlette:
         """Returns the ASGI application."""
@@ -81,6 +88,8 @@
                 Route("/tickets", self._list_tickets),
                 Route("/tickets", self._apply_ticket, methods=["POST"]),
                 Route("/tickets/{number:int}", self._show_ticket),
+                Route("/tickets/{number:int}/in-force", self._show_in_force),
+                Route("/audit", self._audit),
             ],
             exception_handlers={RefusalError: self._on_refusal},
         )
@@ -114,7 +123,7 @@
         return JSONResponse({"endpoints": rows})
 
     async def _apply_ticket(self, request: Request) -> Response:
-        self._check_key(request)
+        operator = self._check_key(request)
         try:
             ticket = from_json(Ticket, await request.json())
         except (ValueError, SchemaError) as error:
@@ -123,6 +132,7 @@
         if report.errors:
             return self._invalid(report.errors)
         ticket.accepted_at = self.clock.now_s()
+        ticket.operator = operator
         match await self.tickets.accept(ticket):
             case Result(tag="ok", ok=stored):
                 body = {"ticket": to_json(stored), "warnings": report.warnings}
@@ -147,18 +157,55 @@
             case Result(error=refused):
                 return _refused(refused)
 
+    async def _show_in_force(self, request: Request) -> Response:
+        self._check_key(request)
+        number = request.path_params["number"]
+        match await self.tickets.read(number):
+            case Result(tag="ok", ok=ticket):
+                in_force, pending = self.in_force(ticket)
+                return JSONResponse(
+                    {
+                        "number": number,
+                        "in_force": in_force,
+                        "pending": pending,
+                    }
+                )
+            case Result(error=refused):
+                return _refused(refused)
+
+    async def _audit(self, request: Request) -> Response:
+        self._check_key(request)
+        query = request.query_params
+        try:
+            since = float(query.get("since", "-inf"))
+        except ValueError:
+            since = math.nan
+        if math.isnan(since):
+            message = "since: must be seconds since the epoch"
+            return _refused(refusal(ResultCode.BAD_FIELD, message))
+        wanted = AuditFilter(
+            object=query.get("object", ""),
+            author=query.get("author", ""),
+            since=since,
+        )
+        match await self.tickets.list():
+            case Result(tag="ok", ok=tickets):
+                entries = list(audit_entries(tickets, wanted))
+                return JSONResponse({"entries": entries})
+            case Result(error=refused):
+                return _refused(refused)
+
     def _invalid(self, errors: list[str]) -> Response:
         log_event(EventId.TICKET_REFUSED, reason="; ".join(errors))
         message = "; ".join(errors)
         return _refused(refusal(ResultCode.TICKET_INVALID, message))
 
-    def _check_key(self, request: Request) -> None:
-        scheme, _, given = request.headers.get("authorization", "").partition(
-            " "
-        )
-        matches = hmac.compare_digest(given.strip().encode(), self.key)
-        if scheme.lower() != "bearer" or not self.key or not matches:
+    def _check_key(self, request: Request) -> str:
+        header = request.headers.get("authorization", "")
+        operator = self.keys.find_operator(header)
+        if operator is None:
             raise RefusalError(refusal(ResultCode.BAD_OPERATOR_KEY))
+        return operator
 
     async def _on_refusal(self, _: Request, error: Exception) -> Response:
         assert isinstance(error, RefusalError)
--- a/src/auburnswitch/schema/settings.py
+++ b/src/auburnswitch/schema/settings.py
@@ -132,7 +132,7 @@
             text="TCP port to listen on.", options={"min": "0", "max": "65535"}
         ),
         "key_file": Description(
-            text="File with the operator key; empty accepts no operator calls but health and metrics.",
+            text='File with the operator keys, one on each line as "name:key"; empty accepts no operator calls but health and metrics.',
             options={"secret-file": ""},
         ),
     }
--- a/tests/routing/plain_support.py
+++ b/tests/routing/plain_support.py
@@ -11,11 +11,7 @@
 from starlette.responses import JSONResponse
 
 from auburnswitch.clock import WallClock, monotonic_s
-from auburnswitch.endpoints.client import (
-    Attempt,
-    EndpointClient,
-    guard_trace,
-)
+from auburnswitch.endpoints.client import Attempt, EndpointClient
 from auburnswitch.endpoints.reservations import HeldReservation
 from auburnswitch.observe.invariants import Invariants
 from auburnswitch.observe.tasks import open_task_set
@@ -113,10 +109,7 @@
 
     async def add_router(self, **settings: Any) -> PlainRouter:
         session = await self.stack.enter_async_context(
-            aiohttp.ClientSession(
-                connector=SimulatedConnector(limit=0),
-                trace_configs=[guard_trace()],
-            )
+            aiohttp.ClientSession(connector=SimulatedConnector(limit=0))
         )
         platform = PlatformSettings(url=self.platform.url, **settings)
         member_id = f"entry-{len(self.routers)}.0"
