--- /dev/null
+++ b/src/auburnswitch/experiments/ticket_spread.py
@@ -0,0 +1,155 @@
+"""Measures how soon a ticket is in force, and the store calls at rest.
+
+Runs the whole fleet in virtual time, so figures are those of the protocol:
+peers and store answer without delay but where a fault says otherwise.
+
+Usage: python -m auburnswitch.experiments.ticket_spread [--tickets 20]
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING, Final
+
+import aiohttp
+import fire
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.experiments.fleet import Fleet, FleetOptions, open_fleet
+from auburnswitch.experiments.virtual_time import (
+    SimulatedConnector,
+    run_virtual,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    Fault = Callable[[Fleet, int], Awaitable[None]]
+
+DAEMONS: Final = 9
+POLL_S: Final = 0.02
+LIMIT_S: Final = 60.0
+REST_S: Final = 120.0
+REST_SIZES: Final = (3, 6, 9)
+SETTLE_S: Final = 15.0
+SLOW_S: Final = 1.0
+
+
+async def _no_fault(_: Fleet, __: int) -> None:
+    pass
+
+
+async def _kill_acceptor(fleet: Fleet, number: int) -> None:
+    await fleet.stop_daemon(number, graceful=False)
+
+
+async def _cut_watches(fleet: Fleet, _: int) -> None:
+    fleet.platform.watch_broken = True
+
+
+async def _cut_and_kill(fleet: Fleet, number: int) -> None:
+    fleet.platform.watch_broken = True
+    await fleet.stop_daemon(number, graceful=False)
+
+
+async def _slow_store(fleet: Fleet, _: int) -> None:
+    fleet.platform.delay_s = SLOW_S
+
+
+FAULTS: Final[dict[str, tuple[Fault, bool]]] = {
+    "quiet": (_no_fault, False),
+    "accepting daemon killed": (_kill_acceptor, False),
+    "watches hang": (_cut_watches, True),
+    "watches hang, daemon killed": (_cut_and_kill, True),
+    "store takes 1 s": (_slow_store, True),
+}
+
+
+async def measure_ticket(fleet: Fleet, fault: Fault, before: bool) -> float:
+    """Applies one ticket; returns the time until it is in force everywhere.
+
+    Args:
+        fleet: The fleet.
+        fault: What goes wrong.
+        before: Whether it does so before the acceptance, not right after.
+    """
+    number = random.Random(fleet.next_ticket).randrange(DAEMONS)
+    instance = f"entry-{number}"
+    out = fleet.next_ticket % 2 == 0
+    ticket = fleet.ticket([fleet.zone_change(fleet.zone(0), out=out)])
+    if before and fault is _cut_and_kill:
+        fleet.platform.watch_broken = True
+    elif before:
+        await fault(fleet, number)
+    try:
+        await fleet.apply(ticket, instance)
+    except aiohttp.ClientOSError:  # an idle connection had been closed
+        await fleet.apply(ticket, instance)
+    accepted_at = monotonic_s()
+    if not before or fault is _cut_and_kill:
+        await fault(fleet, number)
+    async with asyncio.timeout(LIMIT_S):
+        while not all(
+            daemon.state.has_joined(ticket) for daemon in fleet.daemons.values()
+        ):
+            await asyncio.sleep(POLL_S)
+    took_s = monotonic_s() - accepted_at
+    fleet.platform.watch_broken = False
+    fleet.platform.delay_s = 0.0
+    if instance not in fleet.daemons:
+        await fleet.start_daemon(number)
+    await asyncio.sleep(SETTLE_S)
+    return took_s
+
+
+async def measure_spread(tickets: int) -> list[str]:
+    """Returns a row for each fault."""
+    rows = []
+    for name, (fault, before) in FAULTS.items():
+        options = FleetOptions(daemons=DAEMONS, connector=SimulatedConnector)
+        async with open_fleet(options) as fleet:
+            await asyncio.sleep(SETTLE_S)
+            times = sorted(
+                [
+                    await measure_ticket(fleet, fault, before)
+                    for _ in range(tickets)
+                ]
+            )
+            median = times[len(times) // 2]
+            rows.append(f"{name:28}  {median:8.2f}  {times[-1]:8.2f}")
+    return rows
+
+
+async def measure_rest(daemons: int) -> str:
+    """Returns a row with the store calls a second at rest."""
+    options = FleetOptions(daemons=daemons, connector=SimulatedConnector)
+    async with open_fleet(options) as fleet:
+        await asyncio.sleep(SETTLE_S * 2)
+        before = fleet.platform.calls.copy()
+        await asyncio.sleep(REST_S)
+        calls = fleet.platform.calls - before
+    total = sum(calls.values()) / REST_S
+    kinds = ", ".join(f"{k} {n / REST_S:.2f}" for k, n in sorted(calls.items()))
+    return f"{daemons:7}  {total:7.2f}  {total / daemons:10.3f}  {kinds}"
+
+
+def main(tickets: int = 20) -> None:
+    """Runs the measurement.
+
+    Args:
+        tickets: Tickets applied under each fault.
+    """
+    print(f"{'fault':28}  median s     max s")
+    for row in run_virtual(lambda: measure_spread(min(tickets, 100))):
+        print(row, flush=True)
+    print("daemons  calls/s  per daemon  kinds")
+    for daemons in REST_SIZES:
+        print(run_virtual(lambda n=daemons: measure_rest(n)), flush=True)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
+
+
+__all__ = ["main", "measure_rest", "measure_spread"]
