--- a/src/auburnswitch/schema/peers.py
+++ b/src/auburnswitch/schema/peers.py
@@ -268,16 +268,19 @@
     team: str = ""
     tokens_per_second: float = 0.0
     in_flight: int = 0
+    tokens: int = 0
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "team", False),
         2: (TType.DOUBLE, "tokens_per_second", False),
         3: (TType.I32, "in_flight", False),
+        50: (TType.I64, "tokens", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("team", None),
         ("tokens_per_second", None),
         ("in_flight", None),
+        ("tokens", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -286,6 +289,10 @@
             text="Tokens per second over the last seconds.", options={}
         ),
         "in_flight": Description(text="", options={}),
+        "tokens": Description(
+            text="Tokens admitted since the last heartbeat to the receiver.",
+            options={},
+        ),
     }
 
 
@@ -439,6 +446,9 @@
     team_weight: float = 1.0
     epoch: int = 0
     max_wait_s: float = 0.0
+    max_start_wait_s: float = 0.0
+    waited_s: float = 0.0
+    service: str = ""
     hold: bool = False
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
@@ -456,6 +466,9 @@
         12: (TType.DOUBLE, "team_weight", False),
         13: (TType.I64, "epoch", False),
         14: (TType.DOUBLE, "max_wait_s", False),
+        50: (TType.DOUBLE, "max_start_wait_s", False),
+        51: (TType.DOUBLE, "waited_s", False),
+        52: (TType.STRING, "service", False),
         40: (TType.BOOL, "hold", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
@@ -473,6 +486,9 @@
         ("team_weight", None),
         ("epoch", None),
         ("max_wait_s", None),
+        ("max_start_wait_s", None),
+        ("waited_s", None),
+        ("service", None),
         ("hold", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {
@@ -488,7 +504,8 @@
         "cached_tokens": Description(text="", options={}),
         "length_class": Description(text="", options={}),
         "time_left_s": Description(
-            text="Time left until the deadline, in seconds.", options={}
+            text="Time left until the deadline, in seconds; 0 if none is known.",
+            options={},
         ),
         "fingerprint": Description(text="", options={}),
         "struck": Description(
@@ -501,6 +518,15 @@
             text="How long the asker is ready to wait in the owner's queue, in seconds.",
             options={},
         ),
+        "max_start_wait_s": Description(
+            text="Longest predicted wait that the asker takes, in seconds; 0 takes any.",
+            options={},
+        ),
+        "waited_s": Description(
+            text="How long the request has waited at other owners, in seconds.",
+            options={},
+        ),
+        "service": Description(text="Service of the endpoint.", options={}),
         "hold": Description(
             text="The room is kept until it is released, as a part of a group; only on an endpoint that is not cold.",
             options={},
@@ -518,6 +544,7 @@
     alternatives: list[str] = field(default_factory=list)
     boot_id: str = ""
     waited_s: float = 0.0
+    hints: list[EndpointHint] = field(default_factory=list)
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I32, "code", False),
@@ -526,6 +553,7 @@
         4: (TType.LIST, "alternatives", TType.STRING, False),
         5: (TType.STRING, "boot_id", False),
         40: (TType.DOUBLE, "waited_s", False),
+        50: (TType.LIST, "hints", (TType.STRUCT, EndpointHint), False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("code", None),
@@ -534,6 +562,7 @@
         ("alternatives", None),
         ("boot_id", None),
         ("waited_s", None),
+        ("hints", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {"code": ResultCode}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -550,6 +579,10 @@
             text="Seconds from the arrival of the request to its grant.",
             options={},
         ),
+        "hints": Description(
+            text="What the owner knows of its endpoints of the service, best first.",
+            options={},
+        ),
     }
 
 
--- a/tests/routing/plain_support.py
+++ b/tests/routing/plain_support.py
@@ -58,6 +58,16 @@
     """Claims whose methods tests may replace."""
 
 
+class NoLimits:
+    """Admits every request."""
+
+    def admit(self, request: RoutedRequest) -> None:
+        return None
+
+    def finish(self, request: RoutedRequest) -> None:
+        pass
+
+
 class CountingService:
     """Counts what it runs, and drops connections after some runs.
 
@@ -131,6 +141,7 @@
             claims=claims,
             member_id=member_id,
             invariants=Invariants(strict=True),
+            limits=NoLimits(),
         )
         self.routers.append(router)
         return router
