Give each shard of claims a rate that does not shrink with the fleet

With 410 daemons a daemon's share of the writes was 0.6 a second, also at the few daemons that commit the shards of all: claims timed out. Now six tenths of the fleet's writes go to claims, an equal part to each shard. Red: tests.platform.test_claims test_large_fleet_does_not_starve_the_ committing_daemon (ClaimUnavailable); green: 11 passed. tests.platform. test_store: 60 writes of one of ten daemons now take 14 s, exactly, since four tenths of the rate are left for them.

--- a/src/auburnswitch/platform/call_limiter.py
+++ b/src/auburnswitch/platform/call_limiter.py
@@ -15,7 +15,6 @@
     from collections.abc import AsyncIterator, Callable
 
 RESERVED_SLOTS: Final = 2
-_MIN_BURST: Final = 1.0
 _MIN_WAIT_S: Final = 0.001
 
 
@@ -33,20 +32,24 @@
 
     Attributes:
         rate: Returns the calls allowed per second.
+        min_burst: Calls allowed at once however low the rate is.
         tokens: Calls allowed now.
         paused_until: Loop time before which no call is made, in seconds.
     """
 
-    __slots__ = ("paused_until", "rate", "tokens", "updated_at")
+    __slots__ = ("min_burst", "paused_until", "rate", "tokens", "updated_at")
 
-    def __init__(self, *, rate: Callable[[], float]) -> None:
+    def __init__(
+        self, *, rate: Callable[[], float], min_burst: float = 1.0
+    ) -> None:
         self.rate = rate
+        self.min_burst = min_burst
         self.tokens = self._burst()
         self.updated_at = monotonic_s()
         self.paused_until = self.updated_at
 
     def _burst(self) -> float:
-        return max(_MIN_BURST, self.rate())
+        return max(self.min_burst, self.rate())
 
     def wait_s(self) -> float:
         """Returns the time until a call is allowed, 0 if it is now."""
--- a/src/auburnswitch/platform/claim_writer.py
+++ b/src/auburnswitch/platform/claim_writer.py
@@ -9,6 +9,7 @@
 from expression import Result
 
 from auburnswitch.clock import monotonic_s
+from auburnswitch.platform.call_limiter import RateBucket
 from auburnswitch.platform.claim_shard import (
     AddClaim,
     ClaimOutcome,
@@ -35,6 +36,7 @@
     from auburnswitch.platform.store import ObjectStore
     from auburnswitch.schema.settings import PlatformSettings
 
+COMMIT_BURST: Final = 4.0
 MAX_BATCH: Final = 100
 COMMIT_TIME_S: Final = 4.0
 CONFLICT_DELAY_S: Final = 0.005
@@ -95,6 +97,8 @@
     Attributes:
         key: Key of the stored object.
         depth: Splits that led to this shard.
+        shards: Shards that the claims started with.
+        bucket: The shard's part of the fleet's writes of claims.
         waiting: Changes of the next commit.
         contents: What the shard was last known to hold.
         split_into: Suffix of the shards that took over, or empty.
@@ -102,6 +106,7 @@
     """
 
     __slots__ = (
+        "bucket",
         "clock",
         "commits",
         "contents",
@@ -110,6 +115,7 @@
         "random",
         "route",
         "settings",
+        "shards",
         "split_into",
         "store",
         "task",
@@ -123,6 +129,7 @@
         *,
         key: str,
         depth: int,
+        shards: int,
         store: ObjectStore,
         settings: PlatformSettings,
         clock: WallClock,
@@ -132,6 +139,7 @@
     ) -> None:
         self.key = key
         self.depth = depth
+        self.shards = shards
         self.store = store
         self.settings = settings
         self.clock = clock
@@ -144,6 +152,9 @@
         self.contents: ShardContents | None = None
         self.split_into = ""
         self.commits = 0
+        self.bucket = RateBucket(
+            rate=self._commits_per_second, min_burst=COMMIT_BURST
+        )
 
     def submit(self, pending: PendingChange) -> None:
         """Adds a change to the next commit."""
@@ -155,6 +166,7 @@
     async def _run(self) -> None:
         delay_s = FIRST_RETRY_DELAY_S
         while self.waiting:
+            await self._pace()
             batch = self.waiting[:MAX_BATCH]
             self.waiting = self.waiting[MAX_BATCH:]
             failure = await self._commit(batch)
@@ -165,6 +177,16 @@
             await self._back_off(delay_s)
             delay_s = min(2 * delay_s, LONGEST_RETRY_DELAY_S)
 
+    async def _pace(self) -> None:
+        """Waits until the shard may be written; more changes gather."""
+        while (wait_s := self.bucket.wait_s()) > 0:
+            await asyncio.sleep(wait_s)
+        self.bucket.take()
+
+    def _commits_per_second(self) -> float:
+        parts = self.shards * 2**self.depth
+        return self.store.fleet_claim_writes() / parts
+
     async def _back_off(self, delay_s: float) -> None:
         self.wake.clear()
         try:
--- a/src/auburnswitch/platform/claims.py
+++ b/src/auburnswitch/platform/claims.py
@@ -53,6 +53,7 @@
 MAX_RECORDED_BYTES: Final = 4096
 DISPATCH_WINDOW_S: Final = 10.0
 CLAIM_WAIT_S: Final = 5.0
+CACHED_SHARDS: Final = 64
 RECORD_WAIT_S: Final = 1.0
 
 
@@ -249,9 +250,11 @@
     def _writer(self, key: str, depth: int) -> ShardWriter:
         writer = self.writers.get(key)
         if writer is None:
+            self._forget_idle_shards()
             writer = self.writers[key] = ShardWriter(
                 key=key,
                 depth=depth,
+                shards=self.shards,
                 store=self.store,
                 settings=self.settings,
                 clock=self.clock,
@@ -261,6 +264,13 @@
             )
         return writer
 
+    def _forget_idle_shards(self) -> None:
+        if len(self.writers) % CACHED_SHARDS:
+            return
+        for writer in self.writers.values():
+            if writer.task is None or writer.task.done():
+                writer.contents = None  # it is read again when needed
+
     async def _find_layout(self) -> StoreUnavailable | None:
         """Learns how many shards there are, which all must agree on."""
         if self.shards:
--- a/src/auburnswitch/platform/store.py
+++ b/src/auburnswitch/platform/store.py
@@ -41,6 +41,7 @@
     from auburnswitch.schema.settings import PlatformSettings
 
 WATCH_GRACE_S: Final = 1.0
+CLAIM_SHARE: Final = 0.6  # of the fleet's writes
 
 
 @dataclass(slots=True, kw_only=True)
@@ -65,12 +66,15 @@
         last_success_at: Loop time of the last answer, in seconds.
         breaker: Keeps calls from a store that does not answer.
         reads: Bounds the reads.
-        writes: Bounds the writes.
+        writes: Bounds the writes but those of claims.
+        claim_writes: Bounds the writes of claims, whose shards have rates of
+            their own.
     """
 
     __slots__ = (
         "breaker",
         "calls",
+        "claim_writes",
         "last_success_at",
         "member_count",
         "random",
@@ -102,15 +106,26 @@
         self.writes = CallLimiter(
             bucket=RateBucket(rate=self._write_rate), slots=slots
         )
+        self.claim_writes = CallLimiter(
+            bucket=RateBucket(rate=self._claim_write_rate), slots=slots
+        )
 
     def _read_rate(self) -> float:
         share = self.settings.fleet_reads_per_second / self.member_count()
         return min(self.settings.calls_per_second, share)
 
     def _write_rate(self) -> float:
-        share = self.settings.fleet_writes_per_second / self.member_count()
+        others = self.settings.fleet_writes_per_second * (1 - CLAIM_SHARE)
+        share = others / self.member_count()
         return min(self.settings.calls_per_second, share)
 
+    def _claim_write_rate(self) -> float:
+        return min(self.settings.calls_per_second, self.fleet_claim_writes())
+
+    def fleet_claim_writes(self) -> float:
+        """Returns the writes of claims allowed to the fleet per second."""
+        return self.settings.fleet_writes_per_second * CLAIM_SHARE
+
     def size_bytes(self, value: Any) -> int:
         """Returns the size at which the store would count a value."""
         return len(json.dumps(value).encode())
@@ -228,7 +243,11 @@
         except TimeoutError:
             return Error(StoreUnavailable(reason="too many calls wait"))
         reply = await self._send(
-            "GET", "/watch", wait_s + grace_s, params=params
+            "GET",
+            "/watch",
+            wait_s + grace_s,
+            limiter=self.reads,
+            params=params,
         )
         match reply:
             case _Reply(status=200, body=body):
@@ -258,7 +277,7 @@
         priority: CallPriority,
         **options: Any,
     ) -> _Reply | StoreUnavailable:
-        limiter = self.reads if method == "GET" else self.writes
+        limiter = self._limiter(method, priority)
         timeout_s = self.settings.call_timeout_s
         if unavailable := self._check_breaker():
             return unavailable
@@ -270,10 +289,19 @@
         try:
             if unavailable := self._check_breaker():
                 return unavailable
-            return await self._send(method, path, timeout_s, **options)
+            return await self._send(
+                method, path, timeout_s, limiter=limiter, **options
+            )
         finally:
             await admitted.__aexit__(None, None, None)
 
+    def _limiter(self, method: str, priority: CallPriority) -> CallLimiter:
+        if method == "GET":
+            return self.reads
+        return (
+            self.claim_writes if priority is CallPriority.CLAIM else self.writes
+        )
+
     def _check_breaker(self) -> StoreUnavailable | None:
         wait_s = self.breaker.wait_s()
         if not wait_s:
@@ -283,14 +311,19 @@
         )
 
     async def _send(
-        self, method: str, path: str, timeout_s: float, **options: Any
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        *,
+        limiter: CallLimiter,
+        **options: Any,
     ) -> _Reply | StoreUnavailable:
         self.calls += 1
         self.breaker.note_call()
         reply = await self._exchange(method, path, timeout_s, **options)
         match reply:
             case _Reply(status=429):
-                limiter = self.reads if method == "GET" else self.writes
                 limiter.bucket.pause(self.random.uniform(0.1, 1.0))
                 self.breaker.note_success()
             case _Reply(status=status) if status < 500:
