--- a/src/auburnswitch/routing/plain.py
+++ b/src/auburnswitch/routing/plain.py
@@ -21,6 +21,7 @@
     hash_key,
 )
 from auburnswitch.results import Refusal, refusal
+from auburnswitch.routing.ends import EndChecks
 from auburnswitch.schema.objects import Claim, ClaimState
 from auburnswitch.schema.results import Ran, ResultCode
 
@@ -85,6 +86,7 @@
     __slots__ = (
         "claims",
         "client",
+        "ends",
         "invariants",
         "limits",
         "member_id",
@@ -107,6 +109,7 @@
         self.member_id = member_id
         self.invariants = invariants
         self.limits = limits
+        self.ends = EndChecks(owner_table=placer.owner_table)
 
     async def run(
         self, request: RoutedRequest, call: PlainCall
@@ -114,10 +117,16 @@
         """Runs a request to its final answer."""
         if refused := self.limits.admit(request):
             return refused
+        started_at = monotonic_s()
         try:
-            return await self._run(request, call)
+            outcome = await self._run(request, call)
         finally:
             self.limits.finish(request)
+        if isinstance(outcome, Refusal):
+            self.ends.check_refused(request, outcome)
+        self.ends.check_runs(request)
+        self.ends.check_time(request, started_at)
+        return outcome
 
     async def _run(
         self, request: RoutedRequest, call: PlainCall
@@ -188,6 +197,8 @@
                     except TooLateError:
                         reason = "it was too late to send the request"
                     unsent += 1
+                    if not request.dispatched:
+                        request.attempts -= 1  # no endpoint has seen it
         except TimeoutError:
             return refusal(ResultCode.DEADLINE_EXCEEDED, ran=_ran(request))
         return refusal(ResultCode.ENDPOINT_FAILED, reason, ran=_ran(request))
--- a/tests/endpoints/bench.py
+++ b/tests/endpoints/bench.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from auburnswitch.members.link import PeerLink
     from auburnswitch.standins.engine import EngineStandIn
 
 AUTHORIZATION = {"Authorization": f"Bearer {CALLER_KEY}"}
@@ -71,12 +72,14 @@
         fleet: The fleet.
         watches: Cold work of each engine.
         statuses: HTTP status of each answered request, 0 for a lost one.
+        sent: Requests sent so far.
     """
 
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
         self.watches = {n: ColdWatch(e) for n, e in fleet.engines.items()}
         self.statuses: list[int] = []
+        self.sent = 0
         self.tasks: set[asyncio.Task[Any]] = set()
 
     def send(
@@ -131,6 +134,27 @@
                 await self.load(1, 8)
             await self.finish()
 
+    def cut(self, instance: str) -> None:
+        """Cuts a daemon off from all others; it still reaches all else."""
+        for link in self._links_of(instance):
+            link.dial = _refuse
+            if link.connection is not None:
+                link.connection.writer.transport.abort()
+
+    def heal(self, instance: str) -> None:
+        """Ends the cut of a daemon."""
+        for link in self._links_of(instance):
+            link.dial = asyncio.open_connection
+
+    def _links_of(self, instance: str) -> list[PeerLink]:
+        cut = self.fleet.daemons[instance]
+        own = list(cut.membership.links.values())
+        return own + [
+            daemon.membership.links[cut.member.id]
+            for daemon in self.fleet.daemons.values()
+            if cut.member.id in daemon.membership.links
+        ]
+
     def crashes(self) -> list[str]:
         """Returns the engines that crashed from load while cold."""
         return [
@@ -139,10 +163,15 @@
             if record.fields["cause"] == "cold overload"
         ]
 
+    def _prompt(self, tokens: int) -> str:
+        """Returns a prompt like no other, so that no crash strikes it."""
+        self.sent += 1
+        return f"{self.sent:08}" + "word" * (tokens - 2)
+
     async def _send(self, url: str, tokens: int, answer: int) -> None:
         body = {
             "model": MODEL,
-            "prompt": "word" * tokens,
+            "prompt": self._prompt(tokens),
             "max_tokens": answer,
             "stream": False,
         }
@@ -156,13 +185,21 @@
             self.statuses.append(0)
 
 
+async def _refuse(*_: Any, **__: Any) -> Any:
+    raise ConnectionRefusedError("cut off")
+
+
 @contextlib.asynccontextmanager
 async def open_bench(**options: Any) -> AsyncIterator[Bench]:
     """Opens a fleet in virtual time; needs a `FreezableLoop`."""
     options.setdefault("plain_services", 0)
     fleet_options = FleetOptions(connector=SimulatedConnector, **options)
     async with open_fleet(fleet_options) as fleet:
-        yield Bench(fleet)
+        bench = Bench(fleet)
+        yield bench
+        for instance, daemon in fleet.daemons.items():
+            violations = daemon.invariants.violations
+            assert not violations, f"{instance}: {violations}"
 
 
 def number_of(instance: str) -> int:
--- a/tests/endpoints/test_reservations.py
+++ b/tests/endpoints/test_reservations.py
@@ -6,6 +6,7 @@
 import unittest
 
 from auburnswitch.endpoints.client import Attempt
+from auburnswitch.endpoints.load import LoadReport
 from auburnswitch.endpoints.reservations import DispatchRefusedError
 from auburnswitch.observe.tasks import open_task_set
 from auburnswitch.schema.objects import Ticket
@@ -62,6 +63,14 @@
 
 
 class ReservationTest(unittest.TestCase):
+    def test_request_that_cannot_start_in_time_is_refused_at_once(self):
+        async def scenario():
+            return await open_table().reserve(ask(time_left_s=0.001), "me")
+
+        reply = run_virtual(scenario)
+        self.assertEqual(reply.code, ResultCode.QUEUE_FULL)
+        self.assertGreater(reply.retry_after_s, 0)
+
     def test_unused_reservation_expires_by_the_askers_clock(self):
         async def scenario():
             client = client_of(open_table())
@@ -219,3 +228,26 @@
             return reply.code, counts
 
         self.assertEqual(run_virtual(scenario), (ResultCode.OK, [1, 1, 1, 0]))
+
+    def test_grant_on_an_earlier_start_is_not_used(self):
+        async def scenario():
+            table = open_table()
+            client = client_of(table)
+            held = await client.reserve(ask())
+            table.note_load(ENGINE, LoadReport(boot_id="b2"), 0.0)
+            with self.assertRaises(DispatchRefusedError):
+                client.begin(held, ATTEMPT)
+
+        run_virtual(scenario)
+
+    def test_release_reaches_a_ledger_that_is_being_given_up(self):
+        async def scenario():
+            table = open_table()
+            client = client_of(table)
+            held = await client.reserve(ask())
+            held.owner_id = "peer"
+            table.owners = OtherOwner()
+            await client.release(held, succeeded=False)
+            return len(table.ledgers[ENGINE].reservations)
+
+        self.assertEqual(run_virtual(scenario), 0)
