--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -34,7 +34,7 @@
   1: string host = "127.0.0.1"
   // TCP port to listen on. @min 0 @max 65535
   2: i32 port = 8081
-  // File with the operator key; empty accepts no operator calls but health and metrics. @secret-file
+  // File with the operator keys, one on each line as "name:key"; empty accepts no operator calls but health and metrics. @secret-file
   3: string key_file = ""
 }
 
@@ -64,14 +64,20 @@
   3: double watch_timeout_s = 30
   // Calls in flight at one time. @min 1 @max 1000
   4: i32 max_concurrency = 8
-  // Calls per second that this daemon may make. @unit calls/s @min 0.1 @max 1000
+  // Reads, and writes, per second that this daemon may make at the most. @unit calls/s @min 0.1 @max 1000
   5: double calls_per_second = 40
   // Largest stored value. @unit bytes @min 1024 @max 16777216
   6: i64 max_value_bytes = 1000000
-  // Shards that share the idempotency claims. @min 1 @max 4096
+  // Shards that the idempotency claims start with; what the store already has goes first. @min 1 @max 4096
   7: i32 claim_shards = 16
-  // Time that an idempotency claim is kept. @unit seconds @min 1 @max 2592000
+  // Time that an idempotency claim is kept after its request's deadline. @unit seconds @min 1 @max 2592000
   8: double claim_retention_s = 86400
+  // Size at which a shard of claims is split into two. @unit bytes @min 1024 @max 1000000
+  60: i64 claim_split_bytes = 131072
+  // Reads per second that all daemons together may make, waiting watches included. @unit calls/s @min 1 @max 100000
+  61: double fleet_reads_per_second = 1500
+  // Writes per second that all daemons together may make. @unit calls/s @min 1 @max 100000
+  62: double fleet_writes_per_second = 250
 }
 
 // Membership of the daemons.
--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon.py
@@ -29,6 +29,7 @@
 from auburnswitch.endpoints.reservations import ReservationClient
 from auburnswitch.endpoints.weights import LoadAdmission
 from auburnswitch.http_server import HttpServer, ListenError, open_http_server
+from auburnswitch.members.claim_forwarder import ClaimForwarder
 from auburnswitch.members.departures import Departures
 from auburnswitch.members.isolation import Isolation
 from auburnswitch.members.roster import ROSTER_KEY, RosterKeeper
@@ -41,10 +42,16 @@
 from auburnswitch.observe.metrics import Metrics
 from auburnswitch.observe.tasks import TaskSet, open_task_set
 from auburnswitch.operators.app import OperatorApp
+from auburnswitch.operators.keys import OperatorKeys
 from auburnswitch.platform.claims import ClaimStore
+from auburnswitch.platform.compaction import TicketPoller
 from auburnswitch.platform.state import ConfigState
 from auburnswitch.platform.store import ObjectStore
-from auburnswitch.platform.tickets import TICKETS_PREFIX, TicketStore
+from auburnswitch.platform.tickets import (
+    PUBLISHED_PREFIX,
+    SNAPSHOT_KEY,
+    TicketStore,
+)
 from auburnswitch.platform.watcher import StoreWatcher
 from auburnswitch.results import Refusal, refusal
 from auburnswitch.routing.crashes import CrashJudge
@@ -66,9 +73,11 @@
     from collections.abc import AsyncIterator, Callable
 
     from auburnswitch.members.connection import Dialer
+    from auburnswitch.schema.objects import Ticket
     from auburnswitch.schema.settings import Settings
 
 DRAIN_POLL_S: Final = 0.05
+CLAIM_FLUSH_TIMEOUT_S: Final = 5.0
 HEADER_MARGIN_BYTES: Final = 65536  # so that the refusal is a numbered one
 EXIT_OK: Final = 0
 EXIT_BAD_SETTINGS: Final = 2
@@ -109,7 +118,7 @@
         self.clock = WallClock()
         self.metrics = Metrics()
         self.metrics.observe_counter("invariant_violations", invariants.observe)
-        self.state = ConfigState()
+        self.state = ConfigState(invariants=invariants)
         self.member = Member(
             id=f"{settings.daemon.instance}.{secrets.token_hex(4)}",
             instance=settings.daemon.instance,
@@ -117,10 +126,15 @@
             host=settings.peers.host,
             port=settings.peers.port,
         )
-        self.store = ObjectStore(settings=settings.platform, session=session)
+        self.view = MemberView(me=self.member, settings=settings.members)
+        self.store = ObjectStore(
+            settings=settings.platform,
+            session=session,
+            member_count=lambda: max(1, len(self.view.roster.members)),
+            seed=seed,
+        )
         self.tickets = TicketStore(store=self.store, state=self.state)
         self.watcher = StoreWatcher(store=self.store, seed=seed)
-        self.view = MemberView(me=self.member, settings=settings.members)
         self.strict_rights = StrictRights(view=self.view)
         self.departures = Departures(view=self.view, store=self.store)
         self.isolation = Isolation(
@@ -133,7 +147,13 @@
             synced=self.watcher.synced,
             seed=seed,
         )
-        self.watcher.handlers[TICKETS_PREFIX] = self.tickets.handle_object
+        self.watcher.handlers[PUBLISHED_PREFIX] = self.tickets.handle_ticket
+        self.watcher.handlers[SNAPSHOT_KEY] = self.tickets.handle_snapshot
+        self.poller = TicketPoller(
+            store=self.store,
+            tickets=self.tickets,
+            is_poller=lambda: self.view.live_ids()[:1] == [self.member.id],
+        )
         self.watcher.handlers[ROSTER_KEY] = self.roster.handle_object
         self.cleanups = TaskSet()
         self._build_members(dial)
@@ -258,17 +278,25 @@
                 cleanups=self.cleanups,
             ),
         )
-        claims = ClaimStore(
+        self.claims = ClaimStore(
             store=self.store,
             settings=self.settings.platform,
             clock=self.clock,
             member_id=self.member.id,
+            tasks=self.tasks,
+            seed=seed,
+            is_gone=self.view.is_gone,
+        )
+        self.claim_forwarder = ClaimForwarder(
+            claims=self.claims, membership=self.membership
         )
+        self.claim_forwarder.register(self.peer_server)
         self.plain = PlainRouter(
             placer=placer,
             client=client,
-            claims=claims,
+            claims=self.claims,
             member_id=self.member.id,
+            invariants=self.invariants,
             limits=limits,
         )
 
@@ -284,17 +312,32 @@
         self.in_flight = InFlightCounter(app=self.caller_app.build())
         key_file = self.settings.operators.key_file
         self.operator_app = OperatorApp(
-            key=read_secret(key_file) if key_file else b"",
+            keys=OperatorKeys(text=read_secret(key_file) if key_file else b""),
             tickets=self.tickets,
             owner_table=self.owner_table,
             metrics=self.metrics,
             clock=self.clock,
             refuse_new=self.refuse_new,
             status=self.status,
+            in_force=self.in_force,
         )
         self.callers: HttpServer | None = None
         self.operators: HttpServer | None = None
 
+    def in_force(self, ticket: Ticket) -> tuple[list[str], list[str]]:
+        """Returns the daemons in which a ticket is in force, or is not yet.
+
+        A peer counts once it is known to have the same state as this daemon.
+        """
+        joined = self.state.has_joined(ticket)
+        in_force: list[str] = []
+        pending: list[str] = []
+        for member_id in self.view.live_ids():
+            status = self.view.peers.get(member_id)
+            same = status is None or status.state_digest == self.state.digest
+            (in_force if joined and same else pending).append(member_id)
+        return in_force, pending
+
     def refuse_new(self) -> Refusal | None:
         """Returns why new work is refused, or None."""
         if self.stopping:
@@ -315,6 +358,7 @@
             "ready": refused is None,
             "reason": "" if refused is None else refused.code.name.lower(),
             "state_digest": self.state.digest,
+            "left_out_endpoints": self.state.dangling,
             "roster_epoch": self.view.roster.epoch,
             "strict_rights": self.view.has_quorum(),
             "roster": self.view.roster_ids(),
@@ -334,6 +378,7 @@
         self.tasks.start(self.watcher.run(), "watcher")
         self.tasks.start(self.roster.run(), "roster")
         self.tasks.start(self.membership.run(), "membership")
+        self.tasks.start(self.poller.run(), "ticket poller")
         refresh = self.watcher.refresh
         self.tasks.start(self.isolation.run(refresh), "store probe")
         self.tasks.start(self.monitor.run(), "load monitor")
--- a/src/auburnswitch/endpoints/client.py
+++ b/src/auburnswitch/endpoints/client.py
@@ -90,8 +90,7 @@
     between it and the writing of the request's head.
     """
     trace = aiohttp.TraceConfig()
-    trace.on_connection_create_end.append(_ask_guard)
-    trace.on_connection_reuseconn.append(_ask_guard)
+    trace.on_request_headers_sent.append(_ask_guard)  # just before it is sent
     trace.freeze()
     return trace
 
--- a/src/auburnswitch/members/frames.py
+++ b/src/auburnswitch/members/frames.py
@@ -28,6 +28,8 @@
     Heartbeat,
     HeartbeatAck,
     Hello,
+    KeyClaimReply,
+    KeyClaimRequest,
     ProgressRequest,
     ReleaseRequest,
     ReserveReply,
@@ -55,6 +57,8 @@
 )
 _PROTOCOL: Final = TBinaryProtocolFactory()
 _FIELDS: Final[dict[type[Struct], str]] = {
+    KeyClaimRequest: "key_claim",
+    KeyClaimReply: "key_claim_reply",
     Heartbeat: "heartbeat",
     HeartbeatAck: "heartbeat_ack",
     ReserveRequest: "reserve",
--- a/src/auburnswitch/schema/objects.py
+++ b/src/auburnswitch/schema/objects.py
@@ -364,6 +364,28 @@
     }
 
 
+@dataclass(slots=True, kw_only=True)
+class VersionedChange(Struct):
+    """The newest change of one object and the ticket that made it."""
+
+    number: int = 0
+    change: Change = field(default_factory=Change)
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.I64, "number", False),
+        2: (TType.STRUCT, "change", Change, False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("number", None),
+        ("change", None),
+    ]
+    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
+    descriptions: ClassVar[dict[str, Description]] = {
+        "number": Description(text="", options={}),
+        "change": Description(text="", options={}),
+    }
+
+
 @dataclass(slots=True, kw_only=True)
 class Ticket(Struct):
     """A numbered change of configuration. A later number supersedes an earlier one."""
@@ -373,6 +395,8 @@
     note: str = ""
     changes: list[Change] = field(default_factory=list)
     accepted_at: float = 0.0
+    operator: str = ""
+    before: list[VersionedChange] = field(default_factory=list)
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "number", False),
@@ -380,6 +404,8 @@
         3: (TType.STRING, "note", False),
         4: (TType.LIST, "changes", (TType.STRUCT, Change), False),
         5: (TType.DOUBLE, "accepted_at", False),
+        60: (TType.STRING, "operator", False),
+        61: (TType.LIST, "before", (TType.STRUCT, VersionedChange), False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("number", None),
@@ -387,6 +413,8 @@
         ("note", None),
         ("changes", None),
         ("accepted_at", None),
+        ("operator", None),
+        ("before", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -398,28 +426,13 @@
             text="Wall-clock time of acceptance, in seconds since the epoch.",
             options={},
         ),
-    }
-
-
-@dataclass(slots=True, kw_only=True)
-class VersionedChange(Struct):
-    """The newest change of one object and the ticket that made it."""
-
-    number: int = 0
-    change: Change = field(default_factory=Change)
-
-    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
-        1: (TType.I64, "number", False),
-        2: (TType.STRUCT, "change", Change, False),
-    }
-    default_spec: ClassVar[list[tuple[str, Any]]] = [
-        ("number", None),
-        ("change", None),
-    ]
-    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
-    descriptions: ClassVar[dict[str, Description]] = {
-        "number": Description(text="", options={}),
-        "change": Description(text="", options={}),
+        "operator": Description(
+            text="Operator whose key the ticket came with.", options={}
+        ),
+        "before": Description(
+            text="What the ticket's objects were before, as its daemon knew them; an object without an entry was not there.",
+            options={},
+        ),
     }
 
 
@@ -442,7 +455,8 @@
     descriptions: ClassVar[dict[str, Description]] = {
         "entries": Description(text="", options={}),
         "included_through": Description(
-            text="Every ticket up to this number is included.", options={}
+            text="Highest number among the included tickets; a lower one may still come.",
+            options={},
         ),
     }
 
@@ -510,6 +524,7 @@
 
     CLAIMED = 0
     DONE = 1
+    UNKNOWN = 2
 
 
 CLAIMSTATE_INFO: Final = {
@@ -517,6 +532,9 @@
         text="Claimed, and perhaps dispatched.", options={}
     ),
     ClaimState.DONE: Description(text="The outcome is recorded.", options={}),
+    ClaimState.UNKNOWN: Description(
+        text="The request was sent and ended without an answer.", options={}
+    ),
 }
 
 
@@ -534,6 +552,8 @@
     body: str = ""
     member_id: str = ""
     body_dropped: bool = False
+    dispatch_by: float = 0.0
+    deadline_at: float = 0.0
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "key_hash", False),
@@ -546,6 +566,8 @@
         8: (TType.STRING, "body", False),
         9: (TType.STRING, "member_id", False),
         10: (TType.BOOL, "body_dropped", False),
+        60: (TType.DOUBLE, "dispatch_by", False),
+        61: (TType.DOUBLE, "deadline_at", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("key_hash", None),
@@ -558,6 +580,8 @@
         ("body", None),
         ("member_id", None),
         ("body_dropped", None),
+        ("dispatch_by", None),
+        ("deadline_at", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {"state": ClaimState}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -580,6 +604,14 @@
         "body_dropped": Description(
             text="The recorded answer was too large to keep.", options={}
         ),
+        "dispatch_by": Description(
+            text="Wall-clock time after which the claimant does not send the request, in seconds since the epoch.",
+            options={},
+        ),
+        "deadline_at": Description(
+            text="Wall-clock time at which the request ends at the latest, in seconds since the epoch.",
+            options={},
+        ),
     }
 
 
@@ -588,14 +620,39 @@
     """A group of claims stored as one value."""
 
     claims: list[Claim] = field(default_factory=list)
+    split_into: str = ""
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
-        1: (TType.LIST, "claims", (TType.STRUCT, Claim), False)
+        1: (TType.LIST, "claims", (TType.STRUCT, Claim), False),
+        60: (TType.STRING, "split_into", False),
     }
-    default_spec: ClassVar[list[tuple[str, Any]]] = [("claims", None)]
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("claims", None),
+        ("split_into", None),
+    ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
         "claims": Description(text="", options={}),
+        "split_into": Description(
+            text="Names the two shards that took over this one's claims; empty while it has its own.",
+            options={},
+        ),
+    }
+
+
+@dataclass(slots=True, kw_only=True)
+class ClaimLayout(Struct):
+    """How many shards the claims started with; the same for all daemons for ever."""
+
+    shards: int = 0
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.I32, "shards", False)
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [("shards", None)]
+    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
+    descriptions: ClassVar[dict[str, Description]] = {
+        "shards": Description(text="", options={}),
     }
 
 
@@ -626,6 +683,7 @@
     "CLAIMSTATE_INFO",
     "Change",
     "Claim",
+    "ClaimLayout",
     "ClaimShard",
     "ClaimState",
     "Endpoint",
