Show that a long prompt is held on an idle cold fleet (known red)

EndpointLedger.can_bear_alone refuses with QUEUE_FULL (endpoints/granting.py), and Placer._ask_owners in routing/placement.py asks again each round until the deadline: only other, shorter requests warm the endpoint. It should be refused at once with a time to come back, or the endpoint be warmed for it.

--- /dev/null
+++ b/tests/routing/test_cold_fleet.py
@@ -0,0 +1,43 @@
+"""Tests of prompts above what a cold endpoint bears."""
+
+from __future__ import annotations
+
+import unittest
+
+from auburnswitch.experiments.calls import Caller
+from auburnswitch.experiments.fleet import (
+    CALLER_KEY,
+    MODEL,
+    FleetOptions,
+    open_fleet,
+)
+from tests.virtual_time import SimulatedConnector, run_virtual
+
+PROMPT = "x" * 120_000  # 30,000 tokens; a cold engine bears 20,000
+DEADLINE_S = 60.0
+AT_ONCE_S = 5.0
+
+
+class ColdFleetTest(unittest.TestCase):
+    def test_long_prompt_on_an_idle_cold_fleet_is_not_held(self):
+        async def scenario():
+            options = FleetOptions(
+                engines=2,
+                daemons=1,
+                plain_services=0,
+                connector=SimulatedConnector,
+            )
+            async with open_fleet(options) as fleet:
+                caller = Caller(session=fleet.session, caller_key=CALLER_KEY)
+                return await caller.complete(
+                    fleet.caller_url("entry-0"),
+                    "entry-0",
+                    model=MODEL,
+                    prompt=PROMPT,
+                    tokens=8,
+                    deadline_s=DEADLINE_S,
+                )
+
+        outcome = run_virtual(scenario).outcome
+        refused_at_once = outcome.total_s <= AT_ONCE_S
+        self.assertTrue(outcome.result == "ok" or refused_at_once, outcome)
