--- a/src/auburnswitch/experiments/checker.py
+++ b/src/auburnswitch/experiments/checker.py
@@ -215,18 +215,25 @@
 
 def _check_cold_bound(run: RunHistory) -> Iterator[Violation]:
     signs: dict[str, list[float]] = {}  # answers since an unannounced turn
+    begun: set[tuple[str, str]] = set()  # what started since then
     kinds = (
         HistoryKind.CRASHED,
         HistoryKind.TURNED_COLD,
+        HistoryKind.REQUEST_STARTED,
         HistoryKind.REQUEST_FINISHED,
     )
     for record in run.history.select(*kinds):
         seen = signs.get(record.actor)
+        work = (record.actor, str(record.fields.get("request_id")))
         match record.kind:
             case HistoryKind.TURNED_COLD:
                 signs[record.actor] = []
+                begun = {item for item in begun if item[0] != record.actor}
+            case HistoryKind.REQUEST_STARTED:
+                begun.add(work)
             case HistoryKind.REQUEST_FINISHED if seen is not None:
-                seen.append(record.time_s)
+                if work in begun:
+                    seen.append(record.time_s)
             case HistoryKind.CRASHED:
                 signs.pop(record.actor, None)  # the new start is announced
                 overloaded = record.fields.get("cause") == OVERLOAD_CAUSE
