End a test module that hangs, and print modules as they finish

Cause: one module that never ended kept a whole run for ten minutes without a word on which it was. A module has 600 s now and fails by name after that.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -9,6 +9,7 @@
 import concurrent.futures
 import io
 import os
+import signal
 import sys
 import time
 import unittest
@@ -18,6 +19,11 @@
 ROOT: Final = Path(__file__).resolve().parent.parent
 KNOWN_RED: Final = ROOT / "KNOWN-RED.txt"
 WORKERS: Final = max(2, (os.cpu_count() or 2) - 2)
+MODULE_LIMIT_S: Final = 600  # a module that hangs fails instead
+
+
+class ModuleTimeoutError(BaseException):
+    """A test module ran for too long."""
 
 
 class ModuleReport:
@@ -55,9 +61,21 @@
 def run_module(name: str) -> ModuleReport:
     """Runs one test module and collects its failures."""
     started = time.monotonic()
-    suite = unittest.defaultTestLoader.loadTestsFromName(name)
+    signal.signal(signal.SIGALRM, _end_module)
+    signal.alarm(MODULE_LIMIT_S)
     runner = unittest.TextTestRunner(stream=io.StringIO(), verbosity=0)
-    result = runner.run(suite)
+    try:
+        suite = unittest.defaultTestLoader.loadTestsFromName(name)
+        result = runner.run(suite)
+    except ModuleTimeoutError:
+        return ModuleReport(
+            name=name,
+            run=1,
+            failures=[(name, f"not done after {MODULE_LIMIT_S} s")],
+            seconds=time.monotonic() - started,
+        )
+    finally:
+        signal.alarm(0)
     problems = [*result.failures, *result.errors]
     failures = [(test.id(), trace) for test, trace in problems]
     failures += [
@@ -71,6 +89,10 @@
     )
 
 
+def _end_module(_: int, __: object) -> None:
+    raise ModuleTimeoutError
+
+
 def read_known_red() -> set[str]:
     """Returns the ids of tests that are known to fail."""
     if not KNOWN_RED.exists():
@@ -86,7 +108,11 @@
     with concurrent.futures.ProcessPoolExecutor(
         WORKERS, max_tasks_per_child=1
     ) as pool:
-        for report in pool.map(run_module, names or find_modules()):
+        running = [
+            pool.submit(run_module, name) for name in names or find_modules()
+        ]
+        for done in concurrent.futures.as_completed(running):
+            report = done.result()
             red = [f for f in report.failures if f[0] in known_red]
             bad = [f for f in report.failures if f[0] not in known_red]
             for test_id, trace in bad:
