Give slow heartbeats an isolation limit longer than their interval

The limit is 11 s there, like the others, and the wait has an end of its own. tests.endpoints.test_orphans 7 passed.

--- a/tests/endpoints/test_orphans.py
+++ b/tests/endpoints/test_orphans.py
@@ -47,8 +47,9 @@
     """Waits until two long answers run that came through one daemon."""
     for _ in range(2):
         bench.send(entry, answer=LONG_ANSWER)
-    while len(bench.fleet.engines[ENGINE].batch.jobs()) < 2:
-        await asyncio.sleep(0.1)
+    async with asyncio.timeout(FREED_WITHIN_S):
+        while len(bench.fleet.engines[ENGINE].batch.jobs()) < 2:
+            await asyncio.sleep(0.1)
 
 
 async def send_as(web: ClientSession, url: str, member_id: str) -> None:
@@ -200,6 +201,7 @@
             settings.members.heartbeat_interval_s = 5
             settings.members.suspect_after_s = 11
             settings.members.strict_lease_s = 11
+            settings.members.isolated_after_s = 11
             settings.members.remove_after_s = 30
 
         async def scenario(bench):
