--- a/schema/objects.thrift
+++ b/schema/objects.thrift
@@ -107,6 +107,12 @@
   7: optional Endpoint endpoint
 }
 
+// The newest change of one object and the ticket that made it.
+struct VersionedChange {
+  1: i64 number = 0
+  2: Change change
+}
+
 // A numbered change of configuration. A later number supersedes an earlier one.
 struct Ticket {
   1: i64 number = 0
@@ -115,18 +121,16 @@
   4: list<Change> changes = []
   // Wall-clock time of acceptance, in seconds since the epoch.
   5: double accepted_at = 0
-}
-
-// The newest change of one object and the ticket that made it.
-struct VersionedChange {
-  1: i64 number = 0
-  2: Change change
+  // Operator whose key the ticket came with.
+  60: string operator_ = ""
+  // What the ticket's objects were before, as its daemon knew them; an object without an entry was not there.
+  61: list<VersionedChange> before = []
 }
 
 // The join of many tickets.
 struct Snapshot {
   1: list<VersionedChange> entries = []
-  // Every ticket up to this number is included.
+  // Highest number among the included tickets; a lower one may still come.
   2: i64 included_through = 0
 }
 
@@ -151,6 +155,8 @@
   CLAIMED = 0
   // The outcome is recorded.
   DONE = 1
+  // The request was sent and ended without an answer.
+  UNKNOWN = 2
 }
 
 // A claim on one idempotency key.
@@ -171,11 +177,22 @@
   9: string member_id = ""
   // The recorded answer was too large to keep.
   10: bool body_dropped = false
+  // Wall-clock time after which the claimant does not send the request, in seconds since the epoch.
+  60: double dispatch_by = 0
+  // Wall-clock time at which the request ends at the latest, in seconds since the epoch.
+  61: double deadline_at = 0
 }
 
 // A group of claims stored as one value.
 struct ClaimShard {
   1: list<Claim> claims = []
+  // Names the two shards that took over this one's claims; empty while it has its own.
+  60: string split_into = ""
+}
+
+// How many shards the claims started with; the same for all daemons for ever.
+struct ClaimLayout {
+  1: i32 shards = 0
 }
 
 // The fencing number of orders to one endpoint.
--- a/src/auburnswitch/members/isolation.py
+++ b/src/auburnswitch/members/isolation.py
@@ -74,6 +74,10 @@
         near = self.quorum_ids & (heard | {self.view.me.id})
         return bool(heard) and is_majority(near, self.quorum_ids)
 
+    def own_age_s(self) -> float:
+        """Returns the time since this daemon read the store."""
+        return monotonic_s() - self.read_at()
+
     def store_age_s(self) -> float:
         """Returns the time since anyone in this group read the store."""
         heard = self.view.heard_ids(self.view.settings.isolated_after_s)
@@ -119,7 +123,10 @@
         """Follows the daemons that come and go; logs changes."""
         if self.has_majority():
             self._follow()
+        awake_s = monotonic_s() - self.view.awake_since
         isolated = self.is_isolated()
+        if isolated and awake_s < self.view.settings.isolated_after_s:
+            return  # it may just not have heard anyone yet
         if isolated != self.isolated:
             self.isolated = isolated
             event = EventId.ISOLATED if isolated else EventId.ISOLATION_ENDED
--- /dev/null
+++ b/src/auburnswitch/operators/audit.py
@@ -0,0 +1,71 @@
+"""The audit trail: what each accepted ticket changed."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from auburnswitch.schema.base import to_json
+from auburnswitch.schema.objects import ObjectKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from auburnswitch.schema.objects import Change, Ticket
+
+
+@dataclass(slots=True, kw_only=True)
+class AuditFilter:
+    """Which changes are wanted; an empty field wants all.
+
+    Attributes:
+        object: Kind and name, such as ``endpoint/e1``, or a name.
+        author: Author of the ticket, or operator whose key it came with.
+        since: Wall-clock time of the oldest acceptance, in seconds.
+    """
+
+    object: str = ""
+    author: str = ""
+    since: float = -math.inf
+
+    def wants_ticket(self, ticket: Ticket) -> bool:
+        """Tells whether changes of a ticket are wanted."""
+        if ticket.accepted_at < self.since:
+            return False
+        return not self.author or self.author in (
+            ticket.author,
+            ticket.operator,
+        )
+
+    def wants_change(self, change: Change) -> bool:
+        """Tells whether a change is wanted."""
+        return self.object in ("", change.name, object_name(change))
+
+
+def object_name(change: Change) -> str:
+    """Returns the kind and the name of a change's object."""
+    return f"{ObjectKind(change.kind).name.lower()}/{change.name}"
+
+
+def audit_entries(
+    tickets: Iterable[Ticket], wanted: AuditFilter
+) -> Iterator[dict[str, Any]]:
+    """Yields who changed what and when, with the object before and after."""
+    for ticket in filter(wanted.wants_ticket, tickets):
+        before = {object_name(e.change): e for e in ticket.before}
+        for change in filter(wanted.wants_change, ticket.changes):
+            name = object_name(change)
+            yield {
+                "number": ticket.number,
+                "accepted_at": ticket.accepted_at,
+                "author": ticket.author,
+                "operator": ticket.operator,
+                "note": ticket.note,
+                "object": name,
+                "before": to_json(before[name]) if name in before else None,
+                "after": to_json(change),
+            }
+
+
+__all__ = ["AuditFilter", "audit_entries", "object_name"]
--- a/src/auburnswitch/schema/peers.py
+++ b/src/auburnswitch/schema/peers.py
@@ -708,19 +708,26 @@
 
     snapshot: Snapshot = field(default_factory=Snapshot)
     roster: Roster | None = None
+    heard_members: list[Member] = field(default_factory=list)
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRUCT, "snapshot", Snapshot, False),
         2: (TType.STRUCT, "roster", Roster, False),
+        30: (TType.LIST, "heard_members", (TType.STRUCT, Member), False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("snapshot", None),
         ("roster", None),
+        ("heard_members", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
         "snapshot": Description(text="", options={}),
         "roster": Description(text="", options={}),
+        "heard_members": Description(
+            text="Daemons that the peer hears, so that newcomers find each other.",
+            options={},
+        ),
     }
 
 
@@ -768,6 +775,95 @@
     }
 
 
+class ClaimAction(enum.IntEnum):
+    """Generated from the schema."""
+
+    ADD = 0
+    RECORD = 1
+
+
+CLAIMACTION_INFO: Final = {
+    ClaimAction.ADD: Description(text="", options={}),
+    ClaimAction.RECORD: Description(text="", options={}),
+}
+
+
+@dataclass(slots=True, kw_only=True)
+class KeyClaimRequest(Struct):
+    """Asks the daemon that commits a shard of claims to change it."""
+
+    action: ClaimAction = ClaimAction.ADD
+    claim: Claim = field(default_factory=Claim)
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        60: (TType.I32, "action", False),
+        61: (TType.STRUCT, "claim", Claim, False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("action", None),
+        ("claim", None),
+    ]
+    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {
+        "action": ClaimAction
+    }
+    descriptions: ClassVar[dict[str, Description]] = {
+        "action": Description(text="", options={}),
+        "claim": Description(text="", options={}),
+    }
+
+
+class ClaimVerdict(enum.IntEnum):
+    """Generated from the schema."""
+
+    DONE = 0
+    EXISTS = 1
+    UNAVAILABLE = 2
+
+
+CLAIMVERDICT_INFO: Final = {
+    ClaimVerdict.DONE: Description(
+        text="The claim was added, or its outcome recorded.", options={}
+    ),
+    ClaimVerdict.EXISTS: Description(
+        text="Another claim has the key.", options={}
+    ),
+    ClaimVerdict.UNAVAILABLE: Description(
+        text="The change was not committed in time.", options={}
+    ),
+}
+
+
+@dataclass(slots=True, kw_only=True)
+class KeyClaimReply(Struct):
+    """Generated from the schema."""
+
+    verdict: ClaimVerdict = ClaimVerdict.DONE
+    earlier: Claim | None = None
+    written: bool = False
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        60: (TType.I32, "verdict", False),
+        61: (TType.STRUCT, "earlier", Claim, False),
+        62: (TType.BOOL, "written", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("verdict", None),
+        ("earlier", None),
+        ("written", None),
+    ]
+    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {
+        "verdict": ClaimVerdict
+    }
+    descriptions: ClassVar[dict[str, Description]] = {
+        "verdict": Description(text="", options={}),
+        "earlier": Description(text="The claim that has the key.", options={}),
+        "written": Description(
+            text="A change that was not committed may have taken effect all the same.",
+            options={},
+        ),
+    }
+
+
 @dataclass(slots=True, kw_only=True)
 class AttemptId(Struct):
     """One attempt of a request."""
@@ -847,6 +943,8 @@
     handover: HandoverRequest | None = None
     done: Done | None = None
     hello: Hello | None = None
+    key_claim: KeyClaimRequest | None = None
+    key_claim_reply: KeyClaimReply | None = None
     claims: ClaimsRequest | None = None
     claims_reply: ClaimsReply | None = None
 
@@ -864,6 +962,8 @@
         11: (TType.STRUCT, "handover", HandoverRequest, False),
         12: (TType.STRUCT, "done", Done, False),
         13: (TType.STRUCT, "hello", Hello, False),
+        60: (TType.STRUCT, "key_claim", KeyClaimRequest, False),
+        61: (TType.STRUCT, "key_claim_reply", KeyClaimReply, False),
         40: (TType.STRUCT, "claims", ClaimsRequest, False),
         41: (TType.STRUCT, "claims_reply", ClaimsReply, False),
     }
@@ -881,6 +981,8 @@
         ("handover", None),
         ("done", None),
         ("hello", None),
+        ("key_claim", None),
+        ("key_claim_reply", None),
         ("claims", None),
         ("claims_reply", None),
     ]
@@ -902,6 +1004,8 @@
         "handover": Description(text="", options={}),
         "done": Description(text="", options={}),
         "hello": Description(text="", options={}),
+        "key_claim": Description(text="", options={}),
+        "key_claim_reply": Description(text="", options={}),
         "claims": Description(text="", options={}),
         "claims_reply": Description(text="", options={}),
     }
@@ -909,6 +1013,10 @@
 
 __all__ = [
     "AttemptId",
+    "CLAIMACTION_INFO",
+    "CLAIMVERDICT_INFO",
+    "ClaimAction",
+    "ClaimVerdict",
     "ClaimsReply",
     "ClaimsRequest",
     "Done",
@@ -920,6 +1028,8 @@
     "Heartbeat",
     "HeartbeatAck",
     "Hello",
+    "KeyClaimReply",
+    "KeyClaimRequest",
     "LENGTHCLASS_INFO",
     "LengthClass",
     "ProgressRequest",
--- a/src/auburnswitch/schema/settings.py
+++ b/src/auburnswitch/schema/settings.py
@@ -132,7 +132,7 @@
             text="TCP port to listen on.", options={"min": "0", "max": "65535"}
         ),
         "key_file": Description(
-            text="File with the operator key; empty accepts no operator calls but health and metrics.",
+            text='File with the operator keys, one on each line as "name:key"; empty accepts no operator calls but health and metrics.',
             options={"secret-file": ""},
         ),
     }
@@ -204,6 +204,9 @@
     max_value_bytes: int = 1000000
     claim_shards: int = 16
     claim_retention_s: float = 86400.0
+    claim_split_bytes: int = 131072
+    fleet_reads_per_second: float = 1500.0
+    fleet_writes_per_second: float = 250.0
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "url", False),
@@ -214,6 +217,9 @@
         6: (TType.I64, "max_value_bytes", False),
         7: (TType.I32, "claim_shards", False),
         8: (TType.DOUBLE, "claim_retention_s", False),
+        60: (TType.I64, "claim_split_bytes", False),
+        61: (TType.DOUBLE, "fleet_reads_per_second", False),
+        62: (TType.DOUBLE, "fleet_writes_per_second", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("url", None),
@@ -224,6 +230,9 @@
         ("max_value_bytes", None),
         ("claim_shards", None),
         ("claim_retention_s", None),
+        ("claim_split_bytes", None),
+        ("fleet_reads_per_second", None),
+        ("fleet_writes_per_second", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -243,7 +252,7 @@
             options={"min": "1", "max": "1000"},
         ),
         "calls_per_second": Description(
-            text="Calls per second that this daemon may make.",
+            text="Reads, and writes, per second that this daemon may make at the most.",
             options={"unit": "calls/s", "min": "0.1", "max": "1000"},
         ),
         "max_value_bytes": Description(
@@ -251,13 +260,25 @@
             options={"unit": "bytes", "min": "1024", "max": "16777216"},
         ),
         "claim_shards": Description(
-            text="Shards that share the idempotency claims.",
+            text="Shards that the idempotency claims start with; what the store already has goes first.",
             options={"min": "1", "max": "4096"},
         ),
         "claim_retention_s": Description(
-            text="Time that an idempotency claim is kept.",
+            text="Time that an idempotency claim is kept after its request's deadline.",
             options={"unit": "seconds", "min": "1", "max": "2592000"},
         ),
+        "claim_split_bytes": Description(
+            text="Size at which a shard of claims is split into two.",
+            options={"unit": "bytes", "min": "1024", "max": "1000000"},
+        ),
+        "fleet_reads_per_second": Description(
+            text="Reads per second that all daemons together may make, waiting watches included.",
+            options={"unit": "calls/s", "min": "1", "max": "100000"},
+        ),
+        "fleet_writes_per_second": Description(
+            text="Writes per second that all daemons together may make.",
+            options={"unit": "calls/s", "min": "1", "max": "100000"},
+        ),
     }
 
 
--- a/tests/members/test_roster.py
+++ b/tests/members/test_roster.py
@@ -38,7 +38,8 @@
 
         calls = run_virtual(scenario)
         calls.pop("instances", None)  # the endpoints' own reading
-        self.assertEqual(dict(calls), {"watch": 5 * 4})
+        # one daemon of the fleet lists the published tickets every 2 s
+        self.assertEqual(dict(calls), {"watch": 5 * 4, "list": 60})
 
     def test_silent_member_is_removed(self):
         async def scenario():
@@ -146,3 +147,21 @@
                 return await until(lambda: agreed(fleet), 10)
 
         self.assertLess(run_virtual(scenario), 8)
+
+    def test_shared_instance_name_is_told_and_removes_nobody(self):
+        async def scenario():
+            async with open_cuttable(3) as (fleet, _):
+
+                def rename(settings):
+                    settings.daemon.instance = "entry-0"
+
+                fleet.options.tune = rename
+                with self.assertLogs("auburnswitch", logging.ERROR) as logs:
+                    await start(fleet, [3])
+                    await until(lambda: agreed(fleet), 5)
+                    await asyncio.sleep(30)
+                events = {record.event for record in logs.records}
+                self.assertEqual(events, {EventId.INSTANCE_NAME_SHARED})
+                self.assertTrue(agreed(fleet))
+
+        run_virtual(scenario)
--- a/tests/routing/plain_support.py
+++ b/tests/routing/plain_support.py
@@ -15,6 +15,7 @@
 from auburnswitch.endpoints.reservations import HeldReservation
 from auburnswitch.members.view import MemberView
 from auburnswitch.observe.invariants import Invariants
+from auburnswitch.observe.tasks import open_task_set
 from auburnswitch.platform.claims import ClaimStore
 from auburnswitch.platform.store import ObjectStore
 from auburnswitch.routing.plain import PlainCall, PlainRouter
@@ -62,6 +63,10 @@
         pass
 
 
+class PatchableClaims(ClaimStore):
+    """Claims whose methods tests may replace."""
+
+
 class NoLimits:
     """Admits every request."""
 
@@ -77,6 +82,7 @@
 
     Attributes:
         runs: Method and path of each run.
+        run_ids: Request id of each run.
         drop_next: Runs, from now on, whose connection is broken.
         delay_s: Time that a run takes.
         body: What it answers.
@@ -84,6 +90,7 @@
 
     def __init__(self) -> None:
         self.runs: list[str] = []
+        self.run_ids: list[str] = []
         self.drop_next = 0
         self.delay_s = 0.0
         self.body = "done"
@@ -92,6 +99,8 @@
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         await receive()
         self.runs.append(f"{scope['method']} {scope['path']}")
+        headers = dict(scope["headers"])
+        self.run_ids.append(headers[b"x-request-id"].decode())
         if self.drop_next:
             self.drop_next -= 1
             await self.listener.drop_request(scope, receive)
@@ -114,7 +123,6 @@
         self.platform = platform
         self.service = service
         self.routers: list[PlainRouter] = []
-        self.sessions: list[aiohttp.ClientSession] = []
         self.stack = contextlib.AsyncExitStack()
         self.requests = 0
 
@@ -124,11 +132,13 @@
         )
         platform = PlatformSettings(url=self.platform.url, **settings)
         member_id = f"entry-{len(self.routers)}.0"
-        claims = ClaimStore(
+        claims = PatchableClaims(
             store=ObjectStore(settings=platform, session=session),
             settings=platform,
             clock=WallClock(offset_s=1e9),
             member_id=member_id,
+            tasks=await self.stack.enter_async_context(open_task_set()),
+            seed=len(self.routers) + 1,
         )
         listener = self.service.listener
         spec = Endpoint(service="s", host="127.0.0.1", port=listener.port)
@@ -139,6 +149,7 @@
             ),
             claims=claims,
             member_id=member_id,
+            invariants=Invariants(strict=True),
             limits=NoLimits(),
         )
         self.routers.append(router)
