Refuse a prompt at once when every endpoint is too cold for it

Cause: the owner answered "queue full" for a prompt above a cold endpoint's bound, and the asker went on asking until the deadline: 30,000 tokens on an idle cold fleet waited 60 s and ended not run.

Such endpoints are no candidates now. If nothing else is left the caller gets 2011 at once, not run, with a time to come back. Ruled out for now: warming an endpoint with requests of the daemon's own; it needs a bound of its own.

--- a/schema/results.thrift
+++ b/schema/results.thrift
@@ -60,6 +60,8 @@
   NOT_READY = 2009
   // The retry budget is spent. @http 503 @ran unknown
   RETRY_BUDGET_SPENT = 2010
+  // Every endpoint that could run the request is cold and cannot bear a prompt of this length yet. @http 503 @ran no
+  ENDPOINT_COLD = 2011
   // The deadline passed before the answer was complete. @http 504 @ran unknown
   DEADLINE_EXCEEDED = 3001
   // The endpoint failed while it ran the request. @http 502 @ran unknown
--- a/src/auburnswitch/endpoints/granting.py
+++ b/src/auburnswitch/endpoints/granting.py
@@ -88,7 +88,7 @@
         if ledger.is_cold and not self.owner_table.gate.may_use_cold(ledger):
             return ResultCode.OWNERSHIP_PENDING
         if not ledger.can_bear_alone(request):
-            return ResultCode.QUEUE_FULL
+            return ResultCode.ENDPOINT_COLD
         return None
 
     def _check_grant(self, ledger: EndpointLedger) -> None:
--- a/src/auburnswitch/routing/placement.py
+++ b/src/auburnswitch/routing/placement.py
@@ -39,6 +39,7 @@
 ROUND_DELAY_S: Final = 0.05
 OWNER_WAIT_S: Final = 1.0
 WAIT_SLACK_S: Final = 0.01
+COLD_RETRY_AFTER_S: Final = 5.0
 FRESH_S: Final = 0.05
 STALENESS: Final = 0.2  # wait that may have come, per second of a hint's age
 STALENESS_LIMIT_S: Final = 1.0
@@ -174,14 +175,35 @@
             if reply.code != ResultCode.QUEUE_FULL or not reply.hints:
                 refusing.add(names[0])
         if last is None:
-            last = refusal(
-                ResultCode.NO_ENDPOINT, ran=_ran(request), retry_after_s=1
-            )
-            return FinalRefusal(refusal=last)
+            return FinalRefusal(refusal=self._no_candidate(request, excluded))
         if self._starts_too_late(request, excluded):
             return FinalRefusal(refusal=last)
         return last
 
+    def _no_candidate(
+        self, request: RoutedRequest, excluded: set[str]
+    ) -> Refusal:
+        """Returns why no endpoint can be asked."""
+        if any(
+            self._is_too_cold(request, name)
+            for name in self._open_endpoints(request, excluded)
+        ):
+            return refusal(
+                ResultCode.ENDPOINT_COLD,
+                ran=_ran(request),
+                retry_after_s=COLD_RETRY_AFTER_S,
+            )
+        return refusal(
+            ResultCode.NO_ENDPOINT, ran=_ran(request), retry_after_s=1
+        )
+
+    def _is_too_cold(self, request: RoutedRequest, name: str) -> bool:
+        """Tells whether an endpoint is cold and the prompt too long for it."""
+        if self.owner_table.best_hint(name).phase != EndpointPhase.COLD:
+            return False
+        spec = self.owner_table.state.endpoints[name]
+        return request.prompt_tokens > spec.cold_max_tokens
+
     def _wait_limit_s(self, request: RoutedRequest, names: list[str]) -> float:
         """Returns the longest wait worth taking at the first endpoint."""
         if len(names) < 2 or self.strikes.is_struck(request.fingerprint):
@@ -204,19 +226,26 @@
         left_s = request.time_left_s()
         return all(self._wait_s(request, name) > left_s for name in names)
 
-    def _candidates(
+    def _open_endpoints(
         self, request: RoutedRequest, excluded: set[str]
     ) -> list[str]:
+        """Returns the endpoints that receive new work."""
         table = self.owner_table
-        names = [
+        return [
             name
             for name in table.state.endpoints_of(request.service)
-            if name not in excluded and not table.is_closed(name)
+            if name not in excluded
+            and not table.is_closed(name)
+            and table.best_hint(name).phase not in CLOSED_PHASES
         ]
+
+    def _candidates(
+        self, request: RoutedRequest, excluded: set[str]
+    ) -> list[str]:
         names = [
             name
-            for name in names
-            if table.best_hint(name).phase not in CLOSED_PHASES
+            for name in self._open_endpoints(request, excluded)
+            if not self._is_too_cold(request, name)
         ]
         if self.strikes.is_struck(request.fingerprint):
             return self._struck_order(request, names)
--- a/src/auburnswitch/schema/results.py
+++ b/src/auburnswitch/schema/results.py
@@ -62,6 +62,7 @@
     IN_PROGRESS = 2008
     NOT_READY = 2009
     RETRY_BUDGET_SPENT = 2010
+    ENDPOINT_COLD = 2011
     DEADLINE_EXCEEDED = 3001
     ENDPOINT_FAILED = 3002
     STREAM_BROKEN = 3003
@@ -179,6 +180,10 @@
         text="The retry budget is spent.",
         options={"http": "503", "ran": "unknown"},
     ),
+    ResultCode.ENDPOINT_COLD: Description(
+        text="Every endpoint that could run the request is cold and cannot bear a prompt of this length yet.",
+        options={"http": "503", "ran": "no"},
+    ),
     ResultCode.DEADLINE_EXCEEDED: Description(
         text="The deadline passed before the answer was complete.",
         options={"http": "504", "ran": "unknown"},
