--- /dev/null
+++ b/tools/measure_state.py
@@ -0,0 +1,93 @@
+"""Measures the memory and the time of a configuration by its objects.
+
+Prints one row for each number of objects: memory of the state, time to join one
+ticket, and size of the snapshot as JSON.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+import tracemalloc
+from typing import Final
+
+from auburnswitch.platform.state import ConfigState
+from auburnswitch.schema.base import to_json
+from auburnswitch.schema.objects import (
+    AvailabilityZone,
+    Change,
+    Endpoint,
+    ObjectKind,
+    Service,
+    Team,
+    Ticket,
+)
+
+SIZES: Final = (110, 220, 440, 880, 1760)
+REPEATS: Final = 20
+
+
+def make_changes(objects: int) -> list[Change]:
+    """Returns changes in the proportion of the two-year size."""
+    changes = [
+        Change(
+            kind=ObjectKind.AVAILABILITY_ZONE,
+            name=f"zone-{number}",
+            zone=AvailabilityZone(region="r"),
+        )
+        for number in range(5)
+    ]
+    while len(changes) < objects:
+        number = len(changes)
+        changes.append(_change(number))
+    return changes
+
+
+def _change(number: int) -> Change:
+    match number % 22:
+        case 0:
+            return Change(
+                kind=ObjectKind.SERVICE,
+                name=f"service-{number}",
+                service=Service(),
+            )
+        case low if low < 7:
+            team = Team(key_digests=[f"{number:064x}"])
+            return Change(
+                kind=ObjectKind.TEAM, name=f"team-{number}", team=team
+            )
+    endpoint = Endpoint(
+        service=f"service-{22 * (number // 22)}",
+        zone=f"zone-{number % 5}",
+        host="10.0.0.1",
+        port=8000,
+    )
+    return Change(
+        kind=ObjectKind.ENDPOINT, name=f"engine-{number}", endpoint=endpoint
+    )
+
+
+def measure(objects: int) -> dict[str, float]:
+    """Measures one size."""
+    changes = make_changes(objects)
+    tracemalloc.start()
+    state = ConfigState()
+    state.join_ticket(Ticket(number=1, changes=make_changes(objects)))
+    memory_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    started_at = time.perf_counter()
+    for number in range(2, REPEATS + 2):
+        state.join_ticket(Ticket(number=number, changes=changes[-1:]))
+    join_s = (time.perf_counter() - started_at) / REPEATS
+    snapshot = json.dumps(to_json(state.snapshot()))
+    return {
+        "objects": objects,
+        "memory_kb": round(memory_bytes / 1024),
+        "join_ms": round(1000 * join_s, 2),
+        "snapshot_kb": round(len(snapshot) / 1024),
+    }
+
+
+if __name__ == "__main__":
+    for size in SIZES:
+        print(json.dumps(measure(size)))
