--- a/tests/processes.py
+++ b/tests/processes.py
@@ -168,7 +168,8 @@
     with tempfile.TemporaryDirectory() as folder:
         Path(folder, "operator.key").write_text(OPERATOR_KEY, "utf-8")
         Path(folder, "peer.key").write_text("peer-key", "utf-8")
-        async with aiohttp.ClientSession() as session:
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as session:
             fleet = ProcessFleet(session=session, folder=Path(folder))
             try:
                 yield fleet
--- a/tools/measure_overhead.py
+++ b/tools/measure_overhead.py
@@ -28,6 +28,7 @@
     import aiohttp
 
 PAIRS: Final = 150
+WARM_UP_ROUNDS: Final = 4
 ENGINES: Final = 4
 STREAM_COUNTS: Final = (50, 100, 200)
 STREAM_TOKENS: Final = 150
@@ -146,8 +147,10 @@
         await fleet.apply("entry-1", ticket)
         await fleet.start_daemon("entry-2")
         await fleet.wait_ready(live=2)
-        for _ in range(4 * ENGINES):
-            await run_stream(fleet.session, daemon.callers, AUTHORIZATION)
+        for _ in range(WARM_UP_ROUNDS):  # until every engine is warm
+            await measure_streams(
+                fleet, daemon.callers, daemon.process.pid, STREAM_COUNTS[0]
+            )
         report = {
             "first_token": await measure_first_token(fleet, daemon.callers)
         }
