--- /dev/null
+++ b/src/auburnswitch/daemon/__init__.py
@@ -0,0 +1,8 @@
+"""The daemon: all packages wired together, from start to stop."""
+
+from __future__ import annotations
+
+from auburnswitch.daemon.parts import Daemon
+from auburnswitch.daemon.run import open_daemon, run
+
+__all__ = ["Daemon", "open_daemon", "run"]
--- /dev/null
+++ b/src/auburnswitch/daemon/__main__.py
@@ -0,0 +1,8 @@
+"""Runs the daemon as a module."""
+
+from __future__ import annotations
+
+from auburnswitch.daemon.run import run
+
+if __name__ == "__main__":
+    run()
--- a/src/auburnswitch/daemon.py
+++ b/src/auburnswitch/daemon/parts.py
@@ -1,23 +1,16 @@
-"""The daemon: wires the packages together and runs until it is told to stop."""
+"""Wires the packages of one daemon together."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import secrets
-import signal
-import sys
-from pathlib import Path
-from typing import TYPE_CHECKING, Any, Final
-
-import aiohttp
-import fire
-from expression import Result
+from typing import TYPE_CHECKING, Final
 
 from auburnswitch.callers.app import CallerApp
 from auburnswitch.callers.in_flight import InFlightCounter
 from auburnswitch.callers.parse import RequestParser
 from auburnswitch.clock import WallClock
+from auburnswitch.daemon.status import daemon_status, daemons_in_force
 from auburnswitch.endpoints.client import EndpointClient
 from auburnswitch.endpoints.fencing import FencingNumbers
 from auburnswitch.endpoints.handover import Handover
@@ -28,7 +21,6 @@
 from auburnswitch.endpoints.owner import OwnerTable
 from auburnswitch.endpoints.reservations import ReservationClient
 from auburnswitch.endpoints.weights import LoadAdmission
-from auburnswitch.http_server import HttpServer, ListenError, open_http_server
 from auburnswitch.members.claim_forwarder import ClaimForwarder
 from auburnswitch.members.departures import Departures
 from auburnswitch.members.isolation import Isolation
@@ -38,9 +30,9 @@
 from auburnswitch.members.strict import StrictRights
 from auburnswitch.members.view import MemberView
 from auburnswitch.observe.invariants import Invariant, Invariants
-from auburnswitch.observe.logs import configure_logs, log_event
+from auburnswitch.observe.logs import log_event
 from auburnswitch.observe.metrics import Metrics
-from auburnswitch.observe.tasks import TaskSet, open_task_set
+from auburnswitch.observe.tasks import TaskSet
 from auburnswitch.operators.app import OperatorApp
 from auburnswitch.operators.keys import OperatorKeys
 from auburnswitch.platform.claims import ClaimStore
@@ -67,21 +59,16 @@
 from auburnswitch.schema.events import EventId
 from auburnswitch.schema.objects import Member
 from auburnswitch.schema.results import ResultCode
-from auburnswitch.settings.load import load_settings, read_secret
+from auburnswitch.settings.load import read_secret
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    import aiohttp
 
+    from auburnswitch.http_server import HttpServer
     from auburnswitch.members.connection import Dialer
-    from auburnswitch.schema.objects import Ticket
     from auburnswitch.schema.settings import Settings
 
 DRAIN_POLL_S: Final = 0.05
-CLAIM_FLUSH_TIMEOUT_S: Final = 5.0
-HEADER_MARGIN_BYTES: Final = 65536  # so that the refusal is a numbered one
-EXIT_OK: Final = 0
-EXIT_BAD_SETTINGS: Final = 2
-EXIT_CANNOT_LISTEN: Final = 3
 _SEED_BITS: Final = 32
 
 
@@ -318,26 +305,12 @@
             metrics=self.metrics,
             clock=self.clock,
             refuse_new=self.refuse_new,
-            status=self.status,
-            in_force=self.in_force,
+            status=lambda: daemon_status(self),
+            in_force=lambda ticket: daemons_in_force(self, ticket),
         )
         self.callers: HttpServer | None = None
         self.operators: HttpServer | None = None
 
-    def in_force(self, ticket: Ticket) -> tuple[list[str], list[str]]:
-        """Returns the daemons in which a ticket is in force, or is not yet.
-
-        A peer counts once it is known to have the same state as this daemon.
-        """
-        joined = self.state.has_joined(ticket)
-        in_force: list[str] = []
-        pending: list[str] = []
-        for member_id in self.view.live_ids():
-            status = self.view.peers.get(member_id)
-            same = status is None or status.state_digest == self.state.digest
-            (in_force if joined and same else pending).append(member_id)
-        return in_force, pending
-
     def refuse_new(self) -> Refusal | None:
         """Returns why new work is refused, or None."""
         if self.stopping:
@@ -348,31 +321,6 @@
             return refusal(ResultCode.NOT_READY, retry_after_s=1)
         return None
 
-    def status(self) -> dict[str, Any]:
-        """Returns the daemon's status."""
-        refused = self.refuse_new()
-        return {
-            "member": self.member.id,
-            "instance": self.member.instance,
-            "zone": self.member.zone,
-            "ready": refused is None,
-            "reason": "" if refused is None else refused.code.name.lower(),
-            "state_digest": self.state.digest,
-            "left_out_endpoints": self.state.dangling,
-            "roster_epoch": self.view.roster.epoch,
-            "strict_rights": self.view.has_quorum(),
-            "roster": self.view.roster_ids(),
-            "live": self.view.live_ids(),
-            "owned_endpoints": self.owner_table.owned(),
-            "in_flight": self.in_flight.count,
-            "store_available": self.watcher.available,
-            "store_calls": self.store.calls,
-            "violations": {
-                invariant.name.lower(): count
-                for invariant, count in self.invariants.violations.items()
-            },
-        }
-
     def start(self) -> None:
         """Starts the background tasks."""
         self.tasks.start(self.watcher.run(), "watcher")
@@ -400,107 +348,4 @@
         await self.roster.leave()
 
 
-@contextlib.asynccontextmanager
-async def open_daemon(
-    settings: Settings,
-    *,
-    connector: Callable[[], aiohttp.BaseConnector] | None = None,
-    strict_invariants: bool = False,
-    dial: Dialer = asyncio.open_connection,
-) -> AsyncIterator[Daemon]:
-    """Runs a daemon until the context ends; the end is not graceful.
-
-    Args:
-        settings: Checked settings.
-        connector: Makes the connector of outgoing HTTP connections.
-        strict_invariants: Raise when an invariant does not hold.
-        dial: Opens the connections to peers.
-
-    Yields:
-        The running daemon; call its ``drain`` for a graceful stop.
-
-    Raises:
-        ListenError: A listener's address cannot be bound.
-    """
-    session = aiohttp.ClientSession(
-        connector=connector() if connector else aiohttp.TCPConnector(limit=0),
-    )
-    async with session, open_task_set() as tasks:
-        daemon = Daemon(
-            settings=settings,
-            session=session,
-            tasks=tasks,
-            invariants=Invariants(strict=strict_invariants),
-            dial=dial,
-        )
-        async with (
-            daemon.peer_server.open(),
-            open_http_server(
-                daemon.operator_app.build(),
-                host=settings.operators.host,
-                port=settings.operators.port,
-            ) as daemon.operators,
-            open_http_server(
-                daemon.in_flight,
-                host=settings.callers.host,
-                port=settings.callers.port,
-                max_header_bytes=(
-                    settings.callers.max_header_bytes + HEADER_MARGIN_BYTES
-                ),
-            ) as daemon.callers,
-        ):
-            daemon.member.port = daemon.peer_server.port
-            daemon.start()
-            log_event(
-                EventId.DAEMON_STARTED,
-                member=daemon.member.id,
-                callers=daemon.callers.url,
-                operators=daemon.operators.url,
-                peers=f"{daemon.member.host}:{daemon.member.port}",
-            )
-            try:
-                yield daemon
-            finally:
-                await daemon.cleanups.cancel()
-                daemon.metrics.close()
-
-
-async def serve(settings: Settings) -> int:
-    """Runs a daemon until SIGTERM or SIGINT, then stops it gracefully."""
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    try:
-        async with open_daemon(settings) as daemon:
-            await stop.wait()
-            await daemon.drain()
-    except ListenError as error:
-        print(f"auburnswitchd: {error}", file=sys.stderr)
-        return EXIT_CANNOT_LISTEN
-    log_event(EventId.DAEMON_STOPPED)
-    return EXIT_OK
-
-
-def main(settings_file: str) -> int:
-    """Runs the daemon with a settings file and returns its exit code."""
-    match load_settings(Path(settings_file)):
-        case Result(tag="ok", ok=settings):
-            configure_logs(settings.log.level)
-            return asyncio.run(serve(settings))
-        case Result(error=problems):
-            for problem in problems:
-                print(f"auburnswitchd: {problem}", file=sys.stderr)
-    return EXIT_BAD_SETTINGS
-
-
-def run() -> None:
-    """Entry point of ``auburnswitchd SETTINGS_FILE``."""
-    sys.exit(fire.Fire(main, serialize=lambda _: None))
-
-
-if __name__ == "__main__":
-    run()
-
-
-__all__ = ["Daemon", "main", "open_daemon", "run", "serve"]
+__all__ = ["Daemon"]
--- /dev/null
+++ b/src/auburnswitch/daemon/run.py
@@ -0,0 +1,136 @@
+"""Runs a daemon until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Final
+
+import aiohttp
+import fire
+from expression import Result
+
+from auburnswitch.daemon.parts import Daemon
+from auburnswitch.http_server import ListenError, open_http_server
+from auburnswitch.observe.invariants import Invariants
+from auburnswitch.observe.logs import configure_logs, log_event
+from auburnswitch.observe.tasks import open_task_set
+from auburnswitch.schema.events import EventId
+from auburnswitch.settings.load import load_settings
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from auburnswitch.members.connection import Dialer
+    from auburnswitch.schema.settings import Settings
+
+CLAIM_FLUSH_TIMEOUT_S: Final = 5.0
+HEADER_MARGIN_BYTES: Final = 65536  # so that the refusal is a numbered one
+EXIT_OK: Final = 0
+EXIT_BAD_SETTINGS: Final = 2
+EXIT_CANNOT_LISTEN: Final = 3
+
+
+@contextlib.asynccontextmanager
+async def open_daemon(
+    settings: Settings,
+    *,
+    connector: Callable[[], aiohttp.BaseConnector] | None = None,
+    strict_invariants: bool = False,
+    dial: Dialer = asyncio.open_connection,
+) -> AsyncIterator[Daemon]:
+    """Runs a daemon until the context ends; the end is not graceful.
+
+    Args:
+        settings: Checked settings.
+        connector: Makes the connector of outgoing HTTP connections.
+        strict_invariants: Raise when an invariant does not hold.
+        dial: Opens the connections to peers.
+
+    Yields:
+        The running daemon; call its ``drain`` for a graceful stop.
+
+    Raises:
+        ListenError: A listener's address cannot be bound.
+    """
+    session = aiohttp.ClientSession(
+        connector=connector() if connector else aiohttp.TCPConnector(limit=0),
+    )
+    async with session, open_task_set() as tasks:
+        daemon = Daemon(
+            settings=settings,
+            session=session,
+            tasks=tasks,
+            invariants=Invariants(strict=strict_invariants),
+            dial=dial,
+        )
+        async with (
+            daemon.peer_server.open(),
+            open_http_server(
+                daemon.operator_app.build(),
+                host=settings.operators.host,
+                port=settings.operators.port,
+            ) as daemon.operators,
+            open_http_server(
+                daemon.in_flight,
+                host=settings.callers.host,
+                port=settings.callers.port,
+                max_header_bytes=(
+                    settings.callers.max_header_bytes + HEADER_MARGIN_BYTES
+                ),
+            ) as daemon.callers,
+        ):
+            daemon.member.port = daemon.peer_server.port
+            daemon.start()
+            log_event(
+                EventId.DAEMON_STARTED,
+                member=daemon.member.id,
+                callers=daemon.callers.url,
+                operators=daemon.operators.url,
+                peers=f"{daemon.member.host}:{daemon.member.port}",
+            )
+            try:
+                yield daemon
+            finally:
+                await daemon.cleanups.cancel()
+                daemon.metrics.close()
+
+
+async def serve(settings: Settings) -> int:
+    """Runs a daemon until SIGTERM or SIGINT, then stops it gracefully."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    try:
+        async with open_daemon(settings) as daemon:
+            await stop.wait()
+            await daemon.drain()
+    except ListenError as error:
+        print(f"auburnswitchd: {error}", file=sys.stderr)
+        return EXIT_CANNOT_LISTEN
+    log_event(EventId.DAEMON_STOPPED)
+    return EXIT_OK
+
+
+def main(settings_file: str) -> int:
+    """Runs the daemon with a settings file and returns its exit code."""
+    match load_settings(Path(settings_file)):
+        case Result(tag="ok", ok=settings):
+            configure_logs(settings.log.level)
+            return asyncio.run(serve(settings))
+        case Result(error=problems):
+            for problem in problems:
+                print(f"auburnswitchd: {problem}", file=sys.stderr)
+    return EXIT_BAD_SETTINGS
+
+
+def run() -> None:
+    """Entry point of ``auburnswitchd SETTINGS_FILE``."""
+    sys.exit(fire.Fire(main, serialize=lambda _: None))
+
+
+__all__ = ["main", "open_daemon", "run", "serve"]
--- a/src/auburnswitch/members/server.py
+++ b/src/auburnswitch/members/server.py
@@ -6,6 +6,7 @@
 import contextlib
 from typing import TYPE_CHECKING, Final
 
+from auburnswitch.http_server import ListenError
 from auburnswitch.members.connection import accept_peer
 from auburnswitch.members.frames import FrameError, body_of
 from auburnswitch.observe.logs import log_event
@@ -61,10 +62,16 @@
 
     @contextlib.asynccontextmanager
     async def open(self) -> AsyncIterator[None]:
-        """Listens until the context ends."""
-        server = await asyncio.start_server(
-            self._serve, self.settings.host, self.settings.port
-        )
+        """Listens until the context ends.
+
+        Raises:
+            ListenError: The address cannot be bound.
+        """
+        host, port = self.settings.host, self.settings.port
+        try:
+            server = await asyncio.start_server(self._serve, host, port)
+        except OSError as error:
+            raise ListenError(f"cannot listen on {host}:{port}") from error
         if not self.port:
             self.port = server.sockets[0].getsockname()[1]
         try:
