--- a/src/auburnswitch/experiments/checker.py
+++ b/src/auburnswitch/experiments/checker.py
@@ -206,13 +206,20 @@
     for closing in run.closings:
         first_s = closing.accepted_at + CLOSED_BOUND_S
         for record in _runs(run):
-            late = first_s < record.time_s < closing.reopened_at
+            got_at = _received_at(record)
+            late = first_s < got_at < closing.reopened_at
             if record.actor == closing.endpoint and late:
-                after_s = record.time_s - closing.accepted_at
+                after_s = got_at - closing.accepted_at
                 detail = f"{closing.endpoint} got work {after_s:.1f} s later"
                 yield Violation(rule=Rule.CLOSED, detail=detail)
 
 
+def _received_at(record: HistoryRecord) -> float:
+    """Returns when work reached an endpoint, which may have been frozen."""
+    arrived_s = record.fields.get("arrived_s")
+    return record.time_s if arrived_s is None else arrived_s
+
+
 def _check_cold_bound(run: RunHistory) -> Iterator[Violation]:
     signs: dict[str, list[float]] = {}  # answers since an unannounced turn
     begun: set[tuple[str, str]] = set()  # what started since then
--- a/src/auburnswitch/standins/engine_recorder.py
+++ b/src/auburnswitch/standins/engine_recorder.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from auburnswitch.standins.history import HistoryKind
+from auburnswitch.standins.listener import ARRIVED_S
 
 if TYPE_CHECKING:
     from auburnswitch.standins.engine_batch import Batch
@@ -61,6 +62,7 @@
             priority=job.priority,
             cold=cold,
             leaving=leaving,
+            arrived_s=ARRIVED_S.get(None),
         )
 
     def record_job(self, kind: HistoryKind, job: Job) -> None:
--- a/src/auburnswitch/standins/listener.py
+++ b/src/auburnswitch/standins/listener.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import contextvars
 from typing import TYPE_CHECKING, Final
 
 from auburnswitch.http_server import HttpServer, ListenError, open_http_server
@@ -14,6 +15,9 @@
     from starlette.types import ASGIApp, Receive, Scope, Send
     from uvicorn.protocols.http.h11_impl import H11Protocol
 
+ARRIVED_S: Final[contextvars.ContextVar[float]] = contextvars.ContextVar(
+    "arrived_s"
+)
 MAX_HEADER_BYTES: Final = 65536
 CLOCK_MARGIN_S: Final = 1e-5
 
@@ -129,6 +133,7 @@
             await asyncio.sleep(silent_s)
             await self.drop_request(scope, receive)  # its process is gone
             return
+        ARRIVED_S.set(asyncio.get_running_loop().time())
         await self.pause.wait()
         await self.app(scope, receive, send)
 
@@ -244,4 +249,10 @@
         pass
 
 
-__all__ = ["Listener", "Pause", "open_listener", "wait_disconnected"]
+__all__ = [
+    "ARRIVED_S",
+    "Listener",
+    "Pause",
+    "open_listener",
+    "wait_disconnected",
+]
--- a/src/auburnswitch/standins/plain_api.py
+++ b/src/auburnswitch/standins/plain_api.py
@@ -12,6 +12,7 @@
 
 from auburnswitch.standins.control import control_routes
 from auburnswitch.standins.history import HistoryKind
+from auburnswitch.standins.listener import ARRIVED_S
 from auburnswitch.standins.lost_answer import LostAnswer
 
 if TYPE_CHECKING:
@@ -107,6 +108,7 @@
             attempt=headers.get("x-attempt", ""),
             idempotency_key=headers.get("idempotency-key", ""),
             leaving=service.leaving,
+            arrived_s=ARRIVED_S.get(None),
         )
         boot_id = service.boot_id
         service.running += 1
--- a/tests/experiments/test_checker.py
+++ b/tests/experiments/test_checker.py
@@ -111,6 +111,14 @@
             rules = self.rules(records, closings=[closing])
             self.assertEqual(rules, expected)
 
+    def test_work_that_waited_in_a_frozen_endpoint(self):
+        closing = Closing(endpoint="b", accepted_at=10, reopened_at=50)
+        for arrived_s, expected in ((12, []), (14, [Rule.CLOSED])):
+            record = plain_run("call-9", 20)
+            record[3]["arrived_s"] = arrived_s
+            rules = self.rules([record], closings=[closing])
+            self.assertEqual(rules, expected)
+
     def test_overloaded_cold_endpoint(self):
         crash = (9.0, "e", HistoryKind.CRASHED, {"cause": "cold overload"})
         self.assertEqual(self.rules([crash]), [Rule.COLD_BOUND])
