Export the queue, reservations and store calls as metrics

Cause: two counters were declared and never counted, and the queue had no metric at all. Gauges are now read at each collection.

--- a/src/auburnswitch/daemon/parts.py
+++ b/src/auburnswitch/daemon/parts.py
@@ -147,6 +147,19 @@
         self._build_endpoints(session)
         self._build_routing(seed)
         self._build_listeners()
+        self._observe()
+
+    def _observe(self) -> None:
+        """Registers the gauges that are read at each collection."""
+        gauges = {
+            "requests_in_flight": lambda: self.in_flight.count,
+            "requests_queued": self.owner_table.count_waiting,
+            "reservations_held": lambda: len(self.reservations.held),
+            "endpoints_owned": lambda: len(self.owner_table.owned()),
+            "store_calls_made": lambda: self.store.calls,
+        }
+        for name, read in gauges.items():
+            self.metrics.observe_gauge(name, read)
 
     def _build_members(self, dial: Dialer) -> None:
         shared_key = read_secret(self.settings.peers.key_file)
--- a/src/auburnswitch/endpoints/owner.py
+++ b/src/auburnswitch/endpoints/owner.py
@@ -298,6 +298,10 @@
             self.transitions.note_paused(ledger)
             ledger.begin_settling()
 
+    def count_waiting(self) -> int:
+        """Returns the requests that wait in the queues of this owner."""
+        return sum(len(queue.waiters) for queue in self.queues.values())
+
     def wake(self, endpoint: str) -> None:
         """Grants what waits and has room now."""
         queue = self.queues.get(endpoint)
--- a/src/auburnswitch/observe/metrics.py
+++ b/src/auburnswitch/observe/metrics.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.view import (
     ExplicitBucketHistogramAggregation,
@@ -13,6 +14,8 @@
 from prometheus_client import CollectorRegistry, generate_latest
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from opentelemetry.metrics import CallbackT
 
 FIRST_TOKEN_BOUNDS_S: Final = (
@@ -42,8 +45,6 @@
         requests: Finished requests by result code.
         retries: Attempts after the first.
         late_frames: Frames of another attempt that were dropped.
-        reservations: Reservation decisions at the owner by result code.
-        store_calls: Calls to the platform's store by kind.
     """
 
     __slots__ = (
@@ -53,9 +54,7 @@
         "provider",
         "registry",
         "requests",
-        "reservations",
         "retries",
-        "store_calls",
     )
 
     def __init__(self) -> None:
@@ -75,16 +74,14 @@
         self.requests = self._counter("requests")
         self.retries = self._counter("retries")
         self.late_frames = self._counter("late_frames")
-        self.reservations = self._counter("reservations")
-        self.store_calls = self._counter("store_calls")
 
     def _counter(self, name: str):  # noqa: ANN202
         return self.meter.create_counter(f"auburnswitch_{name}")
 
-    def observe_gauge(self, name: str, callback: CallbackT) -> None:
+    def observe_gauge(self, name: str, read: Callable[[], float]) -> None:
         """Registers a gauge that is read when metrics are collected."""
         self.meter.create_observable_gauge(
-            f"auburnswitch_{name}", callbacks=[callback]
+            f"auburnswitch_{name}", callbacks=[lambda _: [Observation(read())]]
         )
 
     def observe_counter(self, name: str, callback: CallbackT) -> None:
