Resume an answer whose connection breaks before its first frame

Cause: tests.proof.test_processes.test_dropped_engine_connections failed in one of several whole runs ("no_endpoint" in place of a whole answer). A connection dropped during the prefill was not resumed, since only a started answer was; the retry went to the other engine, whose connections were dropped as well, and then every engine had been tried. The engine still had the stream all the time.

A sent request is now resumed from frame 0 on the same engine first. If that fails the request still counts as sent, so "not run" stays true.

--- a/src/auburnswitch/routing/answer_stream.py
+++ b/src/auburnswitch/routing/answer_stream.py
@@ -111,6 +111,7 @@
                 )
             except EndpointFailureError as error:
                 if not self._may_resume(error, resumes):
+                    error.sent = error.sent or resumes > 0  # at the first try
                     raise
             resumes += 1
             await asyncio.sleep(RESUME_DELAY_S)
@@ -126,8 +127,7 @@
         )
 
     def _may_resume(self, error: EndpointFailureError, resumes: int) -> bool:
-        started = self.progress.frames > 0
-        return started and error.lost and error.sent and resumes < MAX_RESUMES
+        return error.lost and error.sent and resumes < MAX_RESUMES
 
     async def _read(
         self, batches: AsyncIterator[list[Frame | ForeignFrame]]
--- a/tests/callers/test_streams.py
+++ b/tests/callers/test_streams.py
@@ -28,6 +28,7 @@
 HEADERS = {"Authorization": f"Bearer {CALLER_KEY}"}
 PROMPT = "one more question about the season " * 30
 TOKENS = 200
+PREFILL_BYTES = 240_000  # 3 s of prefill
 FREED_WITHIN_S = 5
 
 
@@ -106,6 +107,26 @@
         self.assertEqual(outcome.text, expected())
         self.assertEqual(outcome.tokens, TOKENS)
 
+    def test_connection_dropped_in_the_prefill_is_resumed(self):
+        async def scenario():
+            async with open_warm_fleet() as fleet:
+                before = started(fleet)
+                body = {
+                    "model": MODEL,
+                    "prompt": "x" * PREFILL_BYTES,
+                    "max_tokens": 4,
+                }
+                url = fleet.caller_url("entry-0")
+                task = asyncio.create_task(
+                    stream_completion(fleet.session, url, body, HEADERS)
+                )
+                await asyncio.sleep(1)
+                for engine in fleet.engines.values():
+                    engine.drop_connections()
+                return (await task).result, started(fleet) - before
+
+        self.assertEqual(run_virtual(scenario), ("ok", 1))
+
     def test_crash_is_continued_elsewhere(self):
         async def fault(_, engine):
             engine.crash()
