--- a/src/auburnswitch/experiments/random_run.py
+++ b/src/auburnswitch/experiments/random_run.py
@@ -1,7 +1,7 @@
 """Long randomised runs: ``python -m auburnswitch.experiments.random_run``.
 
 Prints the seed, what was done and every violation, and exits with 1 if there
-was one. The same seed gives the same run, but runs of an hour were seen to differ.
+was one. The same seed gives the same run; runs of an hour were seen to differ.
 """
 
 from __future__ import annotations
