Read endpoints' answers with h11 in the order in which bytes came

Cause: the HTTP client's parser took a whole answer and torn bytes in the same segment for one broken answer, so the caller got 502, or another attempt, though its answer was there. What follows a whole answer belongs to nothing.

Ruled out: feeding the parser byte by byte (the library offers no place for it); taking what was parsed before the error (the error discards it).

Now one exchange has one connection: bytes are kept in the order in which they came, h11 stops at the end of the answer, and the end of the connection comes after all bytes. So a reset after a whole answer no longer spoils it either, and the check of a reset at the end of a body without a length needs no access to the library's inside. Reservations and load reports go the same way.

--- a/src/auburnswitch/entry/parts.py
+++ b/src/auburnswitch/entry/parts.py
@@ -122,7 +122,7 @@
             group=self._group,
             chance=chance,
         )
-        calls = EndpointCalls(session=session)
+        calls = EndpointCalls()
         self.memory = JointMemory(
             calls=calls, prefix=f"{record.instance}-{self.gossip.incarnation}"
         )
--- a/src/auburnswitch/entry/run.py
+++ b/src/auburnswitch/entry/run.py
@@ -6,7 +6,6 @@
 import contextlib
 import random
 import signal
-import socket
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING, Final
@@ -22,42 +21,27 @@
 from auburnswitch.observe.tasks import open_task_set
 from auburnswitch.schema.events import EventId
 from auburnswitch.settings.load import load_entry_settings
+from auburnswitch.watched_socket import open_watched_socket
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
     from auburnswitch.schema.entry import EntrySettings
 
-UNACKNOWLEDGED_MS: Final = 1500  # data that a peer's host does not confirm
 OUT_OF_ROTATION_S: Final = 2.6  # until no new connections come
 STOP_MARGIN_S: Final = 0.7
 STOP_POLL_S: Final = 0.05
-KEEP_IDLE_S: Final = 2
 EXIT_OK: Final = 0
 EXIT_BAD_SETTINGS: Final = 2
 EXIT_CANNOT_LISTEN: Final = 3
 
 
-def open_socket(
-    addr_info: tuple[int, int, int, str, tuple[str, int]],
-) -> socket.socket:
-    """Opens a socket that notices when its peer falls silent."""
-    family, kind, protocol, _, _ = addr_info
-    opened = socket.socket(family=family, type=kind, proto=protocol)
-    opened.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
-    )
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_IDLE_S)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
-    return opened
-
-
 def make_connector() -> aiohttp.BaseConnector:
     """Makes a connector that uses each connection for one request."""
     return aiohttp.TCPConnector(
-        limit=0, force_close=True, socket_factory=open_socket
+        limit=0,
+        force_close=True,
+        socket_factory=lambda info: open_watched_socket(*info[:3]),
     )
 
 
--- /dev/null
+++ b/src/auburnswitch/http_exchange.py
@@ -0,0 +1,264 @@
+"""One HTTP request and its answer on a connection of their own.
+
+Bytes are taken in the order in which they came, and the end of the connection
+after all of them. What follows a whole answer, whether the bytes of another
+answer, torn bytes or a reset, therefore belongs to nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+from typing import TYPE_CHECKING, Final
+
+import h11
+
+from auburnswitch.watched_socket import open_watched_socket
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+MOST_UNREAD_BYTES: Final = 256 * 1024
+MAX_HEAD_BYTES: Final = 64 * 1024
+_LENGTH: Final = "content-length"
+_METHODS_WITHOUT_BODY: Final = ("GET", "HEAD", "OPTIONS", "TRACE")
+
+
+class ConnectError(Exception):
+    """No connection could be opened; nothing was sent."""
+
+
+class ExchangeError(Exception):
+    """The answer is broken, or the connection ended before its end."""
+
+
+class _Connection(asyncio.Protocol):
+    """Keeps what arrives until it is read.
+
+    Attributes:
+        end: Why the connection ended, None as long as it is open.
+    """
+
+    __slots__ = ("_parts", "_paused", "_transport", "_unread", "_wake", "end")
+
+    def __init__(self) -> None:
+        self.end: Exception | None = None
+        self._parts: collections.deque[bytes] = collections.deque()
+        self._unread = 0
+        self._paused = False
+        self._wake = asyncio.Event()
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport  # type: ignore[assignment]
+
+    def data_received(self, data: bytes) -> None:
+        self._parts.append(data)
+        self._unread += len(data)
+        self._wake.set()
+        if self._unread > MOST_UNREAD_BYTES and not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
+
+    def eof_received(self) -> None:
+        self._note_end(EOFError("the connection was closed"))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._note_end(exc or EOFError("the connection was closed"))
+
+    def _note_end(self, end: Exception) -> None:
+        self.end = self.end or end
+        self._wake.set()
+
+    async def read(self) -> bytes:
+        """Returns the next bytes, none at the regular end of the connection.
+
+        Raises:
+            OSError: The connection broke.
+        """
+        while not self._parts and self.end is None:
+            self._wake.clear()
+            await self._wake.wait()
+        if self._parts:
+            return self._take()
+        if isinstance(self.end, EOFError):
+            return b""
+        raise self.end
+
+    def _take(self) -> bytes:
+        data = b"".join(self._parts)
+        self._parts.clear()
+        self._unread = 0
+        if self._paused:
+            self._paused = False
+            self._transport.resume_reading()
+        return data
+
+
+class HttpExchange:
+    """Sends one request and reads its answer.
+
+    Attributes:
+        authority: Host and port, for requests that name no host.
+    """
+
+    __slots__ = ("_connection", "_state", "_transport", "authority")
+
+    def __init__(
+        self,
+        *,
+        authority: str,
+        transport: asyncio.Transport,
+        connection: _Connection,
+    ) -> None:
+        self.authority = authority
+        self._transport = transport
+        self._connection = connection
+        self._state = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+
+    def send(
+        self,
+        *,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes = b"",
+    ) -> None:
+        """Sends the request, which is done once for each exchange.
+
+        Raises:
+            ExchangeError: The request cannot be put into HTTP.
+        """
+        sent = [(n, v) for n, v in headers if n.lower() != _LENGTH]
+        if not any(name.lower() == "host" for name, _ in sent):
+            sent.insert(0, ("host", self.authority))
+        if body or method not in _METHODS_WITHOUT_BODY:
+            sent.append((_LENGTH, str(len(body))))
+        try:
+            data = self._encode(method, target, sent, body)
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            raise ExchangeError(repr(error)) from error
+        self._transport.write(data)
+
+    def _encode(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> bytes:
+        request = h11.Request(
+            method=method,
+            target=target,
+            headers=[(n, v.encode("latin-1")) for n, v in headers],
+        )
+        parts = [self._state.send(request)]
+        if body:
+            parts.append(self._state.send(h11.Data(data=body)))
+        parts.append(self._state.send(h11.EndOfMessage()))
+        return b"".join(part for part in parts if part)
+
+    async def read_head(self) -> h11.Response:
+        """Returns the start of the answer.
+
+        Raises:
+            ExchangeError: There is none.
+        """
+        while True:
+            event = await self._next_event()
+            match event:
+                case h11.Response():
+                    return event
+                case h11.InformationalResponse():
+                    continue
+            raise ExchangeError("the connection ended before an answer")
+
+    async def read_part(self) -> bytes:
+        """Returns the next bytes of the body, none at its end.
+
+        Raises:
+            ExchangeError: The body is broken or cut short.
+        """
+        while True:
+            event = await self._next_event()
+            match event:
+                case h11.Data(data=data):
+                    if data:
+                        return bytes(data)
+                case h11.EndOfMessage():
+                    return b""
+                case _:
+                    raise ExchangeError("the body is cut short")
+
+    async def read_all(self) -> bytes:
+        """Returns the rest of the body.
+
+        Raises:
+            ExchangeError: The body is broken or cut short.
+        """
+        parts = []
+        while part := await self.read_part():
+            parts.append(part)
+        return b"".join(parts)
+
+    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+        try:
+            while True:
+                event = self._state.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                self._state.receive_data(await self._connection.read())
+        except (h11.RemoteProtocolError, OSError) as error:
+            raise ExchangeError(repr(error)) from error
+
+
+@contextlib.asynccontextmanager
+async def open_exchange(
+    host: str, port: int, *, connect_timeout_s: float
+) -> AsyncIterator[HttpExchange]:
+    """Opens a connection for one exchange and closes it at the end.
+
+    Raises:
+        ConnectError: The connection could not be opened in time.
+    """
+    connection = _Connection()
+    transport = await _connect(connection, host, port, connect_timeout_s)
+    try:
+        yield HttpExchange(
+            authority=f"{host}:{port}",
+            transport=transport,
+            connection=connection,
+        )
+    finally:
+        transport.abort()  # a peer that is still at work need not go on
+
+
+async def _connect(
+    connection: _Connection, host: str, port: int, timeout_s: float
+) -> asyncio.Transport:
+    loop = asyncio.get_running_loop()
+    with contextlib.ExitStack() as stack:
+        try:
+            opened = stack.enter_context(open_watched_socket())
+            opened.setblocking(False)
+            async with asyncio.timeout(timeout_s):
+                await loop.sock_connect(opened, (host, port))
+        except OSError as error:  # the timeout's error is one of them
+            raise ConnectError(repr(error)) from error
+        transport, _ = await loop.create_connection(
+            lambda: connection, sock=opened
+        )
+        stack.pop_all()  # the transport closes the socket
+    return transport
+
+
+__all__ = [
+    "MOST_UNREAD_BYTES",
+    "ConnectError",
+    "ExchangeError",
+    "HttpExchange",
+    "open_exchange",
+]
--- a/src/auburnswitch/platform/endpoint_calls.py
+++ b/src/auburnswitch/platform/endpoint_calls.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import contextlib
+import json
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-import aiohttp
-import yarl
-
-from auburnswitch.http_client import send_once
+from auburnswitch.http_exchange import (
+    ConnectError,
+    ExchangeError,
+    HttpExchange,
+    open_exchange,
+)
 from auburnswitch.platform import fields, names
 from auburnswitch.platform.fields import FieldError
 from auburnswitch.platform.requests import HOP_HEADERS
@@ -18,6 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    import h11
+
     from auburnswitch.platform.requests import CallerRequest, Headers
     from auburnswitch.schema.installation import EndpointEntry
 
@@ -26,8 +31,8 @@
 _HTTP_ACCEPTED: Final = 202
 _HTTP_MISDIRECTED: Final = 421
 _HTTP_MULTIPLE_CHOICES: Final = 300
-_SKIPPED_HEADERS: Final = ("User-Agent", "Accept", "Accept-Encoding")
-_DECODING_ERRORS: Final = (aiohttp.ClientError, OSError, ValueError)
+_CALL_ERRORS: Final = (ConnectError, ExchangeError, TimeoutError)
+_JSON: Final = ("content-type", "application/json")
 
 
 @dataclass(slots=True, kw_only=True)
@@ -72,15 +77,12 @@
     Attributes:
         status: HTTP status.
         headers: Headers that are passed on to the caller.
-        body: Where the body is read from.
-        closed: Ends with the connection, if that marks the end of the body;
-            fails if the connection was reset.
+        exchange: Where the body is read from.
     """
 
     status: int
     headers: Headers
-    body: aiohttp.StreamReader
-    closed: asyncio.Future[None] | None = None
+    exchange: HttpExchange
 
     @property
     def success(self) -> bool:
@@ -90,26 +92,24 @@
     async def read_chunk(self) -> bytes | Broken:
         """Returns the next bytes of the body, none at its complete end."""
         try:
-            data = await self.body.readany()
-            if not data:
-                await self._check_end()
-            return data
-        except _DECODING_ERRORS as error:
-            return Broken(reason=repr(error))
+            return await self.exchange.read_part()
+        except ExchangeError as error:
+            return Broken(reason=str(error))
 
     async def read_all(self) -> bytes | Broken:
         """Returns the whole body."""
         try:
-            data = await self.body.read()
-            await self._check_end()
-            return data
-        except _DECODING_ERRORS as error:
-            return Broken(reason=repr(error))
+            return await self.exchange.read_all()
+        except ExchangeError as error:
+            return Broken(reason=str(error))
+
 
-    async def _check_end(self) -> None:
-        """Raises an error if a body without a length ended with a reset."""
-        if self.closed is not None:
-            await self.closed
+@dataclass(slots=True, kw_only=True)
+class _Reply:
+    """An endpoint's whole answer to a call of this daemon's own."""
+
+    status: int
+    body: bytes
 
 
 @dataclass(slots=True, kw_only=True)
@@ -134,10 +134,7 @@
     answer can never be taken for the answer to another request.
     """
 
-    __slots__ = ("session",)
-
-    def __init__(self, *, session: aiohttp.ClientSession) -> None:
-        self.session = session
+    __slots__ = ()
 
     @contextlib.asynccontextmanager
     async def send(
@@ -153,33 +150,22 @@
         The connection is closed at the end of the context, which makes the
         endpoint stop work that has not ended.
         """
-        url = yarl.URL(
-            f"http://{endpoint.host}:{endpoint.port}{request.target}",
-            encoded=True,
-        )
         async with contextlib.AsyncExitStack() as stack:
             try:
-                response = await stack.enter_async_context(
-                    self.session.request(
-                        request.method,
-                        url,
-                        headers=headers,
-                        data=body or None,
-                        skip_auto_headers=_skipped(headers),
-                        allow_redirects=False,
-                        middlewares=(send_once,),
-                    )
+                exchange = await stack.enter_async_context(_open(endpoint))
+                exchange.send(
+                    method=request.method,
+                    target=request.target,
+                    headers=headers,
+                    body=body,
                 )
-            except (
-                aiohttp.ClientConnectorError,
-                aiohttp.ConnectionTimeoutError,
-            ) as error:
-                outcome = NotSent(reason=repr(error))
-            except _DECODING_ERRORS as error:
-                outcome = Broken(reason=repr(error))
+                head = await exchange.read_head()
+            except ConnectError as error:
+                outcome = NotSent(reason=str(error))
+            except ExchangeError as error:
+                outcome = Broken(reason=str(error))
             else:
-                stack.callback(response.close)
-                outcome = _classify(request, response)
+                outcome = _classify(request, head, exchange)
             yield outcome
 
     async def reserve(
@@ -195,49 +181,59 @@
 
     async def report(self, endpoint: EndpointEntry) -> LoadReport | None:
         """Asks an engine for its load; None if there is no usable answer."""
-        url = f"http://{endpoint.host}:{endpoint.port}{names.REPORT_PATH}"
-        headers = {names.EXPECTED_ENDPOINT: endpoint.id}
         try:
-            async with (
-                asyncio.timeout(CONNECT_TIMEOUT_S),
-                self.session.get(url, headers=headers) as response,
-            ):
-                data = await response.json(content_type=None)
-                return LoadReport(
-                    requests=fields.integer(data, "Running", 0)
-                    + fields.integer(data, "Waiting", 0),
-                    memory_tokens=fields.integer(data, "KvUsed", 0),
-                    slowdown=fields.number(data, "pace", 1.0),
-                )
-        except (TimeoutError, FieldError, *_DECODING_ERRORS):
+            reply = await _call(endpoint, "GET", names.REPORT_PATH)
+            data = json.loads(reply.body)
+            return LoadReport(
+                requests=fields.integer(data, "Running", 0)
+                + fields.integer(data, "Waiting", 0),
+                memory_tokens=fields.integer(data, "KvUsed", 0),
+                slowdown=fields.number(data, "pace", 1.0),
+            )
+        except (FieldError, ValueError, *_CALL_ERRORS):
             return None  # its silence shows with the next request
 
     async def _order(
         self, endpoint: EndpointEntry, order: dict[str, str | int]
     ) -> bool:
-        url = f"http://{endpoint.host}:{endpoint.port}{names.ORDER_PATH}"
-        headers = {names.EXPECTED_ENDPOINT: endpoint.id}
+        body = json.dumps(order).encode()
         try:
-            async with (
-                asyncio.timeout(CONNECT_TIMEOUT_S),
-                self.session.post(url, json=order, headers=headers) as response,
-            ):
-                return response.status == _HTTP_OK
-        except (TimeoutError, *_DECODING_ERRORS):
+            reply = await _call(endpoint, "POST", names.ORDER_PATH, body)
+        except _CALL_ERRORS:
             return False  # the caller treats it like a refusal
+        return reply.status == _HTTP_OK
 
 
-def _skipped(headers: Headers) -> tuple[str, ...]:
-    given = {name for name, _ in headers}
-    skipped = (*_SKIPPED_HEADERS, "Content-Type")
-    return tuple(name for name in skipped if name.lower() not in given)
+def _open(
+    endpoint: EndpointEntry,
+) -> contextlib.AbstractAsyncContextManager[HttpExchange]:
+    return open_exchange(
+        endpoint.host, endpoint.port, connect_timeout_s=CONNECT_TIMEOUT_S
+    )
+
+
+async def _call(
+    endpoint: EndpointEntry, method: str, path: str, body: bytes = b""
+) -> _Reply:
+    """Makes a call of this daemon's own and reads the whole answer."""
+    headers = [(names.EXPECTED_ENDPOINT, endpoint.id)]
+    if body:
+        headers.append(_JSON)
+    async with asyncio.timeout(CONNECT_TIMEOUT_S), _open(endpoint) as exchange:
+        exchange.send(method=method, target=path, headers=headers, body=body)
+        head = await exchange.read_head()
+        return _Reply(status=head.status_code, body=await exchange.read_all())
 
 
 def _classify(
-    request: CallerRequest, response: aiohttp.ClientResponse
+    request: CallerRequest, head: h11.Response, exchange: HttpExchange
 ) -> AnswerHead | NotRun | Broken:
-    headers = response.headers
-    status = response.status
+    received = [
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in head.headers
+    ]
+    headers = dict(reversed(received))  # the first of a name counts
+    status = head.status_code
     if names.NOT_RUN in headers or status == _HTTP_MISDIRECTED:
         return NotRun(
             status=status,
@@ -251,32 +247,9 @@
         return Broken(reason="the answer is encoded")
     return AnswerHead(
         status=status,
-        headers=_passed_on(headers),
-        body=response.content,
-        closed=_closed(response),
-    )
-
-
-def _closed(response: aiohttp.ClientResponse) -> asyncio.Future[None] | None:
-    """Returns the end of the connection, if that is the end of the body.
-
-    The library takes a reset for the end of such a body too.
-    """
-    framed = "content-length" in response.headers or (
-        "transfer-encoding" in response.headers
+        headers=[(n, v) for n, v in received if n not in HOP_HEADERS],
+        exchange=exchange,
     )
-    connection = response.connection
-    if framed or connection is None or connection.protocol is None:
-        return None
-    return connection.protocol.closed
-
-
-def _passed_on(headers: aiohttp.typedefs.CIMultiDictProxy[str]) -> Headers:
-    return [
-        (name.lower(), value)
-        for name, value in headers.items()
-        if name.lower() not in HOP_HEADERS
-    ]
 
 
 __all__ = [
--- a/tests/platform/test_endpoint_calls.py
+++ b/tests/platform/test_endpoint_calls.py
@@ -8,9 +8,7 @@
 import struct
 import unittest
 
-import aiohttp
-
-from auburnswitch.entry.run import make_connector
+from auburnswitch.http_exchange import MOST_UNREAD_BYTES
 from auburnswitch.platform.endpoint_calls import (
     AnswerHead,
     Broken,
@@ -37,6 +35,7 @@
         self.answer = answer
         self.resets = resets
         self.connections = 0
+        self.ended = asyncio.Event()
 
     async def serve(self, reader, writer):
         self.connections += 1
@@ -51,9 +50,10 @@
                 raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             writer.close()
             await writer.wait_closed()
+        self.ended.set()
 
 
-async def call(endpoint: RawEndpoint):
+async def call(endpoint: RawEndpoint, *, read_after_end: bool = False):
     """Returns the outcome of one call and what its body reads as."""
     server = await asyncio.start_server(endpoint.serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
@@ -64,14 +64,20 @@
         query=b"",
         headers=[("x-attempt-id", "r1"), ("host", "a.example")],
     )
-    async with server, aiohttp.ClientSession(connector=make_connector()) as s:
-        calls = EndpointCalls(session=s)
-        async with calls.send(
+    async with (
+        server,
+        EndpointCalls().send(
             request, endpoint=entry, headers=request.headers, body=b""
-        ) as outcome:
-            if isinstance(outcome, AnswerHead):
-                return outcome, await outcome.read_all()
-            return outcome, None
+        ) as outcome,
+    ):
+        body = None
+        if read_after_end:
+            await endpoint.ended.wait()
+            await asyncio.sleep(0.02)  # so that the end has arrived
+        if isinstance(outcome, AnswerHead):
+            body = await outcome.read_all()
+        await endpoint.ended.wait()
+        return outcome, body
 
 
 class AnswerTest(unittest.IsolatedAsyncioTestCase):
@@ -105,6 +111,25 @@
         _, body = await call(RawEndpoint(answer + b"torn"))
         self.assertEqual(body, b"ok")
 
+    async def test_whole_answer_is_kept_when_its_connection_is_reset(self):
+        answer = HEAD + b"Content-Length: 2\r\n\r\nok"
+        endpoint = RawEndpoint(answer, resets=True)
+        _, body = await call(endpoint, read_after_end=True)
+        self.assertEqual(body, b"ok")
+
+    async def test_first_answer_counts_after_an_interim_one(self):
+        answer = b"HTTP/1.1 100 Continue\r\n\r\n" + HEAD
+        _, body = await call(
+            RawEndpoint(answer + b"Content-Length: 2\r\n\r\nok")
+        )
+        self.assertEqual(body, b"ok")
+
+    async def test_body_larger_than_what_is_kept_unread(self):
+        body = b"x" * (4 * MOST_UNREAD_BYTES)
+        head = HEAD + b"Content-Length: %d\r\n\r\n" % len(body)
+        _, read = await call(RawEndpoint(head + body))
+        self.assertEqual(read, body)
+
     async def test_no_answer_at_all(self):
         for answer in (b"", b"HTTP/1.1 200", b"\x00\x01 no answer\r\n\r\n"):
             endpoint = RawEndpoint(answer)
@@ -131,12 +156,9 @@
         request = decode_request(
             method="GET", raw_path=b"/", query=b"", headers=[]
         )
-        async with (
-            aiohttp.ClientSession(connector=make_connector()) as session,
-            EndpointCalls(session=session).send(
-                request, endpoint=entry, headers=[], body=b""
-            ) as outcome,
-        ):
+        async with EndpointCalls().send(
+            request, endpoint=entry, headers=[], body=b""
+        ) as outcome:
             self.assertIsInstance(outcome, NotSent)
 
 
