Check encoded messages before they are decoded

Cause: the decoder reads a list of a type that takes no bytes as often as the list says. A signed frame of a few bytes that claims two billion items kept a daemon busy without end; this holds for peers' frames and for datagrams.

Ruled out: the decoder's own limits (it has none for sizes); a search for suspicious bytes (a string or a number holds any bytes).

The message is walked through first by its own account of its types.

--- a/src/auburnswitch/members/frames.py
+++ b/src/auburnswitch/members/frames.py
@@ -19,6 +19,7 @@
 from thriftpy2.transport import TCyBufferedTransport
 from thriftpy2.utils import serialize
 
+from auburnswitch.members.message_check import check_message
 from auburnswitch.schema.peers import (
     ClaimsReply,
     ClaimsRequest,
@@ -209,6 +210,7 @@
 
 def _decode(payload: bytes) -> Envelope:
     try:
+        check_message(payload)
         envelope = Envelope()
         transport = TCyBufferedTransport(_PayloadReader(payload))
         envelope.read(_PROTOCOL.get_protocol(transport))
--- a/src/auburnswitch/members/sealed_frames.py
+++ b/src/auburnswitch/members/sealed_frames.py
@@ -15,6 +15,8 @@
 from thriftpy2.thrift import TDecodeException, TException
 from thriftpy2.utils import deserialize, serialize
 
+from auburnswitch.members.message_check import check_message
+
 if TYPE_CHECKING:
     from auburnswitch.schema.base import Struct
 
@@ -62,7 +64,9 @@
     if not hmac.compare_digest(mac, _mac(key, payload)):
         raise SealedFrameError("wrong signature")
     try:
-        return deserialize(message, _expand(payload), _PROTOCOL)
+        encoded = _expand(payload)
+        check_message(encoded)
+        return deserialize(message, encoded, _PROTOCOL)
     except _DECODE_ERRORS as error:
         raise SealedFrameError("cannot be decoded") from error
 
@@ -82,4 +86,4 @@
     return hmac.digest(key, payload, "sha256")[:MAC_BYTES]
 
 
-__all__ = ["SealedFrameError", "seal", "unseal"]
+__all__ = ["MAC_BYTES", "SealedFrameError", "seal", "unseal"]
--- a/tests/members/test_frames.py
+++ b/tests/members/test_frames.py
@@ -31,6 +31,7 @@
 )
 from auburnswitch.schema.results import ResultCode
 from auburnswitch.schema.settings import PeersSettings
+from tests.members import garbage
 from tests.virtual_time import run_virtual
 
 KEY = b"k" * 32
@@ -96,6 +97,19 @@
         part = whole[: size % len(whole)]
         self.refused(FrameWriter(key=KEY).encode_payload(part))
 
+    def test_signed_claims_of_two_billion_items(self):
+        for data in garbage.huge_claims():
+            self.refused(FrameWriter(key=KEY).encode_payload(data))
+
+    @fuzz
+    @given(st.binary(max_size=200))
+    def test_signed_garbage(self, data):
+        frame = FrameWriter(key=KEY).encode_payload(data)
+        try:
+            read_all(frame)
+        except FrameError as error:
+            self.assertIn(error.code, CODES)
+
     def test_message_without_a_body(self):
         for envelope in (Envelope(), Envelope(done=Done(), hello=Hello())):
             with self.assertRaises(FrameError):
--- a/tests/members/test_sealed_frames.py
+++ b/tests/members/test_sealed_frames.py
@@ -2,18 +2,32 @@
 
 from __future__ import annotations
 
+import contextlib
+import hmac
 import unittest
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from auburnswitch.members.sealed_frames import SealedFrameError, seal, unseal
+from auburnswitch.members.sealed_frames import (
+    MAC_BYTES,
+    SealedFrameError,
+    seal,
+    unseal,
+)
 from auburnswitch.schema.gossip import Gossip, WorkItem
+from tests.members import garbage
 
 KEY = b"k" * 32
+PLAIN = b"\0"
 fuzz = settings(derandomize=True, deadline=None, max_examples=300)
 
 
+def sign(message: bytes) -> bytes:
+    payload = PLAIN + message
+    return hmac.digest(KEY, payload, "sha256")[:MAC_BYTES] + payload
+
+
 class SealedFrameTest(unittest.TestCase):
     def test_round_trip(self):
         sent = Gossip(sender="a", items=[WorkItem(id=3, helpers=["x"])])
@@ -29,6 +43,17 @@
         with self.assertRaises(SealedFrameError):
             unseal(KEY, data, Gossip())
 
+    @fuzz
+    @given(st.binary(max_size=200))
+    def test_signed_garbage(self, data):
+        with contextlib.suppress(SealedFrameError):
+            unseal(KEY, sign(data), Gossip())
+
+    def test_signed_claims_of_two_billion_items(self):
+        for data in garbage.huge_claims():
+            with self.assertRaises(SealedFrameError):
+                unseal(KEY, sign(data), Gossip())
+
     @fuzz
     @given(st.integers(min_value=0, max_value=300), st.integers(1, 255))
     def test_one_changed_byte(self, place, change):
