Leave the cold phase only after an answer at normal speed

Ruled out: taking slow answers for a sign, as a cold engine's are slow anyway.

Now the cold phase ends after enough successes and an answer at normal speed (near the usual one, or twice as fast as the slowest of the phase), or after successes enough for one turn that was not seen. The usual speed is learned only outside the cold phase.

Test: test_phases, test_turn_without_a_sign_in_the_cold_phase, red (WARMING where COLD is due) and then green; an endpoint that is always slow does get warm.

--- a/src/auburnswitch/endpoints/phases.py
+++ b/src/auburnswitch/endpoints/phases.py
@@ -21,6 +21,9 @@
 RECORD_WEIGHT: Final = 0.1
 SLOW_ANSWERS: Final = 2
 EMPTY_REPORTS: Final = 2
+NORMAL_RATIO: Final = 1.5  # first-token time over the usual one
+SPEED_UP: Final = 2.0  # of an engine that ends its cold phase
+UNSEEN_TURNS: Final = 1  # that an engine may have made while it was cold
 
 
 @dataclass(slots=True, kw_only=True)
@@ -45,7 +48,9 @@
         generation: How often it has turned cold.
         successes: Requests that succeeded since it was cold.
         window: Requests that may run at one time while load rises.
-        record: Usual first-token time over the expected one.
+        record: Usual first-token time over the expected one, when not cold.
+        slowest: Most of that ratio since the endpoint was cold.
+        normal_speed: The newest answer was as quick as one of a warm endpoint.
         slow_answers: First tokens in a row far above the record.
         empty_reports: Load reports in a row that show none of the known work.
     """
@@ -54,9 +59,11 @@
         "boot_id",
         "empty_reports",
         "generation",
+        "normal_speed",
         "phase",
         "record",
         "slow_answers",
+        "slowest",
         "successes",
         "window",
     )
@@ -99,7 +106,7 @@
         """Counts a success, after which the endpoint may bear more."""
         self.successes += 1
         match self.phase:
-            case EndpointPhase.COLD if self.successes >= spec.warm_after:
+            case EndpointPhase.COLD if self._seems_warm(spec):
                 self.phase = EndpointPhase.WARMING
                 self.window = spec.cold_max_running + 1
             case EndpointPhase.WARMING:
@@ -109,6 +116,18 @@
         ):
             self.phase = EndpointPhase.WARM
 
+    def _seems_warm(self, spec: Endpoint) -> bool:
+        """Whether a cold endpoint has served enough.
+
+        It may have turned cold again unseen, as its answers were slow before,
+        and then counts from there. An answer at normal speed shows that it is
+        warm, and so do answers enough for a further turn.
+        """
+        if self.successes < spec.warm_after:
+            return False
+        most = (1 + UNSEEN_TURNS) * spec.warm_after
+        return self.normal_speed or self.successes >= most
+
     def note_trouble(self, spec: Endpoint) -> None:
         """Halves the load that a warming endpoint may have."""
         if self.phase is EndpointPhase.WARMING:
@@ -143,10 +162,20 @@
                 self.note_cold(self.boot_id)
             return
         self.slow_answers = 0
+        if self.phase is EndpointPhase.COLD:
+            self._note_cold_speed(ratio)
+            return
         if not self.record:
             self.record = ratio
         self.record += RECORD_WEIGHT * (ratio - self.record)
 
+    def _note_cold_speed(self, ratio: float) -> None:
+        self.slowest = max(self.slowest, ratio)
+        usual = self.record or 1.0
+        self.normal_speed = (
+            ratio <= NORMAL_RATIO * usual or SPEED_UP * ratio <= self.slowest
+        )
+
     def note_empty_report(self) -> None:
         """Takes note of a load report that shows none of the known work."""
         self.empty_reports += 1
@@ -167,6 +196,8 @@
         self.window = 0
         self.slow_answers = 0
         self.empty_reports = 0
+        self.slowest = 0.0
+        self.normal_speed = True
 
 
 __all__ = [
--- a/tests/endpoints/test_phases.py
+++ b/tests/endpoints/test_phases.py
@@ -30,6 +30,8 @@
 from tests.virtual_time import run_virtual
 
 WARM_AFTER = 8
+TURN_AFTER = 4
+COLD_FIRST_TOKEN_S = 0.6
 
 
 class Driver:
@@ -107,6 +109,30 @@
         self.assertGreater(risen, 8)
         self.assertEqual(halved, risen // 2)
 
+    def test_turn_without_a_sign_in_the_cold_phase(self):
+        async def scenario():
+            driver = Driver()
+            served = 0  # by the engine since it turned cold
+            while served < WARM_AFTER:
+                await driver.run(first_token_s=COLD_FIRST_TOKEN_S)
+                served += 1
+                if driver.ledger.warm_up.successes == TURN_AFTER:
+                    served = 0
+                self.assertEqual(driver.ledger.phase, EndpointPhase.COLD)
+            await driver.run()
+            self.assertEqual(driver.ledger.phase, EndpointPhase.WARMING)
+
+        run_virtual(scenario)
+
+    def test_endpoint_that_is_always_slow_is_not_cold_for_ever(self):
+        async def scenario():
+            driver = Driver()
+            for _ in range(2 * WARM_AFTER):
+                await driver.run(first_token_s=COLD_FIRST_TOKEN_S)
+            self.assertEqual(driver.ledger.phase, EndpointPhase.WARMING)
+
+        run_virtual(scenario)
+
     def test_new_start_is_cold(self):
         async def scenario(driver):
             driver.load(boot_id="b2")
