Refuse at once what no idle endpoint could take, and yield only in time

Cause: a prompt larger than the engines' memory together waited 12% of its target before it was refused, though that is known at its arrival; so did a request all of whose endpoints had failed it. And a late long prompt that let others go first could yield until too little time was left, and was then refused after seconds: held back and not served.

Test: tests.routing.test_placement_wait. Red first: the prompt of 600,000 tokens on three engines got no placement (yielded 4.5 s, 10.5 s left, 12 s needed); two of the refusals took 0.48 s instead of none.

--- a/src/auburnswitch/routing/endpoint_choice.py
+++ b/src/auburnswitch/routing/endpoint_choice.py
@@ -9,7 +9,11 @@
 from auburnswitch.observe.logs import log_event
 from auburnswitch.routing import engine_speed
 from auburnswitch.routing.engine_candidate import Prompt
-from auburnswitch.routing.prompt_placement import Plan, choose_engines
+from auburnswitch.routing.prompt_placement import (
+    Plan,
+    choose_engines,
+    engines_needed,
+)
 from auburnswitch.schema.events import EventId
 from auburnswitch.schema.gossip import WorkItem
 
@@ -104,6 +108,19 @@
         self.chance = chance
         self._next_id = 0
 
+    def could_serve(self, job: DeliveryJob) -> bool:
+        """Whether the open endpoints would have room if they were idle."""
+        usable = sum(
+            known.entry.id not in job.excluded
+            for known in self.installation.open_endpoints(job.service.name)
+        )
+        model, request = job.service.engine, job.request
+        if model is None or not request.prompt_tokens:
+            return usable > 0
+        tokens = request.prompt_tokens + request.answer_tokens
+        needed = engines_needed(model, tokens)
+        return needed is not None and usable >= needed
+
     def choose(self, job: DeliveryJob) -> Placement | None:
         """Returns endpoints with room for a request, None if there are none."""
         usable = [
--- a/src/auburnswitch/routing/engine_candidate.py
+++ b/src/auburnswitch/routing/engine_candidate.py
@@ -118,4 +118,4 @@
     return (gap_ms / USUAL_GAP_MS) ** 2
 
 
-__all__ = ["EngineCandidate", "Prompt", "weight"]
+__all__ = ["MEMORY_SHARE", "EngineCandidate", "Prompt", "weight"]
--- a/src/auburnswitch/routing/placement_wait.py
+++ b/src/auburnswitch/routing/placement_wait.py
@@ -16,6 +16,7 @@
 YIELD_MIN_TARGET_S: Final = 1.0  # callers of shorter ones leave soon
 YIELD_TARGETS: Final = 1.3
 YIELD_TIME_SHARE: Final = 0.3  # of the time left
+LAST_MOMENT: Final = 1.25  # of the time that the answer's start still takes
 
 
 async def wait_for_placement(
@@ -24,13 +25,15 @@
     """Waits a short time for room at an endpoint.
 
     A long prompt that would be late anyway lets others go first for a
-    while, so that it does not make them late as well.
+    while, so that it does not make them late as well, as long as it can
+    still be answered after that. What no endpoint could take, were it idle,
+    does not wait at all.
     """
     target_s = job.route.target_latency_s
     now = monotonic_s()
     give_up_at = now + target_s * PLACEMENT_WAIT_SHARE
     yield_until = now + _yield_s(job)
-    while True:
+    while chooser.could_serve(job):
         placement = chooser.choose(job)
         now = monotonic_s()
         if placement is not None and (
@@ -39,9 +42,14 @@
             placement = None  # nothing would come of it
         if placement is None and now >= give_up_at:
             return None
-        if placement is not None and (not placement.late or now >= yield_until):
+        if placement is not None and (
+            not placement.late
+            or now >= yield_until
+            or placement.first_token_s * LAST_MOMENT > job.time_left_s()
+        ):
             return placement
         await asyncio.sleep(PLACEMENT_INTERVAL_S)
+    return None
 
 
 def _yield_s(job: DeliveryJob) -> float:
--- a/src/auburnswitch/routing/prompt_placement.py
+++ b/src/auburnswitch/routing/prompt_placement.py
@@ -16,6 +16,7 @@
 
 from auburnswitch.routing import engine_speed
 from auburnswitch.routing.engine_candidate import (
+    MEMORY_SHARE,
     EngineCandidate,
     Prompt,
     weight,
@@ -110,6 +111,17 @@
     return None
 
 
+def engines_needed(model: EngineModel, tokens: int) -> int | None:
+    """Returns how many idle engines hold a prompt and its answer.
+
+    None means that no number of them can.
+    """
+    if model.memory_tokens <= 0:
+        return None
+    needed = math.ceil(tokens / (model.memory_tokens * MEMORY_SHARE))
+    return needed if needed <= MAX_HOLDERS + 1 else None
+
+
 class _Search:
     """Looks for a plan with a given number of holders.
 
@@ -263,4 +275,4 @@
     return plan.first_token_ms + PART_COST_MS * (len(plan.helpers) + 1)
 
 
-__all__ = ["Plan", "choose_engines"]
+__all__ = ["Plan", "choose_engines", "engines_needed"]
--- /dev/null
+++ b/tests/routing/test_placement_wait.py
@@ -0,0 +1,122 @@
+"""Requests that wait for room, and those that no room can help."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.configuration.installation import KnownEndpoint
+from auburnswitch.platform.requests import decode_request
+from auburnswitch.routing.delivery_job import DeliveryJob
+from auburnswitch.routing.endpoint_choice import EndpointChooser
+from auburnswitch.routing.endpoint_health import EndpointHealth
+from auburnswitch.routing.fleet_load import FleetLoad
+from auburnswitch.routing.placement_wait import wait_for_placement
+from auburnswitch.schema.gossip import EngineReport
+from auburnswitch.schema.installation import EndpointEntry, Route, Service
+from tests.routing.test_prompt_placement import MODEL
+from tests.virtual_time import run_virtual
+
+TARGET_S = 4.0
+
+
+class OpenEndpoints:
+    """An installation of which only the open endpoints are asked for."""
+
+    def __init__(self, count: int) -> None:
+        self.known = [
+            KnownEndpoint(entry=EndpointEntry(id=f"engine-{n}", slots=8))
+            for n in range(count)
+        ]
+
+    def open_endpoints(self, service):
+        return self.known
+
+
+class AnyRate:
+    """Sends to cold endpoints are not limited."""
+
+    def allows(self, service, endpoint):
+        return True
+
+
+def open_chooser(engines: int) -> EndpointChooser:
+    return EndpointChooser(
+        instance="a",
+        zone="z",
+        installation=OpenEndpoints(engines),
+        load=FleetLoad(),
+        health=EndpointHealth(),
+        rates=AnyRate(),
+        on_change=lambda items, ended: None,
+        group=lambda: "",
+        chance=random.Random(1),
+    )
+
+
+def make_job(tokens: int) -> DeliveryJob:
+    request = decode_request(
+        method="POST", raw_path=b"/a", query=b"", headers=[]
+    )
+    request.prompt_tokens = tokens
+    now = monotonic_s()
+    return DeliveryJob(
+        request=request,
+        body=b"",
+        route=Route(target_latency_s=TARGET_S, target_gap_s=1.0),
+        service=Service(name="engines", engine=MODEL),
+        team="",
+        arrived_at=now,
+        deadline_at=now + 15,
+        caller_deadline_at=now + 15,
+    )
+
+
+class WaitTest(unittest.TestCase):
+    def wait(self, engines, tokens, *, excluded=(), full=False):
+        """Returns a placement, or None, and the time that it took."""
+
+        async def run():
+            chooser = open_chooser(engines)
+            if full:
+                for known in chooser.installation.known:
+                    report = EngineReport(unknown_tokens=MODEL.memory_tokens)
+                    chooser.load.by_endpoint[known.entry.id].observe(report)
+            job = make_job(tokens)
+            job.excluded.update(excluded)
+            started = monotonic_s()
+            placement = await wait_for_placement(chooser, job)
+            return placement, monotonic_s() - started
+
+        return run_virtual(run)
+
+    def test_prompt_over_one_memory_is_placed_on_several(self):
+        placement, _ = self.wait(3, 600_000)
+        self.assertEqual(len(placement.holders()), 1)
+
+    def test_late_prompt_yields_only_while_it_can_still_be_answered(self):
+        placement, took_s = self.wait(3, 600_000)
+        self.assertTrue(placement.late)
+        self.assertLess(took_s + placement.first_token_s, 15)
+
+    def test_prompt_over_all_memory_is_refused_at_once(self):
+        for engines, tokens in ((2, 700_000), (60, 2_000_000), (0, 100)):
+            placement, took_s = self.wait(engines, tokens)
+            self.assertIsNone(placement)
+            self.assertEqual(took_s, 0)
+
+    def test_endpoints_that_failed_it_do_not_count(self):
+        placement, took_s = self.wait(2, 600_000, excluded={"engine-0"})
+        self.assertIsNone(placement)
+        self.assertEqual(took_s, 0)
+
+    def test_full_engines_are_waited_for_a_short_time(self):
+        placement, took_s = self.wait(2, 1_000, full=True)
+        self.assertIsNone(placement)
+        self.assertGreater(took_s, 0)
+        self.assertLess(took_s, TARGET_S / 8)
+
+
+if __name__ == "__main__":
+    unittest.main()
