Run the demo and the load tool on an installation of the platform as well

Cause: the small installation of stand-ins and entry daemons was known to tests only, and the demo and the load tool ran on the product's own interface alone.

The installation is now experiments/installation.py, which tests, demo and load share; a caller of the operators' routes measures what the other caller does, so that one report serves both. Nothing that the daemon runs is changed.

--- a/src/auburnswitch/cli/load.py
+++ b/src/auburnswitch/cli/load.py
@@ -14,7 +14,28 @@
     CommandError,
 )
 from auburnswitch.cli.output import print_json, print_table
-from auburnswitch.experiments.load import LoadOptions, run_load
+from auburnswitch.experiments.load import (
+    LoadOptions,
+    ModelTarget,
+    RouteTarget,
+    run_load,
+)
+
+
+def load_target(
+    *, model: str, host: str, path: str
+) -> ModelTarget | RouteTarget:
+    """Returns what a load run asks.
+
+    Raises:
+        CommandError: Neither a model nor a route is given, or both are.
+    """
+    if model and not host and not path:
+        return ModelTarget(model=model)
+    if host and path and not model:
+        return RouteTarget(host=host, path=path)
+    message = "give either --model, or --host and --path"
+    raise CommandError(message, EXIT_USAGE)
 
 
 def show_load(options: LoadOptions, *, save: str, as_json: bool) -> int:
@@ -58,4 +79,4 @@
     print(f"took {report['took_s']} s")
 
 
-__all__ = ["show_load"]
+__all__ = ["load_target", "show_load"]
--- a/src/auburnswitch/cli/main.py
+++ b/src/auburnswitch/cli/main.py
@@ -108,7 +108,9 @@
         self,
         urls: str,
         key_file: str,
-        model: str,
+        model: str = "",
+        host: str = "",
+        path: str = "",
         requests: int = 100,
         rate_per_s: float = 10.0,
         answer_tokens: int = 16,
@@ -121,7 +123,9 @@
         Args:
             urls: Base URLs of daemons for callers, separated by commas.
             key_file: File with a caller key.
-            model: Model to ask.
+            model: Model to ask through the product's own interface.
+            host: Host of a route to ask in place of a model.
+            path: Path under that route.
             requests: Requests to send.
             rate_per_s: Mean arrivals in a second.
             answer_tokens: Tokens of each answer.
@@ -129,13 +133,13 @@
             save: File for the report as JSON.
             json: Print JSON.
         """
-        from auburnswitch.cli.load import show_load
+        from auburnswitch.cli.load import load_target, show_load
         from auburnswitch.experiments.load import LoadOptions
 
         options = LoadOptions(
             urls=str(urls).split(","),
             caller_key=read_key(key_file),
-            model=model,
+            target=load_target(model=model, host=host, path=path),
             requests=requests,
             rate_per_s=rate_per_s,
             answer_tokens=answer_tokens,
@@ -155,10 +159,12 @@
         return explain(str(request_id), log_files)
 
     def demo(self) -> int:
-        """Runs a small fleet in one process and shows what it does."""
+        """Runs two small fleets in one process and shows what they do."""
         from auburnswitch.experiments.demo import run_demo
+        from auburnswitch.experiments.entry_demo import run_entry_demo
 
         asyncio.run(run_demo())
+        asyncio.run(run_entry_demo())
         return EXIT_OK
 
 
--- /dev/null
+++ b/src/auburnswitch/experiments/entry_demo.py
@@ -0,0 +1,136 @@
+"""The demo of entry daemons: an installation and a few requests through it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.experiments.entry_caller import StreamRequest, stream_events
+from auburnswitch.experiments.installation import (
+    CALLER_KEYS,
+    SmallInstallation,
+    make_config,
+    open_installation,
+    until,
+)
+from auburnswitch.standins.operators import put_config
+from auburnswitch.standins.runner import Fault
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SHORT_TOKENS: Final = 5_000
+LONG_TOKENS: Final = 45_000
+JOINT_TOKENS: Final = 80_000  # more than one engine's memory
+HOPELESS_TOKENS: Final = 900_000  # more than all engines' memory
+ANSWER_TOKENS: Final = 50
+
+
+async def run_entry_demo(show: Callable[[str], None] = print) -> None:
+    """Starts an installation, sends requests through it and shows the answers.
+
+    Args:
+        show: Shows one line.
+    """
+    show("Starting a store, three engines, two desks, two entry daemons")
+    async with open_installation(engines=3, daemons=2) as fleet:
+        await _show_stream(fleet, "a short prompt", SHORT_TOKENS, show)
+        await _show_stream(fleet, "a long prompt", LONG_TOKENS, show)
+        await _show_stream(
+            fleet, "a prompt over one memory", JOINT_TOKENS, show
+        )
+        await _show_stream(
+            fleet, "a prompt over all memory", HOPELESS_TOKENS, show
+        )
+        await _show_resumed(fleet, show)
+        await _show_booking(fleet, show)
+        await _show_revoked_key(fleet, show)
+    show("Done")
+
+
+async def _show_stream(
+    fleet: SmallInstallation,
+    label: str,
+    tokens: int,
+    show: Callable[[str], None],
+) -> None:
+    before = len(fleet.arrivals)
+    request = StreamRequest(
+        path="/chat/1",
+        prompt_tokens=tokens,
+        answer_tokens=ANSWER_TOKENS,
+        caller_key=CALLER_KEYS[0],
+    )
+    outcome = await stream_events(fleet.session, fleet.url(), request)
+    if outcome.first_token_s is None:
+        back = (
+            "need not come back"
+            if outcome.retry_after_s is None
+            else f"may come back after {outcome.retry_after_s} s"
+        )
+        show(
+            f"{label}: {outcome.result} after {outcome.total_s:.2f} s,"
+            f" ran: {outcome.ran}, {back}"
+        )
+        return
+    sends = len(fleet.arrivals) - before
+    show(
+        f"{label}: {outcome.result}, first event after"
+        f" {outcome.first_token_s:.2f} s, {outcome.tokens} events,"
+        f" sent to an engine {sends} times"
+    )
+
+
+async def _show_resumed(
+    fleet: SmallInstallation, show: Callable[[str], None]
+) -> None:
+    for name, runner in fleet.runners.items():
+        if name.startswith("engine"):
+            runner.faults.append(Fault.CUT_MIDWAY)
+    fleet.runners["engine-2"].faults.clear()
+    show("two of three engines now break off in the middle of an event")
+    for _ in range(3):
+        await _show_stream(fleet, "a short prompt", SHORT_TOKENS, show)
+
+
+async def _show_booking(
+    fleet: SmallInstallation, show: Callable[[str], None]
+) -> None:
+    for runner in fleet.runners.values():
+        runner.faults.clear()
+        runner.arrivals.clear()
+    for name in ("desk-0", "desk-1"):
+        fleet.runners[name].faults.append(Fault.CUT)
+    result = await fleet.call("/book/1")
+    show(
+        f"a booking whose answer is lost: HTTP {result.status},"
+        f" sent {len(fleet.arrivals)} time"
+    )
+
+
+async def _show_revoked_key(
+    fleet: SmallInstallation, show: Callable[[str], None]
+) -> None:
+    for runner in fleet.runners.values():
+        runner.faults.clear()
+    key = CALLER_KEYS[1]
+    teams = [{"Name": "walk-ins", "ApiKeys": [CALLER_KEYS[0]]}]
+    before = await fleet.call("/book/1", key=key)
+    started_at = monotonic_s()
+    put_config(fleet.store, make_config(2, Tenants=teams))
+    await asyncio.gather(
+        *(
+            until(lambda d=daemon: d.installation.config_version == 2)
+            for daemon in fleet.daemons
+        )
+    )
+    took_s = monotonic_s() - started_at
+    after = await fleet.call("/book/1", key=key, daemon=1)
+    show(
+        f"a key is taken back: HTTP {before.status} before, {after.status}"
+        f" after; in force in {len(fleet.daemons)} daemons after {took_s:.2f} s"
+    )
+
+
+__all__ = ["run_entry_demo"]
--- a/src/auburnswitch/experiments/load.py
+++ b/src/auburnswitch/experiments/load.py
@@ -7,12 +7,16 @@
 import random
 import statistics
 from dataclasses import dataclass, field
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import aiohttp
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.experiments.caller import CallOutcome, stream_completion
+from auburnswitch.experiments.entry_caller import StreamRequest, stream_events
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
 
 MAX_REQUESTS: Final = 100_000
 MAX_SECONDS: Final = 3600.0
@@ -41,6 +45,30 @@
 )
 
 
+@dataclass(slots=True, kw_only=True)
+class ModelTarget:
+    """A model, asked through the product's own interface.
+
+    Attributes:
+        model: Its name.
+    """
+
+    model: str
+
+
+@dataclass(slots=True, kw_only=True)
+class RouteTarget:
+    """A route of the operators' configuration.
+
+    Attributes:
+        host: Host that it names.
+        path: A path under its prefix.
+    """
+
+    host: str
+    path: str
+
+
 @dataclass(slots=True, kw_only=True)
 class LoadOptions:
     """A load run.
@@ -48,7 +76,7 @@
     Attributes:
         urls: Base URLs of daemons, used in turn.
         caller_key: Key of the team that sends.
-        model: Model that is asked.
+        target: What is asked.
         requests: Requests to send.
         rate_per_s: Mean arrivals in a second.
         answer_tokens: Tokens of each answer.
@@ -58,7 +86,7 @@
 
     urls: list[str]
     caller_key: str
-    model: str
+    target: ModelTarget | RouteTarget
     requests: int = 100
     rate_per_s: float = 10.0
     answer_tokens: int = 16
@@ -108,44 +136,59 @@
     ):
         for number in range(options.requests):
             part = _choose(options.mix, chance)
-            body = _body(options, part, chance)
+            tokens = chance.randint(part.min_tokens, part.max_tokens)
             url = options.urls[number % len(options.urls)]
-            group.create_task(_send(session, url, options, part, body, report))
+            call = _call(session, url, options, tokens, chance)
+            group.create_task(_note(call, part, report))
             await asyncio.sleep(chance.expovariate(options.rate_per_s))
     report.took_s = monotonic_s() - started_at
     return report
 
 
-async def _send(
+def _call(
     session: aiohttp.ClientSession,
     url: str,
     options: LoadOptions,
+    tokens: int,
+    chance: random.Random,
+) -> Coroutine[Any, Any, CallOutcome]:
+    match options.target:
+        case ModelTarget(model=model):
+            body = {
+                "model": model,
+                "prompt": _prompt(tokens, chance),
+                "max_tokens": options.answer_tokens,
+            }
+            headers = {"Authorization": f"Bearer {options.caller_key}"}
+            return stream_completion(session, url, body, headers)
+        case RouteTarget(host=host, path=path):
+            request = StreamRequest(
+                host=host,
+                path=path,
+                prompt_tokens=tokens,
+                answer_tokens=options.answer_tokens,
+                caller_key=options.caller_key,
+            )
+            return stream_events(session, url, request)
+
+
+async def _note(
+    call: Coroutine[Any, Any, CallOutcome],
     part: LengthShare,
-    body: dict[str, Any],
     report: LoadReport,
 ) -> None:
-    headers = {"Authorization": f"Bearer {options.caller_key}"}
-    outcome = await stream_completion(session, url, body, headers)
-    report.outcomes.setdefault(part.name, []).append(outcome)
+    report.outcomes.setdefault(part.name, []).append(await call)
 
 
 def _choose(mix: tuple[LengthShare, ...], chance: random.Random) -> LengthShare:
     return chance.choices(mix, [part.share for part in mix])[0]
 
 
-def _body(
-    options: LoadOptions, part: LengthShare, chance: random.Random
-) -> dict[str, Any]:
-    tokens = chance.randint(part.min_tokens, part.max_tokens)
+def _prompt(tokens: int, chance: random.Random) -> str:
     first = f"{chance.getrandbits(64):016x} "  # no two prompts share a prefix
     size_bytes = tokens * BYTES_PER_TOKEN - len(first)
     word = chance.choice(WORDS) + " "
-    prompt = first + (word * (size_bytes // len(word) + 1))[:size_bytes]
-    return {
-        "model": options.model,
-        "prompt": prompt,
-        "max_tokens": options.answer_tokens,
-    }
+    return first + (word * (size_bytes // len(word) + 1))[:size_bytes]
 
 
 def _summary(outcomes: list[CallOutcome]) -> dict[str, Any]:
@@ -180,5 +223,7 @@
     "LengthShare",
     "LoadOptions",
     "LoadReport",
+    "ModelTarget",
+    "RouteTarget",
     "run_load",
 ]
--- a/tests/cli/test_against_daemon.py
+++ b/tests/cli/test_against_daemon.py
@@ -6,8 +6,15 @@
 import json
 import os
 import sys
+import tempfile
 import unittest
+from pathlib import Path
 
+from auburnswitch.experiments.installation import (
+    CALLER_KEYS,
+    open_installation,
+)
+from auburnswitch.standins.operators import HOST
 from tests.processes import CALLER_KEY, first_ticket, open_process_fleet
 
 LIMIT_S = 60
@@ -83,6 +90,33 @@
             self.assertEqual(code, 1)
             self.assertIn("4004 ticket_not_found", err)
 
+    async def test_load_on_a_route(self):
+        async with open_installation(engines=3, daemons=2) as fleet:
+            with tempfile.TemporaryDirectory() as folder:
+                key_file = Path(folder) / "caller.key"
+                key_file.write_text(CALLER_KEYS[0], "utf-8")
+                self.environment = {"PYTHONPATH": os.pathsep.join(sys.path)}
+                code, out, err = await self.invoke(
+                    "load",
+                    f"{fleet.url(0)},{fleet.url(1)}",
+                    str(key_file),
+                    f"--host={HOST}",
+                    "--path=/chat/1",
+                    "--requests=6",
+                )
+            self.assertEqual((code, err), (0, ""))
+            self.assertIn("ok 6", out)
+            self.assertEqual(len(fleet.arrivals), 6)
+
+    async def test_load_of_neither_a_model_nor_a_route(self):
+        self.environment = {"PYTHONPATH": os.pathsep.join(sys.path)}
+        for more in ((), ("--model=m", "--host=h", "--path=/p")):
+            code, _, err = await self.invoke(
+                "load", "http://127.0.0.1:1", __file__, *more
+            )
+            self.assertEqual(code, 2)
+            self.assertIn("either --model, or --host and --path", err)
+
     async def test_load_reports_and_saves(self):
         async with asyncio.timeout(LIMIT_S), open_process_fleet() as fleet:
             await fleet.start_standin("platform", "platform")
--- a/tests/entry/test_following.py
+++ b/tests/entry/test_following.py
@@ -5,17 +5,20 @@
 import asyncio
 import unittest
 
+from auburnswitch.experiments.installation import (
+    make_config,
+    open_installation,
+    until,
+)
 from auburnswitch.schema.gossip import DaemonRecord
 
-from .installation import config, open_installation, until
-
 
 class FollowingTest(unittest.IsolatedAsyncioTestCase):
     async def test_key_is_taken_away(self):
         async with open_installation() as fleet:
             self.assertEqual((await fleet.call("/book/1", key="key-2"))[0], 200)
             teams = [{"Name": "walk-ins", "ApiKeys": ["key-1"]}]
-            fleet.store.put("config", "main", config(2, Tenants=teams))
+            fleet.store.put("config", "main", make_config(2, Tenants=teams))
             await until(
                 lambda: fleet.daemons[0].installation.config_version == 2, 1.0
             )
@@ -23,17 +26,17 @@
 
     async def test_older_version_is_not_taken_over(self):
         async with open_installation() as fleet:
-            fleet.store.put("config", "main", config(5))
+            fleet.store.put("config", "main", make_config(5))
             known = fleet.daemons[0].installation
             await until(lambda: known.config_version == 5)
-            fleet.store.put("config", "main", config(3))
+            fleet.store.put("config", "main", make_config(3))
             await asyncio.sleep(0.2)
             self.assertEqual(known.config_version, 5)
 
     async def test_history_is_forgotten(self):
         async with open_installation() as fleet:
             fleet.store.forget_history()
-            fleet.store.put("config", "main", config(2))
+            fleet.store.put("config", "main", make_config(2))
             known = fleet.daemons[0].installation
             await until(lambda: known.config_version == 2, 1.5)
 
@@ -49,7 +52,7 @@
 
     async def test_draining_and_removed_endpoints_get_nothing(self):
         async with open_installation(desks=2) as fleet:
-            fleet.entry("desk-0", "desk", State="draining")
+            fleet.put_entry("desk-0", "desk", State="draining")
             fleet.store.remove("servers", "desk-1")
             known = fleet.daemons[0].installation
             await until(lambda: not known.open_endpoints("desk"))
@@ -63,7 +66,7 @@
                 (None, 5, [], {}, {"Service": 1}, {"State": "resting"})
             ):
                 fleet.store.put("servers", f"strange-{number}", spec)
-            fleet.entry("desk-0", "desk", Address="nowhere")
+            fleet.put_entry("desk-0", "desk", Address="nowhere")
             await until(lambda: "desk-0" not in known.endpoints)
             self.assertEqual((await fleet.call("/book/1"))[0], 200)
 
@@ -71,7 +74,7 @@
         async with open_installation(engines=3, desks=3) as fleet:
             fleet.store.page_items = 2
             fleet.store.forget_history()
-            fleet.entry("desk-0", "desk", Slots=9)
+            fleet.put_entry("desk-0", "desk", Slots=9)
             known = fleet.daemons[0].installation
             await until(lambda: known.endpoints["desk-0"].entry.slots == 9, 2.0)
             self.assertEqual(len(known.endpoints), 6)
@@ -84,7 +87,7 @@
                 )
             )
             runner = fleet.runners["engine-0"]
-            fleet.entry("engine-1", "engines", State="draining")
+            fleet.put_entry("engine-1", "engines", State="draining")
             runner.event_interval_s = 0.1
             call = asyncio.create_task(fleet.call("/chat/1", tokens="900,50"))
             await until(
@@ -135,7 +138,7 @@
             first, second = fleet.daemons
             await until(lambda: first.gossip.live_peers())
             second.settings.store.address = "127.0.0.1:9"
-            fleet.store.put("config", "main", config(7))
+            fleet.store.put("config", "main", make_config(7))
             fleet.store.put("evacuations", "zone-1", {})
             await until(
                 lambda: (
--- a/tests/entry/test_listening.py
+++ b/tests/entry/test_listening.py
@@ -6,15 +6,14 @@
 import unittest
 
 from auburnswitch.entry.run import open_entry_daemon
+from auburnswitch.experiments.installation import entry_settings
 from auburnswitch.http_server import ListenError
 
-from .installation import settings
-
 
 class ListeningTest(unittest.IsolatedAsyncioTestCase):
     async def test_port_for_peers_is_in_use(self):
         for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-            made = settings("entry", "127.0.0.1:9")
+            made = entry_settings("entry", "127.0.0.1:9")
             with (
                 self.subTest(kind),
                 socket.socket(socket.AF_INET, kind) as other,
@@ -27,7 +26,7 @@
                         pass
 
     async def test_port_for_callers_is_in_use(self):
-        made = settings("entry", "127.0.0.1:9")
+        made = entry_settings("entry", "127.0.0.1:9")
         host, port = made.listen.callers.split(":")
         with socket.socket() as other:
             other.bind((host, int(port)))
--- a/tests/entry/test_metrics.py
+++ b/tests/entry/test_metrics.py
@@ -5,11 +5,10 @@
 import unittest
 
 from auburnswitch.entry.checks import MetricsApp
+from auburnswitch.experiments.installation import open_installation
 from auburnswitch.http_server import open_http_server
 from auburnswitch.observe.statistics import Histogram, length_class
 
-from .installation import open_installation
-
 
 class MetricsTest(unittest.IsolatedAsyncioTestCase):
     async def test_requests_and_latencies_are_served(self):
--- a/tests/entry/test_observing.py
+++ b/tests/entry/test_observing.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from .installation import open_installation, until
+from auburnswitch.experiments.installation import open_installation, until
 
 
 class ObservingTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -8,10 +8,13 @@
 
 import aiohttp
 
+from auburnswitch.experiments.installation import (
+    make_config,
+    open_installation,
+    until,
+)
 from auburnswitch.standins.runner import Fault
 
-from .installation import config, open_installation, until
-
 SHORT = "1000,50"
 
 
@@ -77,14 +80,14 @@
             with self.subTest(fault):
                 async with open_installation() as fleet:
                     fleet.runners["desk-0"].faults.append(fault)
-                    fleet.entry("desk-1", "desk", State="draining")
+                    fleet.put_entry("desk-1", "desk", State="draining")
                     await asyncio.sleep(0.05)
                     await self._repeat(fleet)
 
     async def _repeat(self, fleet):
         call = asyncio.create_task(fleet.call("/read/1", method="GET"))
         await until(lambda: fleet.arrivals)
-        fleet.entry("desk-1", "desk")
+        fleet.put_entry("desk-1", "desk")
         status, body, _ = await call
         if status == 200:
             self.assertTrue(body.startswith(b"answer of"))
@@ -99,7 +102,7 @@
     async def test_too_large_body_and_headers(self):
         limits = {"MaxBodyBytes": 100, "MaxHeaderBytes": 400}
         async with open_installation(
-            first_config=config(Limits=limits)
+            first_config=make_config(Limits=limits)
         ) as fleet:
             large = await fleet.call("/book/1", body=b"x" * 101)
             long = await fleet.call("/book/1", headers={"X-Long": "x" * 400})
@@ -107,7 +110,7 @@
         self.assertEqual([large[0], long[0], right[0]], [413, 431, 200])
 
     async def test_answer_at_the_route_timeout(self):
-        made = config()
+        made = make_config()
         made["Routes"][2]["TimeoutMs"] = 300
         async with open_installation(first_config=made) as fleet:
             for runner in fleet.runners.values():
@@ -145,11 +148,11 @@
                 fleet.runners[name].faults.append(Fault.CUT_MIDWAY)
             # the second engine is cut as well unless the first was asked
             fleet.runners["engine-1"].faults.clear()
-            fleet.entry("engine-1", "engines", State="draining")
+            fleet.put_entry("engine-1", "engines", State="draining")
             await asyncio.sleep(0.05)
             call = asyncio.create_task(fleet.call("/chat/1", tokens=SHORT))
             await until(lambda: fleet.runners["engine-0"].arrivals)
-            fleet.entry("engine-1", "engines")
+            fleet.put_entry("engine-1", "engines")
             status, body, _ = await call
         self.assertEqual(status, 200)
         self.assertEqual(_ids(body), [1, 2, 3, 4, 5])
@@ -202,7 +205,7 @@
     async def test_prompt_over_all_memory_is_refused_at_once(self):
         async with open_installation(engines=2) as fleet:
             started = asyncio.get_running_loop().time()
-            status, _, _ = await fleet.call("/chat/1", tokens="900000,50")
+            status, _, headers = await fleet.call("/chat/1", tokens="900000,50")
             took_s = asyncio.get_running_loop().time() - started
         self.assertEqual(status, 503)
         self.assertLess(took_s, 0.2)
--- a/tests/members/test_gossip.py
+++ b/tests/members/test_gossip.py
@@ -6,6 +6,7 @@
 import contextlib
 import unittest
 
+from auburnswitch.experiments.installation import until
 from auburnswitch.members import gossip
 from auburnswitch.members.gossip import GossipNode
 from auburnswitch.members.relay_table import REFRESH_S
@@ -17,7 +18,6 @@
     WorkItem,
 )
 from auburnswitch.standins.ports import free_port
-from tests.entry.installation import until
 
 KEY = b"k" * 32
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -8,6 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from auburnswitch.experiments.installation import make_config
 from auburnswitch.platform.configuration import (
     decode_config,
     decode_endpoint,
@@ -15,7 +16,6 @@
 from auburnswitch.platform.fields import FieldError
 from auburnswitch.platform.requests import decode_request
 from auburnswitch.schema.installation import RequestKind
-from tests.entry.installation import config
 
 ENTRY = {
     "Service": "desk",
@@ -41,7 +41,7 @@
 
 class ConfigurationTest(unittest.TestCase):
     def test_whole_configuration(self):
-        decoded = decode_config(config(9))
+        decoded = decode_config(make_config(9))
         self.assertEqual(decoded.version, 9)
         chat = decoded.routes[0]
         self.assertEqual(chat.kind, RequestKind.STREAM)
@@ -53,13 +53,13 @@
         self.assertEqual(decoded.teams[0].caller_keys, ["key-1", "key-2"])
 
     def test_fields_not_known_are_ignored(self):
-        made = config()
+        made = make_config()
         made["Routes"][0]["New"] = {"a": 1}
         made["New"] = [1]
         self.assertEqual(decode_config(made).version, 1)
 
     def test_split_traffic(self):
-        made = config()
+        made = make_config()
         del made["Routes"][1]["Service"]
         made["Routes"][1]["TrafficSplit"] = [
             {"Service": "a", "Weight": 90},
