Tell callers to come back later if too few endpoints are in service

Cause: a prompt that needs more engines than are open was refused like one that found no room, with a Retry-After of about a second, though engines come back after seconds: it was refused again. A failure now says when the caller may come back (soon, later, never) in place of a flag.

Ruled out: 413 for prompts over all memory, as engines may be added; no Retry-After at all, as callers then choose one themselves. Test: test_prompt_over_all_memory_is_refused_at_once, with its Retry-After.

--- a/src/auburnswitch/callers/entry_app.py
+++ b/src/auburnswitch/callers/entry_app.py
@@ -11,7 +11,7 @@
 from auburnswitch.platform.requests import decode_request
 from auburnswitch.routing.crash_record import fingerprint_of
 from auburnswitch.routing.delivery_job import DeliveryJob
-from auburnswitch.routing.outcomes import Delivered, Failed
+from auburnswitch.routing.outcomes import Delivered, Failed, RetryAdvice
 from auburnswitch.schema.events import EventId
 
 if TYPE_CHECKING:
@@ -42,6 +42,7 @@
 USUAL_START_S: Final = 1.0
 RETRY_AFTER_STOP_S: Final = 0.05  # another daemon takes it at once
 RETRY_AFTER_LOAD_S: Final = (0.6, 1.8)  # spreads those that come back
+RETRY_AFTER_CHANGE_S: Final = (1.5, 3.0)  # endpoints are back after seconds
 
 
 class AnswerAborted(Exception):  # noqa: N818
@@ -219,13 +220,22 @@
 
     def _failure(self, job: DeliveryJob, failed: Failed) -> RefusedError:
         if not failed.may_have_run:
-            later_s = self.chance.uniform(*RETRY_AFTER_LOAD_S)
-            retry_after_s = later_s if failed.may_return else None
-            return RefusedError(UNAVAILABLE, failed.reason, retry_after_s)
+            return RefusedError(
+                UNAVAILABLE, failed.reason, self._retry_after_s(failed.retry)
+            )
         if job.time_left_s() <= 0:
             return RefusedError(GATEWAY_TIMEOUT, failed.reason)
         return RefusedError(BAD_GATEWAY, failed.reason)
 
+    def _retry_after_s(self, advice: RetryAdvice) -> float | None:
+        match advice:
+            case RetryAdvice.SOON:
+                return self.chance.uniform(*RETRY_AFTER_LOAD_S)
+            case RetryAdvice.LATER:
+                return self.chance.uniform(*RETRY_AFTER_CHANGE_S)
+            case RetryAdvice.NEVER:
+                return None
+
     def _log(
         self,
         request: CallerRequest,
--- a/src/auburnswitch/routing/delivery.py
+++ b/src/auburnswitch/routing/delivery.py
@@ -15,6 +15,7 @@
     Delivered,
     DeliveryProgress,
     Failed,
+    RetryAdvice,
 )
 from auburnswitch.routing.placement_wait import wait_for_placement
 from auburnswitch.schema.events import EventId
@@ -69,7 +70,9 @@
         self.budget.note_request(job.service.name)
         if self.crashes.is_refused(job.fingerprint):
             return Failed(
-                reason="crashes endpoints", may_have_run=False, may_return=False
+                reason="crashes endpoints",
+                may_have_run=False,
+                retry=RetryAdvice.NEVER,
             )
         progress = DeliveryProgress(last_event_id=job.request.last_event_id)
         try:
@@ -91,7 +94,7 @@
             if placement is None:
                 if last is not None:
                     return await self._give_up(last, writer, progress)
-                return Failed(reason="no room", may_have_run=False)
+                return self._no_room(job)
             outcome = await self._attempt(job, placement, writer, progress)
             match outcome:
                 case Delivered():
@@ -111,6 +114,15 @@
                 attempts=job.attempts,
             )
 
+    def _no_room(self, job: DeliveryJob) -> Failed:
+        if self.chooser.could_serve(job):
+            return Failed(reason="no room", may_have_run=False)
+        return Failed(
+            reason="too few endpoints in service",
+            may_have_run=False,
+            retry=RetryAdvice.LATER,
+        )
+
     def _may_retry(self, job: DeliveryJob, last: AttemptFailed) -> bool:
         if last.may_have_run and not job.repeatable:
             return False
--- a/src/auburnswitch/routing/outcomes.py
+++ b/src/auburnswitch/routing/outcomes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
@@ -40,6 +41,14 @@
     status: int
 
 
+class RetryAdvice(enum.Enum):
+    """When a caller may come back with a request."""
+
+    SOON = "room comes and goes"
+    LATER = "too few endpoints that it could run on are in service"
+    NEVER = "it would fail again"
+
+
 @dataclass(slots=True, kw_only=True)
 class Failed:
     """No endpoint's answer could be delivered.
@@ -47,12 +56,12 @@
     Attributes:
         reason: Why, for the log.
         may_have_run: Some endpoint may have run the request.
-        may_return: The request may be served if it comes again.
+        retry: When the caller may come back.
     """
 
     reason: str
     may_have_run: bool
-    may_return: bool = True
+    retry: RetryAdvice = RetryAdvice.SOON
 
 
 @dataclass(slots=True, kw_only=True)
@@ -112,4 +121,5 @@
     "Delivered",
     "DeliveryProgress",
     "Failed",
+    "RetryAdvice",
 ]
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -209,6 +209,7 @@
             took_s = asyncio.get_running_loop().time() - started
         self.assertEqual(status, 503)
         self.assertLess(took_s, 0.2)
+        self.assertGreaterEqual(float(headers["retry-after"]), 1.5)
 
 
 def _ids(body: bytes) -> list[int]:
