--- a/src/auburnswitch/endpoints/backlog.py
+++ b/src/auburnswitch/endpoints/backlog.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from auburnswitch.endpoints.ledger import Reservation
+    from auburnswitch.endpoints.reservation import Reservation
     from auburnswitch.schema.peers import LengthClass
 
 CHUNK_DELAY_S: Final = 0.05  # until a prompt in prefill gives way
--- a/src/auburnswitch/endpoints/rebuild.py
+++ b/src/auburnswitch/endpoints/rebuild.py
@@ -9,7 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from auburnswitch.endpoints.ledger import EndpointLedger, Reservation
+    from auburnswitch.endpoints.ledger import EndpointLedger
+    from auburnswitch.endpoints.reservation import Reservation
     from auburnswitch.endpoints.load import LoadReport
     from auburnswitch.members.view import MemberView
     from auburnswitch.schema.peers import RunningWork
