--- a/src/auburnswitch/endpoints/rebuild.py
+++ b/src/auburnswitch/endpoints/rebuild.py
@@ -10,8 +10,8 @@
     from collections.abc import Callable
 
     from auburnswitch.endpoints.ledger import EndpointLedger
-    from auburnswitch.endpoints.reservation import Reservation
     from auburnswitch.endpoints.load import LoadReport
+    from auburnswitch.endpoints.reservation import Reservation
     from auburnswitch.members.view import MemberView
     from auburnswitch.schema.peers import RunningWork
     from auburnswitch.schema.settings import Settings
--- a/src/auburnswitch/endpoints/transitions.py
+++ b/src/auburnswitch/endpoints/transitions.py
@@ -15,8 +15,8 @@
     from auburnswitch.endpoints.closing import Closings
     from auburnswitch.endpoints.hints import HintBook
     from auburnswitch.endpoints.ledger import EndpointLedger
-    from auburnswitch.endpoints.reservation import Reservation
     from auburnswitch.endpoints.load import LoadReport
+    from auburnswitch.endpoints.reservation import Reservation
     from auburnswitch.schema.peers import ReleaseRequest
     from auburnswitch.schema.settings import EndpointsSettings
 
