Give joint reads engines of their own, and let harmful ones wait

Cause: an engine reads the newest part of a joint read first, where our model had it read in the order of arrival. The trace: a prompt predicted at 1786 ms had its first token after 555 ms, one of 1364 ms never had one, and the engine that wrote another answer had eight passes in a row without reading.

A part of a joint read is now predicted to start at once; engines where a joint read is under way are used only if there is no other plan in time, and holding up such a read counts as harm. A request whose placement would harm others waits while it has time, as a late one did.

--- a/src/auburnswitch/routing/endpoint_choice.py
+++ b/src/auburnswitch/routing/endpoint_choice.py
@@ -47,6 +47,7 @@
         item: The work as peers hear of it.
         first_token_s: Predicted time to the answer's start, in seconds.
         late: The answer is predicted to start too late.
+        harmful: It would make other answers late.
     """
 
     endpoint: KnownEndpoint
@@ -54,6 +55,7 @@
     item: WorkItem
     first_token_s: float
     late: bool = False
+    harmful: bool = False
 
     def holders(self) -> list[KnownEndpoint]:
         """Returns the helpers that hold a part of the prompt's memory."""
@@ -236,6 +238,7 @@
             item=item,
             first_token_s=plan.first_token_ms / _MS_PER_S,
             late=plan.first_token_ms > prompt.target_ms,
+            harmful=plan.harm > 0,
         )
 
     def _item(self, **values: object) -> WorkItem:
--- a/src/auburnswitch/routing/engine_candidate.py
+++ b/src/auburnswitch/routing/engine_candidate.py
@@ -43,6 +43,8 @@
         backlog_ms: Reading that is under way or waits.
         writers: Answers that are or will be written there.
         helping: Prompts that are read there for other engines.
+        joint_reads: Allowed pauses of the answers to prompts that are still
+            read there together with other engines, by request.
         dislike_ms: Cost by which other engines are preferred.
         is_full: It refused a request a moment ago.
         free_tokens: Memory that is not used.
@@ -59,6 +61,7 @@
         "gaps_ms",
         "helping",
         "is_full",
+        "joint_reads",
         "known",
         "pass_ms",
         "slowdown",
@@ -78,6 +81,7 @@
         self.known = known
         self.backlog_ms = load.backlog_ms(now)
         self.gaps_ms = load.gaps_ms()
+        self.joint_reads = load.joint_reads(now)
         self.helping = len(load.shares) - len(self.gaps_ms)
         self.writers = len(self.gaps_ms) + load.unknown_requests
         self.slowdown = load.slowdown
@@ -92,9 +96,17 @@
 
     @property
     def wait_ms(self) -> float:
-        """Predicted time until a new part is read."""
-        rest_of_pass = self.pass_ms / 2 if self.writers else 0.0
-        return rest_of_pass + self.backlog_ms * self.slowdown
+        """Predicted time until a prompt is read that is read here alone."""
+        return self.joint_wait_ms + self.backlog_ms * self.slowdown
+
+    @property
+    def joint_wait_ms(self) -> float:
+        """Predicted time until a part of a joint read is read.
+
+        An engine reads the newest part first, and prompts that it reads alone
+        after all parts.
+        """
+        return self.pass_ms / 2 if self.writers else 0.0
 
     def room_ms(self, gap_share: float) -> float:
         """Returns the longest part that keeps all pauses short enough."""
--- a/src/auburnswitch/routing/fleet_load.py
+++ b/src/auburnswitch/routing/fleet_load.py
@@ -32,6 +32,7 @@
         target_gap_ms: Longest pause between its events, in milliseconds.
         writes_here: The answer is written here.
         writing: Its prompt has been read.
+        joint: Several endpoints read the prompt.
     """
 
     reads_from: float
@@ -41,6 +42,7 @@
     target_gap_ms: float
     writes_here: bool
     writing: bool = False
+    joint: bool = False
 
 
 class EndpointLoad:
@@ -112,6 +114,19 @@
         """Returns the predicted rest of all reading, in milliseconds."""
         return max(0.0, self.reads_until - now) * _MS_PER_S
 
+    def joint_reads(self, now: float) -> dict[tuple[str, int], float]:
+        """Returns joint reads that are not believed to be done here.
+
+        Returns:
+            Allowed pauses of the answers in milliseconds, by daemon and
+            number of the request.
+        """
+        return {
+            key: share.target_gap_ms
+            for key, share in self.shares.items()
+            if share.joint and not share.writing and share.reads_until > now
+        }
+
     @property
     def writers(self) -> int:
         """Requests whose answers are or will be written here."""
@@ -243,6 +258,7 @@
             target_gap_ms=item.target_gap_ms,
             writes_here=endpoint == item.endpoint,
             writing=item.writing,
+            joint=bool(item.helpers),
         )
 
 
--- a/src/auburnswitch/routing/placement_wait.py
+++ b/src/auburnswitch/routing/placement_wait.py
@@ -16,6 +16,7 @@
 YIELD_MIN_TARGET_S: Final = 1.0  # callers of shorter ones leave soon
 YIELD_TARGETS: Final = 1.3
 YIELD_TIME_SHARE: Final = 0.3  # of the time left
+PATIENT_SHARE: Final = 0.8  # of the target latency that is left
 LAST_MOMENT: Final = 1.25  # of the time that the answer's start still takes
 
 
@@ -26,7 +27,8 @@
 
     A long prompt that would be late anyway lets others go first for a
     while, so that it does not make them late as well, as long as it can
-    still be answered after that. What no endpoint could take, were it idle,
+    still be answered after that. So does one that would hold up others, as
+    long as it is in time. What no endpoint could take, were it idle,
     does not wait at all.
     """
     target_s = job.route.target_latency_s
@@ -43,15 +45,23 @@
         if placement is None and now >= give_up_at:
             return None
         if placement is not None and (
-            not placement.late
-            or now >= yield_until
-            or placement.first_token_s * LAST_MOMENT > job.time_left_s()
+            now >= yield_until or not _should_wait(job, placement)
         ):
             return placement
         await asyncio.sleep(PLACEMENT_INTERVAL_S)
     return None
 
 
+def _should_wait(job: DeliveryJob, placement: Placement) -> bool:
+    """Whether waiting serves others and costs the request nothing."""
+    if placement.first_token_s * LAST_MOMENT > job.time_left_s():
+        return False
+    if placement.late:
+        return True
+    slack_s = job.target_left_s() * PATIENT_SHARE - placement.first_token_s
+    return placement.harmful and slack_s > 0
+
+
 def _yield_s(job: DeliveryJob) -> float:
     """Returns how long a late request lets others go first."""
     target_s = job.route.target_latency_s
--- a/src/auburnswitch/routing/prompt_placement.py
+++ b/src/auburnswitch/routing/prompt_placement.py
@@ -4,6 +4,9 @@
 time. So a prompt is split into parts that several engines read together, each
 part short enough for the pauses that the engine's answers allow, and engines
 that write answers with short pauses are left to short prompts.
+
+An engine reads the newest part of a joint read first. So a joint read is given
+engines of its own, as it would hold up those that have begun.
 """
 
 from __future__ import annotations
@@ -58,7 +61,7 @@
         memory_tokens: Memory that the request needs at the writer, and at
             each holder.
         holders: How many of the first helpers hold a part of the memory.
-        harm: Weight of the other answers that it makes late.
+        harm: Weight of the other answers that it holds up.
     """
 
     writer: KnownEndpoint
@@ -172,12 +175,13 @@
         if not self.writers:
             return None
         plans: list[Plan] = []
-        for gap_share in (GAP_SHARE, 1.0, math.inf):
-            found = self._plans(gap_share)
-            in_time = [plan for plan in found if self._is_in_time(plan)]
-            if in_time and gap_share <= 1.0:
-                return min(in_time, key=_spread_cost_ms)
-            plans += found
+        for own_engines in (True, False):
+            for gap_share in (GAP_SHARE, 1.0, math.inf):
+                found = self._plans(gap_share, own_engines=own_engines)
+                in_time = [plan for plan in found if self._is_in_time(plan)]
+                if in_time and own_engines and gap_share <= 1.0:
+                    return min(in_time, key=_spread_cost_ms)
+                plans += found
         return min(plans, key=self._loss, default=None)
 
     def _has_memory(self, engine: EngineCandidate) -> bool:
@@ -193,7 +197,7 @@
             loss += weight(self.prompt.gap_ms)
         return loss
 
-    def _plans(self, gap_share: float) -> list[Plan]:
+    def _plans(self, gap_share: float, *, own_engines: bool) -> list[Plan]:
         rooms = {id(e): e.room_ms(gap_share) for e in self.engines}
         writers = sorted(self.writers, key=self._writer_cost_ms)
         readers = [e for e in self.engines if e.helping < self.model.slots]
@@ -205,10 +209,18 @@
                 continue
             if parts > self.holders + 1 and part_ms < SMALLEST_PART_MS:
                 break
+            exclusive = own_engines and parts > 1
             plan = self._plan_with(
                 parts,
-                [e for e in writers if rooms[id(e)] >= part_ms],
-                [e for e in readers if rooms[id(e)] >= part_ms],
+                *(
+                    [
+                        engine
+                        for engine in engines
+                        if rooms[id(engine)] >= part_ms
+                        and not (exclusive and engine.joint_reads)
+                    ]
+                    for engines in (writers, readers)
+                ),
             )
             if plan is not None:
                 plans.append(plan)
@@ -223,9 +235,10 @@
         if not writers:
             return None
         part_ms = self.whole_ms / parts
+        alone = parts == 1
         latest_ms = self.prompt.target_ms * TARGET_SHARE - part_ms
         writer = next(
-            (e for e in writers if e.wait_ms + e.pass_ms <= latest_ms),
+            (e for e in writers if _wait_ms(e, alone) + e.pass_ms <= latest_ms),
             writers[0],
         )
         readers = [engine for engine in readers if engine is not writer]
@@ -233,19 +246,22 @@
         if len(holding) < self.holders or len(readers) < parts - 1:
             return None
         rest = [engine for engine in readers if engine not in holding]
-        chosen = [*holding, *rest[: parts - 1 - self.holders]]
+        helpers = [*holding, *rest[: parts - 1 - self.holders]]
+        chosen = (writer, *helpers)
         slowest_ms = max(
-            engine.wait_ms + part_ms * engine.slowdown
-            for engine in (writer, *chosen)
+            _wait_ms(engine, alone) + part_ms * engine.slowdown
+            for engine in chosen
         )
+        held_up = {} if alone else _joint_reads(chosen)
         return Plan(
             writer=writer.known,
-            helpers=[engine.known for engine in chosen],
+            helpers=[engine.known for engine in helpers],
             part_ms=part_ms,
             first_token_ms=slowest_ms + writer.pass_ms,
             memory_tokens=self.share_tokens,
             holders=self.holders,
-            harm=sum(e.harm(part_ms) for e in (writer, *chosen)),
+            harm=sum(e.harm(part_ms) for e in chosen)
+            + sum(map(weight, held_up.values())),
         )
 
     def _writer_cost_ms(self, engine: EngineCandidate) -> float:
@@ -259,6 +275,20 @@
         return cost_ms
 
 
+def _wait_ms(engine: EngineCandidate, alone: bool) -> float:
+    return engine.wait_ms if alone else engine.joint_wait_ms
+
+
+def _joint_reads(
+    engines: Iterable[EngineCandidate],
+) -> dict[tuple[str, int], float]:
+    """Returns the joint reads on any of the engines."""
+    found: dict[tuple[str, int], float] = {}
+    for engine in engines:
+        found |= engine.joint_reads
+    return found
+
+
 @functools.lru_cache(maxsize=65536)
 def _dislike_ms(group: str, endpoint: str) -> float:
     digest = hashlib.blake2b(f"{group}/{endpoint}".encode(), digest_size=2)
--- a/tests/routing/test_placement_wait.py
+++ b/tests/routing/test_placement_wait.py
@@ -40,6 +40,9 @@
     def allows(self, service, endpoint):
         return True
 
+    def note(self, endpoint):
+        pass
+
 
 def open_chooser(engines: int) -> EndpointChooser:
     return EndpointChooser(
