Refuse at once a prompt that cannot be read in the time left

The log line of a request's end now says how much time was left. Test: test_prompt_that_cannot_be_read_in_the_time_left_is_refused_at_once.

--- a/src/auburnswitch/callers/entry_app.py
+++ b/src/auburnswitch/callers/entry_app.py
@@ -254,6 +254,7 @@
             attempts=job.attempts if job else 0,
             config=self.installation.config_version,
             took_ms=round(took_s * 1000, 1),
+            time_left_ms=round(job.time_left_s() * 1000, 1) if job else 0.0,
             outcome=outcome,
         )
 
--- a/src/auburnswitch/routing/endpoint_choice.py
+++ b/src/auburnswitch/routing/endpoint_choice.py
@@ -13,6 +13,7 @@
     Plan,
     choose_engines,
     engines_needed,
+    soonest_read_ms,
 )
 from auburnswitch.schema.events import EventId
 from auburnswitch.schema.gossip import WorkItem
@@ -111,7 +112,7 @@
         self._next_id = 0
 
     def could_serve(self, job: DeliveryJob) -> bool:
-        """Whether the open endpoints would have room if they were idle."""
+        """Whether idle endpoints would have room and answer in time."""
         usable = sum(
             known.entry.id not in job.excluded
             for known in self.installation.open_endpoints(job.service.name)
@@ -121,7 +122,10 @@
             return usable > 0
         tokens = request.prompt_tokens + request.answer_tokens
         needed = engines_needed(model, tokens)
-        return needed is not None and usable >= needed
+        if needed is None or usable < needed:
+            return False
+        soonest_ms = soonest_read_ms(model, request.prompt_tokens, usable)
+        return soonest_ms <= job.time_left_s() * _MS_PER_S
 
     def choose(self, job: DeliveryJob) -> Placement | None:
         """Returns endpoints with room for a request, None if there are none."""
--- a/src/auburnswitch/routing/prompt_placement.py
+++ b/src/auburnswitch/routing/prompt_placement.py
@@ -127,6 +127,12 @@
     return needed if needed <= MAX_HOLDERS + 1 else None
 
 
+def soonest_read_ms(model: EngineModel, tokens: int, engines: int) -> float:
+    """Returns the time in which idle engines together read a prompt."""
+    parts = max(n for n in PART_COUNTS if n <= max(1, engines))
+    return engine_speed.read_ms(model, tokens) / parts
+
+
 class _Search:
     """Looks for a plan with a given number of holders.
 
@@ -305,4 +311,4 @@
     return plan.first_token_ms + PART_COST_MS * (len(plan.helpers) + 1)
 
 
-__all__ = ["Plan", "choose_engines", "engines_needed"]
+__all__ = ["Plan", "choose_engines", "engines_needed", "soonest_read_ms"]
--- a/tests/routing/test_placement_wait.py
+++ b/tests/routing/test_placement_wait.py
@@ -77,7 +77,7 @@
 
 
 class WaitTest(unittest.TestCase):
-    def wait(self, engines, tokens, *, excluded=(), full=False):
+    def wait(self, engines, tokens, *, excluded=(), full=False, time_left_s=15):
         """Returns a placement, or None, and the time that it took."""
 
         async def run():
@@ -88,6 +88,7 @@
                     chooser.load.by_endpoint[known.entry.id].observe(report)
             job = make_job(tokens)
             job.excluded.update(excluded)
+            job.deadline_at = monotonic_s() + time_left_s
             started = monotonic_s()
             placement = await wait_for_placement(chooser, job)
             return placement, monotonic_s() - started
@@ -109,6 +110,15 @@
             self.assertIsNone(placement)
             self.assertEqual(took_s, 0)
 
+    def test_prompt_that_cannot_be_read_in_the_time_left_is_refused_at_once(
+        self,
+    ):
+        placement, took_s = self.wait(13, 300_000, time_left_s=0.5)
+        self.assertIsNone(placement)
+        self.assertEqual(took_s, 0)
+        placement, _ = self.wait(13, 300_000, time_left_s=3)
+        self.assertIsNotNone(placement)
+
     def test_endpoints_that_failed_it_do_not_count(self):
         placement, took_s = self.wait(2, 600_000, excluded={"engine-0"})
         self.assertIsNone(placement)
