--- a/src/auburnswitch/entry/parts.py
+++ b/src/auburnswitch/entry/parts.py
@@ -35,8 +35,6 @@
     import random
     from collections.abc import Callable
 
-    import aiohttp
-
     from auburnswitch.members.peer import Peer
     from auburnswitch.observe.tasks import TaskSet
     from auburnswitch.schema.entry import EntrySettings
@@ -69,7 +67,6 @@
         self,
         *,
         settings: EntrySettings,
-        session: aiohttp.ClientSession,
         tasks: TaskSet,
         chance: random.Random,
     ) -> None:
@@ -80,7 +77,7 @@
         self.stopping = False
         self.started_at = monotonic_s()
         self.members_interval_s = MEMBERS_INTERVAL_S
-        self.store = PlatformStore(settings=settings.store, session=session)
+        self.store = PlatformStore(settings=settings.store)
         record = DaemonRecord(
             instance=settings.instance.name,
             zone=settings.instance.zone,
--- a/src/auburnswitch/entry/run.py
+++ b/src/auburnswitch/entry/run.py
@@ -10,7 +10,6 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Final
 
-import aiohttp
 from expression import Result
 
 from auburnswitch.entry.checks import MetricsApp, ReadinessApp
@@ -21,10 +20,9 @@
 from auburnswitch.observe.tasks import open_task_set
 from auburnswitch.schema.events import EventId
 from auburnswitch.settings.load import load_entry_settings
-from auburnswitch.watched_socket import open_watched_socket
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator
 
     from auburnswitch.schema.entry import EntrySettings
 
@@ -36,15 +34,6 @@
 EXIT_CANNOT_LISTEN: Final = 3
 
 
-def make_connector() -> aiohttp.BaseConnector:
-    """Makes a connector that uses each connection for one request."""
-    return aiohttp.TCPConnector(
-        limit=0,
-        force_close=True,
-        socket_factory=lambda info: open_watched_socket(*info[:3]),
-    )
-
-
 def _split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
@@ -53,23 +42,15 @@
 @contextlib.asynccontextmanager
 async def open_entry_daemon(
     settings: EntrySettings,
-    *,
-    connector: Callable[[], aiohttp.BaseConnector] = make_connector,
 ) -> AsyncIterator[EntryDaemon]:
     """Runs an entry daemon until the context ends.
 
     Raises:
         ListenError: A listener's address cannot be bound.
     """
-    session = aiohttp.ClientSession(
-        connector=connector(),
-        auto_decompress=False,
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=0.6),
-    )
-    async with session, open_task_set() as tasks:
+    async with open_task_set() as tasks:
         daemon = EntryDaemon(
             settings=settings,
-            session=session,
             tasks=tasks,
             chance=random.Random(),
         )
--- a/src/auburnswitch/platform/store.py
+++ b/src/auburnswitch/platform/store.py
@@ -7,8 +7,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
-import aiohttp
-
+from auburnswitch.http_exchange import (
+    ConnectError,
+    ExchangeError,
+    open_exchange,
+)
 from auburnswitch.platform.names import OBJECTS_PATH
 
 if TYPE_CHECKING:
@@ -19,6 +22,8 @@
 _HTTP_CONFLICT: Final = 409
 _HTTP_GONE: Final = 410
 _MS_PER_S: Final = 1000
+CONNECT_TIMEOUT_S: Final = 0.6
+_JSON: Final = ("content-type", "application/json")
 
 
 @dataclass(slots=True, kw_only=True)
@@ -77,13 +82,10 @@
         calls: Calls made so far.
     """
 
-    __slots__ = ("calls", "session", "settings")
+    __slots__ = ("calls", "settings")
 
-    def __init__(
-        self, *, settings: StoreSettings, session: aiohttp.ClientSession
-    ) -> None:
+    def __init__(self, *, settings: StoreSettings) -> None:
         self.settings = settings
-        self.session = session
         self.calls = 0
 
     async def list_kind(self, kind: str) -> Listing | StoreFailure:
@@ -167,17 +169,27 @@
         self, method: str, path: str, *, data: Any = None, wait_s: float = 0
     ) -> tuple[int, dict[str, Any]] | StoreFailure:
         self.calls += 1
-        url = f"http://{self.settings.address}{OBJECTS_PATH}{path}"
+        host, _, port = self.settings.address.rpartition(":")
+        body = b"" if data is None else json.dumps(data).encode()
         try:
             async with (
                 asyncio.timeout(wait_s + self.settings.call_timeout_s),
-                self.session.request(method, url, json=data) as response,
+                open_exchange(
+                    host, int(port), connect_timeout_s=CONNECT_TIMEOUT_S
+                ) as exchange,
             ):
-                body = await response.read()
-            return response.status, _decode(body)
+                exchange.send(
+                    method=method,
+                    target=OBJECTS_PATH + path,
+                    headers=[_JSON] if body else [],
+                    body=body,
+                )
+                head = await exchange.read_head()
+                answer = await exchange.read_all()
+            return head.status_code, _decode(answer)
         except TimeoutError:
             return StoreFailure(reason="no answer in time")
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except (ConnectError, ExchangeError, ValueError) as error:
             return StoreFailure(reason=repr(error))
 
 
