Share out the observation of engines by a ring, a bounded part at a time

Each daemon computed a hash for each pair of engine and daemon (1,000 x 100) twice a second, with a cache of 65,536 pairs; a daemon that had just started believed to be alone and asked all engines at once; whether it is a reader of the store was computed anew for each message.

Engines are now found by a hash ring, only when daemons or engines change; at most 24 are asked in a round; the reader's duty is looked at ten times a second.

--- a/src/auburnswitch/entry/parts.py
+++ b/src/auburnswitch/entry/parts.py
@@ -43,6 +43,7 @@
 EXPIRY_INTERVAL_S: Final = 0.5
 START_S: Final = 1.0  # in which peers are given time to tell their state
 READER_DUTY: Final = "store reader"
+READER_CHECK_S: Final = 0.1
 DAEMONS_IN_GROUP: Final = 8
 MEMBERS_INTERVAL_S: Final = 15.0
 GONE_INTERVALS: Final = 6  # of silence, after which a daemon is forgotten
@@ -77,6 +78,8 @@
         self.stopping = False
         self.started_at = monotonic_s()
         self.members_interval_s = MEMBERS_INTERVAL_S
+        self._reader = False
+        self._reader_checked_at = -READER_CHECK_S
         self.store = PlatformStore(settings=settings.store)
         record = DaemonRecord(
             instance=settings.instance.name,
@@ -227,6 +230,13 @@
 
     def _is_reader(self) -> bool:
         """Whether this daemon reads the store, for itself and its peers."""
+        now = monotonic_s()
+        if now >= self._reader_checked_at + READER_CHECK_S:
+            self._reader_checked_at = now
+            self._reader = self._has_reader_duty()
+        return self._reader
+
+    def _has_reader_duty(self) -> bool:
         if not self.gossip.key:
             return monotonic_s() - self.started_at > START_S
         readers = self.settings.store.readers
--- a/src/auburnswitch/routing/load_observer.py
+++ b/src/auburnswitch/routing/load_observer.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Final
 
 from auburnswitch.clock import monotonic_s
-from auburnswitch.members.rendezvous import rendezvous_first
+from auburnswitch.members.hash_ring import HashRing
 from auburnswitch.observe.logs import log_event
 from auburnswitch.schema.events import EventId
 from auburnswitch.schema.gossip import EngineReport
@@ -29,13 +29,15 @@
 BUSY_INTERVAL_S: Final = 0.5  # after the start, and while something is unknown
 START_S: Final = 8.0
 SLOW_RATIO: Final = 1.15
+MOST_AT_ONCE: Final = 24
 
 
 class LoadObserver:
     """Asks the engines that this daemon observes for their load.
 
-    Each engine is observed by the first live daemon in rendezvous order, which
-    tells the others.
+    Each engine is observed by one live daemon, which tells the others. The
+    engines of one round are bounded, as a daemon that has just started believes
+    that it is alone.
 
     Attributes:
         installation: The endpoints.
@@ -48,6 +50,8 @@
 
     __slots__ = (
         "_next_at",
+        "_observed",
+        "_observed_of",
         "_started_at",
         "calls",
         "installation",
@@ -75,6 +79,8 @@
         self.tell = tell
         self._started_at = monotonic_s()
         self._next_at: dict[str, float] = {}
+        self._observed: list[KnownEndpoint] = []
+        self._observed_of: tuple[frozenset[str], int] = (frozenset(), -1)
 
     async def run(self) -> None:
         """Observes engines until it is cancelled."""
@@ -92,21 +98,34 @@
 
     def _due(self) -> list[KnownEndpoint]:
         """Returns the engines that this daemon has to ask now."""
+        self._share_out()
+        now = monotonic_s()
+        due = [
+            known
+            for known in self._observed
+            if self._next_at.get(known.entry.id, 0.0) <= now
+        ]
+        due.sort(key=lambda known: self._next_at.get(known.entry.id, 0.0))
+        return due[:MOST_AT_ONCE]
+
+    def _share_out(self) -> None:
+        """Finds this daemon's engines again if anything has changed."""
         table = self.installation.table
         if table is None:
-            return []
-        now = monotonic_s()
-        daemons = [*self.live_daemons(), self.me]
-        due = []
-        for known in self.installation.endpoints.values():
-            service = table.service(known.entry.service_name)
-            if service is None or service.engine is None:
-                continue
-            if self._next_at.get(known.entry.id, 0.0) > now:
-                continue
-            if rendezvous_first(known.entry.id, daemons) == self.me:
-                due.append(known)
-        return due
+            return
+        daemons = frozenset([*self.live_daemons(), self.me])
+        current = (daemons, self.installation.endpoints_revision)
+        if current == self._observed_of:
+            return
+        self._observed_of = current
+        ring = HashRing(members=daemons)
+        engines = {s.name for s in table.config.services if s.engine}
+        self._observed = [
+            known
+            for known in self.installation.endpoints.values()
+            if known.entry.service_name in engines
+            and ring.owner(known.entry.id) == self.me
+        ]
 
     async def _observe(self, known: KnownEndpoint) -> EngineReport | None:
         """Asks one engine; returns what peers have to know, if anything."""
