Split large fleets into cells of endpoints and daemons

Cause: docs/CAPACITY.md has said that the account of work of the whole fleet breaks at 800 requests a second, and each placement weighed every engine.

With more than 128 endpoints of a service, endpoints and daemons are spread over cells of about 64 endpoints by a hash ring. A daemon prefers the endpoints of its cell and tells only its cell of its work there; it looks at 32 others, drawn by chance, if its cell has no plan in time, and tells everybody of work on those. Heartbeats with all work go to the cell, others at the interval of the fleet. Smaller fleets, all sites of the users so far among them, are one cell and behave as before. Endpoints of a service are grouped once a revision.

Tests: test_cells (every endpoint has a cell with daemons, daemons agree who is near, small fleets are one cell); entry, gossip and placement tests pass.

--- a/src/auburnswitch/configuration/installation.py
+++ b/src/auburnswitch/configuration/installation.py
@@ -130,6 +130,8 @@
     """
 
     __slots__ = (
+        "_by_service",
+        "_grouped_at",
         "closed_zones",
         "closed_zones_revision",
         "endpoints",
@@ -143,6 +145,8 @@
         self.table: RouteTable | None = None
         self.endpoints: dict[str, KnownEndpoint] = {}
         self.endpoints_revision = 0
+        self._by_service: dict[str, list[KnownEndpoint]] = {}
+        self._grouped_at = 0
         self.closed_zones: frozenset[str] = frozenset()
         self.closed_zones_revision = 0
         self.lapsed_grace_until = 0.0
@@ -236,13 +240,15 @@
                 entries.append(known.entry)
         return EndpointList(revision=self.endpoints_revision, endpoints=entries)
 
-    def open_endpoints(self, service: str) -> list[KnownEndpoint]:
-        """Returns the endpoints of a service that may get new requests."""
-        return [
-            known
-            for known in self.endpoints.values()
-            if known.entry.service_name == service and self.is_open(known)
-        ]
+    def endpoints_of(self, service: str) -> list[KnownEndpoint]:
+        """Returns the endpoints of a service, open or not."""
+        if self._grouped_at != self.endpoints_revision:
+            self._grouped_at = self.endpoints_revision
+            self._by_service = {}
+            for known in self.endpoints.values():
+                name = known.entry.service_name
+                self._by_service.setdefault(name, []).append(known)
+        return self._by_service.get(service, [])
 
     def is_open(self, known: KnownEndpoint) -> bool:
         """Whether an endpoint may get new requests at this moment."""
--- a/src/auburnswitch/entry/parts.py
+++ b/src/auburnswitch/entry/parts.py
@@ -10,6 +10,7 @@
 from auburnswitch.clock import monotonic_s
 from auburnswitch.configuration.follower import KINDS, StoreFollower
 from auburnswitch.configuration.installation import Installation
+from auburnswitch.members.cells import Cells
 from auburnswitch.members.entry_directory import EntryDirectory
 from auburnswitch.members.gossip import GossipNode
 from auburnswitch.members.relay_table import strongest
@@ -80,6 +81,7 @@
         self.members_interval_s = MEMBERS_INTERVAL_S
         self._reader = False
         self._reader_checked_at = -READER_CHECK_S
+        self._told_everywhere: set[int] = set()
         self.store = PlatformStore(settings=settings.store)
         record = DaemonRecord(
             instance=settings.instance.name,
@@ -88,6 +90,9 @@
             port=settings.listen.peer_port,
             link_mbps=settings.instance.link_mbps,
         )
+        self.cells = Cells(
+            installation=self.installation, instance=record.instance
+        )
         self.directory = EntryDirectory(me=record, store=self.store)
         self.gossip = GossipNode(
             me=record,
@@ -96,6 +101,7 @@
             list_work=self._list_work,
             on_gossip=self._note_gossip,
             is_reader=self._is_reader,
+            is_near=self.cells.is_near,
         )
         self.exchange = StateExchange(
             installation=self.installation,
@@ -121,6 +127,7 @@
             ),
             on_change=self._tell_change,
             group=self._group,
+            cells=self.cells,
             chance=chance,
         )
         calls = EndpointCalls()
@@ -286,10 +293,24 @@
         return list(items.values())
 
     def _tell_change(self, started: list[WorkItem], ended: list[int]) -> None:
-        if started:
-            self.gossip.tell_started(started)
-        if ended:
-            self.gossip.tell_ended(ended)
+        for item in started:
+            everywhere = self._concerns_all(item)
+            if everywhere:
+                self._told_everywhere.add(item.id)
+            self.gossip.tell_started([item], everywhere=everywhere)
+        for number in ended:
+            everywhere = number in self._told_everywhere
+            self._told_everywhere.discard(number)
+            self.gossip.tell_ended([number], everywhere=everywhere)
+
+    def _concerns_all(self, item: WorkItem) -> bool:
+        """Whether daemons of other cells may use an endpoint of the work."""
+        known = self.installation.endpoints.get(item.endpoint)
+        if known is None or not item.memory_tokens:
+            return False  # plain endpoints are chosen by what is known near
+        split = self.cells.is_split(known.entry.service_name)
+        used = (item.endpoint, *item.helpers)
+        return not split or not all(map(self.cells.is_own, used))
 
     def _note_gossip(self, peer: Peer, message: Gossip) -> None:
         name = peer.record.instance
--- a/src/auburnswitch/members/gossip.py
+++ b/src/auburnswitch/members/gossip.py
@@ -34,6 +34,7 @@
 MAX_DATAGRAM_BYTES: Final = 16_000
 MOST_DIRECT_PEERS: Final = 16  # above which relays pass on
 RELAY_DELAY_S: Final = 0.01
+NEAR_REFRESH_S: Final = 0.25
 RELAYED_IN_FRAME: Final = 100
 
 
@@ -49,6 +50,7 @@
         list_work: Returns all work of this daemon.
         on_gossip: Called with each accepted datagram.
         is_reader: Whether peers rely on this daemon's news of the store.
+        is_near: Tells of an instance whether its daemon is of the same cell.
         stopping: This daemon stops.
     """
 
@@ -61,8 +63,10 @@
         list_work: Callable[[], list[WorkItem]],
         on_gossip: Callable[[Peer, Gossip], None],
         is_reader: Callable[[], bool],
+        is_near: Callable[[str], bool] = lambda _: True,
     ) -> None:
         self.is_reader = is_reader
+        self.is_near = is_near
         self.me = me
         self.incarnation = incarnation
         self.key = b""
@@ -72,7 +76,9 @@
         self.on_gossip = on_gossip
         self.stopping = False
         self._sequence = 0
-        self._ended: list[int] = []
+        self._ended: dict[bool, list[int]] = {True: [], False: []}
+        self._near: list[Peer] = []
+        self._near_found_at = -NEAR_REFRESH_S
         self._flush: asyncio.TimerHandle | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._relays = RelayTable(me=me, live_peers=self.live_peers)
@@ -110,6 +116,7 @@
         peer = self.peers.get(record.instance)
         if peer is None:
             peer = self.peers[record.instance] = Peer(record=record)
+            self._near_found_at = -NEAR_REFRESH_S
         peer.record = record
         return peer
 
@@ -133,14 +140,38 @@
         """Returns the peers that were heard of lately."""
         return [peer for peer in self.peers.values() if peer.live]
 
-    def tell_started(self, items: list[WorkItem]) -> None:
-        """Tells all peers of work that starts."""
-        ended, self._ended = self._ended, []
-        self._send(self._message(items=items, ended=ended))
+    def near_peers(self) -> list[Peer]:
+        """Returns the peers of this daemon's cell."""
+        now = monotonic_s()
+        if now >= self._near_found_at + NEAR_REFRESH_S:
+            self._near_found_at = now
+            self._near = [
+                peer for name, peer in self.peers.items() if self.is_near(name)
+            ]
+        return self._near
+
+    def tell_started(
+        self, items: list[WorkItem], *, everywhere: bool = True
+    ) -> None:
+        """Tells peers of work that starts.
+
+        Args:
+            items: The work.
+            everywhere: All peers are told, not just those of the cell.
+        """
+        ended = self._ended[everywhere]
+        self._ended[everywhere] = []
+        message = self._message(items=items, ended=ended)
+        if everywhere:
+            self._send(message)
+        else:
+            self._send_near(message)
 
-    def tell_ended(self, numbers: list[int]) -> None:
-        """Tells all peers soon of work that has ended."""
-        self._ended += numbers
+    def tell_ended(
+        self, numbers: list[int], *, everywhere: bool = True
+    ) -> None:
+        """Tells peers soon of work that has ended."""
+        self._ended[everywhere] += numbers
         if self._flush is None:
             loop = asyncio.get_running_loop()
             self._flush = loop.call_later(ENDED_DELAY_S, self._flush_ended)
@@ -165,20 +196,37 @@
 
     def _flush_ended(self) -> None:
         self._flush = None
-        if self._ended:
-            self.tell_started([])
+        for everywhere in (True, False):
+            if self._ended[everywhere]:
+                self.tell_started([], everywhere=everywhere)
 
     async def run(self) -> None:
-        """Sends heartbeats."""
+        """Sends heartbeats, to peers of other cells less often."""
+        next_far_at = 0.0
         while True:
-            items = self.list_work()[:MAX_ITEMS]
-            message = self._message(items=items, ended=[])
-            message.complete = True
-            self._send(message)
+            message = self._heartbeat()
+            far_s = heartbeat_interval_s(
+                len(self.peers), leading=message.leading
+            )
+            near = self.near_peers()
+            if len(near) >= len(self.peers):
+                self._send(message)
+                await asyncio.sleep(far_s)
+                continue
+            self._send_near(message)
+            if monotonic_s() >= next_far_at:
+                next_far_at = monotonic_s() + far_s
+                self._send(self._message(items=[], ended=[]))
             await asyncio.sleep(
-                heartbeat_interval_s(len(self.peers), leading=message.leading)
+                heartbeat_interval_s(len(near), leading=message.leading)
             )
 
+    def _heartbeat(self) -> Gossip:
+        items = self.list_work()[:MAX_ITEMS]
+        message = self._message(items=items, ended=[])
+        message.complete = True
+        return message
+
     def _message(self, *, items: list[WorkItem], ended: list[int]) -> Gossip:
         self._sequence += 1
         message = Gossip(
@@ -197,6 +245,13 @@
         self.describe(message)
         return message
 
+    def _send_near(self, message: Gossip) -> None:
+        near = self.near_peers()
+        if len(near) >= len(self.peers):
+            self._send(message)
+        else:
+            self._send_to(near, [message])
+
     def _send(self, message: Gossip) -> None:
         """Sends to all peers, by one relay in each zone if they are many."""
         if len(self.peers) <= MOST_DIRECT_PEERS:
--- a/src/auburnswitch/routing/endpoint_choice.py
+++ b/src/auburnswitch/routing/endpoint_choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
@@ -10,6 +11,7 @@
 from auburnswitch.routing import engine_speed
 from auburnswitch.routing.engine_candidate import Prompt
 from auburnswitch.routing.prompt_placement import (
+    MOST_ENGINES,
     Plan,
     choose_engines,
     engines_needed,
@@ -20,12 +22,13 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from auburnswitch.configuration.installation import (
         Installation,
         KnownEndpoint,
     )
+    from auburnswitch.members.cells import Cells
     from auburnswitch.routing.delivery_job import DeliveryJob
     from auburnswitch.routing.endpoint_health import EndpointHealth
     from auburnswitch.routing.fleet_load import FleetLoad
@@ -34,6 +37,7 @@
 
 PLAIN_WORK_MS: Final = 300.0  # until a plain request is expected to end
 PLAIN_QUEUE: Final = 2  # requests beyond an endpoint's slots
+OTHERS_TRIED: Final = 32  # endpoints of all cells
 REMAINING_SLACK: Final = 1.5  # of the predicted time of a request
 _MS_PER_S: Final = 1000.0
 
@@ -70,12 +74,14 @@
         instance: This daemon's instance.
         zone: This daemon's availability zone.
         group: Returns the group of daemons that prefer the same engines.
+        cells: Endpoints that this daemon prefers in a large fleet.
         on_change: Called with work that starts, and numbers of work that has
             ended.
     """
 
     __slots__ = (
         "_next_id",
+        "cells",
         "chance",
         "group",
         "health",
@@ -98,9 +104,11 @@
         rates: SendRates,
         on_change: Callable[[list[WorkItem], list[int]], None],
         group: Callable[[], str],
+        cells: Cells,
         chance: random.Random,
     ) -> None:
         self.group = group
+        self.cells = cells
         self.instance = instance
         self.zone = zone
         self.installation = installation
@@ -113,10 +121,7 @@
 
     def could_serve(self, job: DeliveryJob) -> bool:
         """Whether idle endpoints would have room and answer in time."""
-        usable = sum(
-            known.entry.id not in job.excluded
-            for known in self.installation.open_endpoints(job.service.name)
-        )
+        usable = self._count_usable(job)
         model, request = job.service.engine, job.request
         if model is None or not request.prompt_tokens:
             return usable > 0
@@ -127,12 +132,39 @@
         soonest_ms = soonest_read_ms(model, request.prompt_tokens, usable)
         return soonest_ms <= job.time_left_s() * _MS_PER_S
 
+    def _count_usable(self, job: DeliveryJob) -> int:
+        """Counts the open endpoints, up to as many as ever serve together."""
+        usable = (
+            known
+            for known in self.installation.endpoints_of(job.service.name)
+            if self.installation.is_open(known)
+            and known.entry.id not in job.excluded
+        )
+        return sum(1 for _ in itertools.islice(usable, MOST_ENGINES))
+
     def choose(self, job: DeliveryJob) -> Placement | None:
-        """Returns endpoints with room for a request, None if there are none."""
+        """Returns endpoints with room for a request, None if there are none.
+
+        In a large fleet those of this daemon's cell go first.
+        """
+        service = job.service.name
+        if not self.cells.is_split(service):
+            return self._choose_of(job, self.installation.endpoints_of(service))
+        placement = self._choose_of(job, self.cells.own_endpoints(service))
+        if placement is not None and not (placement.late or placement.harmful):
+            return placement
+        others = self.installation.endpoints_of(service)
+        some = self.chance.sample(others, min(len(others), OTHERS_TRIED))
+        return self._choose_of(job, some) or placement
+
+    def _choose_of(
+        self, job: DeliveryJob, candidates: Iterable[KnownEndpoint]
+    ) -> Placement | None:
         usable = [
             known
-            for known in self.installation.open_endpoints(job.service.name)
-            if known.entry.id not in job.excluded
+            for known in candidates
+            if self.installation.is_open(known)
+            and known.entry.id not in job.excluded
             and self.rates.allows(job.service, known.entry.id)
         ]
         sound = [k for k in usable if not self.health.is_suspect(k.entry.id)]
--- a/src/auburnswitch/routing/prompt_placement.py
+++ b/src/auburnswitch/routing/prompt_placement.py
@@ -35,6 +35,7 @@
     from auburnswitch.schema.installation import EngineModel
 
 PART_COUNTS: Final = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
+MOST_ENGINES: Final = max(PART_COUNTS)
 SMALLEST_PART_MS: Final = 40.0
 PART_COST_MS: Final = 20.0  # of first-token time that a further part is worth
 TARGET_SHARE: Final = 0.8  # of the target latency that a prediction may take
@@ -311,4 +312,10 @@
     return plan.first_token_ms + PART_COST_MS * (len(plan.helpers) + 1)
 
 
-__all__ = ["Plan", "choose_engines", "engines_needed", "soonest_read_ms"]
+__all__ = [
+    "MOST_ENGINES",
+    "Plan",
+    "choose_engines",
+    "engines_needed",
+    "soonest_read_ms",
+]
--- a/tests/entry/test_following.py
+++ b/tests/entry/test_following.py
@@ -13,6 +13,10 @@
 from auburnswitch.schema.gossip import DaemonRecord
 
 
+def open_desks(known):
+    return [e for e in known.endpoints_of("desk") if known.is_open(e)]
+
+
 class FollowingTest(unittest.IsolatedAsyncioTestCase):
     async def test_key_is_taken_away(self):
         async with open_installation() as fleet:
@@ -55,7 +59,7 @@
             fleet.put_entry("desk-0", "desk", State="draining")
             fleet.store.remove("servers", "desk-1")
             known = fleet.daemons[0].installation
-            await until(lambda: not known.open_endpoints("desk"))
+            await until(lambda: not open_desks(known))
             self.assertEqual((await fleet.call("/book/1"))[0], 503)
             self.assertEqual(fleet.arrivals, [])
 
@@ -157,7 +161,7 @@
             fleet.store.down = False
             await until(lambda: known.endpoints["desk-0"].gone_at)
             self.assertEqual((await fleet.call("/book/1"))[0], 200)
-            await until(lambda: not known.open_endpoints("desk"), 3.0)
+            await until(lambda: not open_desks(known), 3.0)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/members/test_cells.py
@@ -0,0 +1,88 @@
+"""Large fleets are split into cells, small ones are one cell."""
+
+from __future__ import annotations
+
+import unittest
+
+from auburnswitch.configuration.installation import Installation
+from auburnswitch.members.cells import ENDPOINTS_IN_CELL, Cells
+from auburnswitch.schema.installation import EndpointEntry, EndpointList
+from tests.virtual_time import run_virtual
+
+
+def installation(engines: int, desks: int = 4) -> Installation:
+    known = Installation()
+    entries = [
+        EndpointEntry(id=f"engine-{n}", service_name="engines", ready=True)
+        for n in range(engines)
+    ]
+    entries += [
+        EndpointEntry(id=f"desk-{n}", service_name="desk", ready=True)
+        for n in range(desks)
+    ]
+    known.adopt_endpoints(EndpointList(revision=1, endpoints=entries), "test")
+    return known
+
+
+def in_loop(function):
+    def test(self):
+        async def run():
+            function(self)
+
+        run_virtual(run)
+
+    return test
+
+
+class CellsTest(unittest.TestCase):
+    @in_loop
+    def test_small_fleet_is_one_cell(self):
+        cells = Cells(installation=installation(70), instance="entry-0")
+        self.assertEqual(cells.count, 1)
+        self.assertFalse(cells.is_split("engines"))
+        self.assertTrue(cells.is_own("engine-5"))
+        self.assertTrue(cells.is_near("entry-7"))
+
+    @in_loop
+    def test_every_endpoint_is_in_the_cell_of_some_daemon(self):
+        known = installation(1000)
+        fleet = [
+            Cells(installation=known, instance=f"entry-{n}") for n in range(100)
+        ]
+        owned = set()
+        for cells in fleet:
+            self.assertTrue(cells.is_split("engines"))
+            self.assertFalse(cells.is_split("desk"))
+            own = {k.entry.id for k in cells.own_endpoints("engines")}
+            self.assertLess(len(own), 3 * ENDPOINTS_IN_CELL)
+            self.assertTrue(all(map(cells.is_own, own)))
+            owned |= own
+        self.assertGreater(len(owned), 900)
+
+    @in_loop
+    def test_daemons_agree_on_who_is_near(self):
+        known = installation(1000)
+        fleet = {
+            f"entry-{n}": Cells(installation=known, instance=f"entry-{n}")
+            for n in range(40)
+        }
+        for name, cells in fleet.items():
+            for other, others in fleet.items():
+                self.assertEqual(cells.is_near(other), others.is_near(name))
+
+    @in_loop
+    def test_cells_follow_the_endpoints(self):
+        known = installation(1000)
+        cells = Cells(installation=known, instance="entry-0")
+        before = cells.count
+        few = [
+            EndpointEntry(id=f"engine-{n}", service_name="engines")
+            for n in range(20)
+        ]
+        known.adopt_endpoints(EndpointList(revision=2, endpoints=few), "test")
+        self.assertGreater(before, 10)
+        self.assertEqual(cells.count, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/routing/test_joint_waves.py
+++ b/tests/routing/test_joint_waves.py
@@ -10,21 +10,22 @@
 import asyncio
 import random
 import unittest
+from typing import TYPE_CHECKING
 from unittest import mock
 
 from auburnswitch.clock import monotonic_s
-from auburnswitch.routing.endpoint_choice import EndpointChooser
-from auburnswitch.routing.endpoint_health import EndpointHealth
-from auburnswitch.routing.fleet_load import EndpointLoad, FleetLoad
+from auburnswitch.routing.fleet_load import EndpointLoad
 from auburnswitch.routing.placement_wait import wait_for_placement
 from tests.routing.test_placement_wait import (
     TARGET_S,
-    AnyRate,
-    OpenEndpoints,
     make_job,
+    open_chooser,
 )
 from tests.virtual_time import run_virtual
 
+if TYPE_CHECKING:
+    from auburnswitch.routing.endpoint_choice import EndpointChooser
+
 STEP_S = 0.005
 ENGINES = 12
 JOBS = 24
@@ -60,20 +61,6 @@
             await asyncio.sleep(STEP_S)
 
 
-def open_chooser() -> EndpointChooser:
-    return EndpointChooser(
-        instance="a",
-        zone="z",
-        installation=OpenEndpoints(ENGINES),
-        load=FleetLoad(),
-        health=EndpointHealth(),
-        rates=AnyRate(),
-        on_change=lambda items, ended: None,
-        group=lambda: "",
-        chance=random.Random(5),
-    )
-
-
 async def serve(chooser: EndpointChooser, engines: NewestFirst, tokens: int):
     """Returns the time to the first token of one prompt, in seconds."""
     job = make_job(tokens)
@@ -97,7 +84,7 @@
 
 async def wave() -> list[float]:
     """Returns the times to the first tokens of a wave of prompts."""
-    chooser, engines = open_chooser(), NewestFirst()
+    chooser, engines = open_chooser(ENGINES), NewestFirst()
     running = asyncio.create_task(engines.run())
     chance = random.Random(3)
     tasks = []
--- a/tests/routing/test_placement_wait.py
+++ b/tests/routing/test_placement_wait.py
@@ -7,6 +7,7 @@
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.configuration.installation import KnownEndpoint
+from auburnswitch.members.cells import Cells
 from auburnswitch.platform.requests import decode_request
 from auburnswitch.routing.delivery_job import DeliveryJob
 from auburnswitch.routing.endpoint_choice import EndpointChooser
@@ -22,17 +23,26 @@
 
 
 class OpenEndpoints:
-    """An installation of which only the open endpoints are asked for."""
+    """An installation with one service, whose endpoints are all open."""
 
     def __init__(self, count: int) -> None:
+        self.endpoints_revision = 1
         self.known = [
-            KnownEndpoint(entry=EndpointEntry(id=f"engine-{n}", slots=8))
+            KnownEndpoint(
+                entry=EndpointEntry(
+                    id=f"engine-{n}", service_name="engines", slots=8
+                )
+            )
             for n in range(count)
         ]
+        self.endpoints = {known.entry.id: known for known in self.known}
 
-    def open_endpoints(self, service):
+    def endpoints_of(self, service):
         return self.known
 
+    def is_open(self, known):
+        return True
+
 
 class AnyRate:
     """Sends to cold endpoints are not limited."""
@@ -45,16 +55,18 @@
 
 
 def open_chooser(engines: int) -> EndpointChooser:
+    installation = OpenEndpoints(engines)
     return EndpointChooser(
         instance="a",
         zone="z",
-        installation=OpenEndpoints(engines),
+        installation=installation,
+        cells=Cells(installation=installation, instance="a"),
         load=FleetLoad(),
         health=EndpointHealth(),
         rates=AnyRate(),
         on_change=lambda items, ended: None,
         group=lambda: "",
-        chance=random.Random(1),
+        chance=random.Random(5),
     )
 
 
