--- a/src/auburnswitch/experiments/entry_demo.py
+++ b/src/auburnswitch/experiments/entry_demo.py
@@ -115,10 +115,9 @@
     for runner in fleet.runners.values():
         runner.faults.clear()
     key = CALLER_KEYS[1]
-    teams = [{"Name": "walk-ins", "ApiKeys": [CALLER_KEYS[0]]}]
     before = await fleet.call("/book/1", key=key)
     started_at = monotonic_s()
-    put_config(fleet.store, make_config(2, Tenants=teams))
+    put_config(fleet.store, make_config(2, keys=CALLER_KEYS[:1]))
     await asyncio.gather(
         *(
             until(lambda d=daemon: d.installation.config_version == 2)
--- a/src/auburnswitch/experiments/installation.py
+++ b/src/auburnswitch/experiments/installation.py
@@ -24,7 +24,7 @@
 from auburnswitch.standins.runner import Runner
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable, Mapping
+    from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 
     from auburnswitch.entry.parts import EntryDaemon
     from auburnswitch.standins.runner import Arrival
@@ -51,9 +51,17 @@
     headers: Mapping[str, str]
 
 
-def make_config(version: int = 1, **more: Any) -> dict[str, Any]:
-    """Returns a configuration for the endpoints of this installation."""
-    return operators.make_config(version, list(CALLER_KEYS), **more)
+def make_config(
+    version: int = 1, *, keys: Sequence[str] = CALLER_KEYS, **more: Any
+) -> dict[str, Any]:
+    """Returns a configuration for the endpoints of this installation.
+
+    Args:
+        version: Its version.
+        keys: Keys of the only team.
+        **more: Fields that go before the usual ones.
+    """
+    return operators.make_config(version, list(keys), **more)
 
 
 class SmallInstallation:
