--- a/tests/members/test_cells.py
+++ b/tests/members/test_cells.py
@@ -7,7 +7,7 @@
 from auburnswitch.configuration.installation import Installation
 from auburnswitch.members.cells import ENDPOINTS_IN_CELL, Cells
 from auburnswitch.schema.installation import EndpointEntry, EndpointList
-from tests.virtual_time import run_virtual
+from tests.virtual_time import in_loop
 
 
 def installation(engines: int, desks: int = 4) -> Installation:
@@ -24,16 +24,6 @@
     return known
 
 
-def in_loop(function):
-    def test(self):
-        async def run():
-            function(self)
-
-        run_virtual(run)
-
-    return test
-
-
 class CellsTest(unittest.TestCase):
     @in_loop
     def test_small_fleet_is_one_cell(self):
--- a/tests/routing/test_crash_record.py
+++ b/tests/routing/test_crash_record.py
@@ -7,17 +7,7 @@
 from auburnswitch.platform.requests import decode_request
 from auburnswitch.routing import crash_record
 from auburnswitch.routing.crash_record import CrashRecord, fingerprint_of
-from tests.virtual_time import run_virtual
-
-
-def in_loop(function):
-    def test(self):
-        async def run():
-            function(self)
-
-        run_virtual(run)
-
-    return test
+from tests.virtual_time import in_loop
 
 
 class CrashRecordTest(unittest.TestCase):
--- a/tests/routing/test_prompt_placement.py
+++ b/tests/routing/test_prompt_placement.py
@@ -13,7 +13,7 @@
 from auburnswitch.routing.prompt_placement import choose_engines
 from auburnswitch.schema.gossip import EngineReport, WorkItem
 from auburnswitch.schema.installation import EndpointEntry, EngineModel
-from tests.virtual_time import run_virtual
+from tests.virtual_time import in_loop, run_virtual
 
 MODEL = EngineModel(
     slots=8,
@@ -32,16 +32,6 @@
 )
 
 
-def in_loop(function):
-    def test(self):
-        async def run():
-            function(self)
-
-        run_virtual(run)
-
-    return test
-
-
 class Pool:
     """Engines with a ledger, to which requests are placed one by one."""
 
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -2,10 +2,26 @@
 
 from __future__ import annotations
 
+import functools
+
 from auburnswitch.experiments.virtual_time import (
     SimulatedConnector,
     open_session,
     run_virtual,
 )
 
-__all__ = ["SimulatedConnector", "open_session", "run_virtual"]
+
+def in_loop(function):
+    """Runs a test that is no coroutine in a loop of virtual time."""
+
+    @functools.wraps(function)
+    def test(self):
+        async def run():
+            function(self)
+
+        run_virtual(run)
+
+    return test
+
+
+__all__ = ["SimulatedConnector", "in_loop", "open_session", "run_virtual"]
