Bound the calls of one peer that are under way

Cause: each call of a peer got a task of its own, without a bound; a peer that sends calls faster than they are answered fills the memory.

At most max_calls (setting, 1024) are under way for a connection; more are read when one has ended. Test: test_calls_of_one_peer_are_bounded, red first (40 running where 16 are allowed), then green.

--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -52,6 +52,8 @@
   5: double call_timeout_s = 1
   // Unsent bytes above which a connection to a peer that does not read is dropped. @unit bytes @min 65536 @max 67108864
   30: i64 max_unsent_bytes = 1048576
+  // Calls of one peer that may be under way; more are read when one has ended. @min 16 @max 65536
+  31: i32 max_calls = 1024
 }
 
 // The platform's object store.
--- a/src/auburnswitch/members/server.py
+++ b/src/auburnswitch/members/server.py
@@ -112,12 +112,27 @@
     async def _answer_calls(
         self, connection: PeerConnection, tasks: TaskSet
     ) -> None:
+        """Answers calls as they come, a bounded number at one time."""
+        room = asyncio.Semaphore(self.settings.max_calls)
         while True:
+            await room.acquire()
             envelope = await connection.receive()
-            body = body_of(envelope)
-            tasks.start(self._answer(connection, envelope, body), "peer call")
+            call = self._answer(connection, envelope, body_of(envelope), room)
+            tasks.start(call, "peer call")
 
     async def _answer(
+        self,
+        connection: PeerConnection,
+        envelope: Envelope,
+        body: Struct,
+        room: asyncio.Semaphore,
+    ) -> None:
+        try:
+            await self._handle(connection, envelope, body)
+        finally:
+            room.release()
+
+    async def _handle(
         self, connection: PeerConnection, envelope: Envelope, body: Struct
     ) -> None:
         handler = self.handlers.get(type(body))
--- a/src/auburnswitch/schema/settings.py
+++ b/src/auburnswitch/schema/settings.py
@@ -148,6 +148,7 @@
     max_frame_bytes: int = 4194304
     call_timeout_s: float = 1.0
     max_unsent_bytes: int = 1048576
+    max_calls: int = 1024
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "host", False),
@@ -156,6 +157,7 @@
         4: (TType.I32, "max_frame_bytes", False),
         5: (TType.DOUBLE, "call_timeout_s", False),
         30: (TType.I64, "max_unsent_bytes", False),
+        31: (TType.I32, "max_calls", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("host", None),
@@ -164,6 +166,7 @@
         ("max_frame_bytes", None),
         ("call_timeout_s", None),
         ("max_unsent_bytes", None),
+        ("max_calls", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -189,6 +192,10 @@
             text="Unsent bytes above which a connection to a peer that does not read is dropped.",
             options={"unit": "bytes", "min": "65536", "max": "67108864"},
         ),
+        "max_calls": Description(
+            text="Calls of one peer that may be under way; more are read when one has ended.",
+            options={"min": "16", "max": "65536"},
+        ),
     }
 
 
--- a/tests/members/test_frames.py
+++ b/tests/members/test_frames.py
@@ -27,6 +27,7 @@
     Envelope,
     Heartbeat,
     Hello,
+    StateReply,
     StateRequest,
 )
 from auburnswitch.schema.results import ResultCode
@@ -184,6 +185,32 @@
 
         self.run_with_server(scenario, never)
 
+    def test_calls_of_one_peer_are_bounded(self):
+        running = []
+
+        async def handle(request, peer_id):
+            running.append(request)
+            await asyncio.sleep(1)
+            return StateReply()
+
+        async def scenario(server):
+            server.settings.max_calls = 16
+            async with self.connect(server) as connection:
+                calls = [
+                    asyncio.create_task(
+                        connection.call(StateRequest(), timeout_s=30)
+                    )
+                    for _ in range(40)
+                ]
+                await asyncio.sleep(0.5)
+                self.assertEqual(len(running), 16)
+                receiving = asyncio.create_task(connection.receive())
+                await asyncio.gather(*calls)
+                receiving.cancel()
+            self.assertEqual(len(running), 40)
+
+        self.run_with_server(scenario, handle)
+
     def test_stalled_peer_is_dropped(self):
         async def scenario(server):
             async with self.connect(server) as connection:
