Let each daemon have an order of its own of engines for long prompts

The trace: two daemons of one group placed it and one of 168,886 tokens within 1.5 ms on the same engine, as daemons of a group prefer the same one; both do not fit into its memory, and the second waited there until the first had ended (30.78 to 32.08 s), then read for 1.9 s.

From 80,000 tokens on the order of equally good engines is the daemon's own.

--- a/src/auburnswitch/routing/endpoint_choice.py
+++ b/src/auburnswitch/routing/endpoint_choice.py
@@ -37,6 +37,7 @@
 
 PLAIN_WORK_MS: Final = 300.0  # until a plain request is expected to end
 PLAIN_QUEUE: Final = 2  # requests beyond an endpoint's slots
+LONG_TOKENS: Final = 80_000  # from which memory is scarce
 OTHERS_TRIED: Final = 32  # endpoints of all cells
 REMAINING_SLACK: Final = 1.5  # of the predicted time of a request
 _MS_PER_S: Final = 1000.0
@@ -245,11 +246,20 @@
             gap_ms=job.route.target_gap_s * _MS_PER_S,
         )
         loads = [(k, self.load.by_endpoint[k.entry.id]) for k in shuffled]
-        plan = choose_engines(model, prompt, loads, now, self.group())
+        plan = choose_engines(model, prompt, loads, now, self._taste(prompt))
         if plan is None:
             return None
         return self._placement(plan, model, prompt)
 
+    def _taste(self, prompt: Prompt) -> str:
+        """Returns whose order of equally good engines is used.
+
+        Daemons of a group prefer the same engines, which packs short answers.
+        Two long prompts that are placed at one moment may not fit into the
+        memory of one engine, so each daemon has an order of its own for them.
+        """
+        return self.instance if prompt.tokens >= LONG_TOKENS else self.group()
+
     def _placement(
         self, plan: Plan, model: EngineModel, prompt: Prompt
     ) -> Placement:
--- a/tests/routing/test_placement_wait.py
+++ b/tests/routing/test_placement_wait.py
@@ -54,13 +54,13 @@
         pass
 
 
-def open_chooser(engines: int) -> EndpointChooser:
+def open_chooser(engines: int, instance: str = "a") -> EndpointChooser:
     installation = OpenEndpoints(engines)
     return EndpointChooser(
-        instance="a",
+        instance=instance,
         zone="z",
         installation=installation,
-        cells=Cells(installation=installation, instance="a"),
+        cells=Cells(installation=installation, instance=instance),
         load=FleetLoad(),
         health=EndpointHealth(),
         rates=AnyRate(),
@@ -88,6 +88,27 @@
     )
 
 
+class SameMomentTest(unittest.TestCase):
+    """Daemons of a group place prompts before they hear of each other."""
+
+    def writers(self, tokens: int) -> set[str]:
+        async def run():
+            chosen = set()
+            for number in range(12):
+                chooser = open_chooser(20, f"entry-{number}")
+                placement = chooser.choose(make_job(tokens))
+                chosen.add(placement.endpoint.entry.id)
+            return chosen
+
+        return run_virtual(run)
+
+    def test_long_prompts_go_to_different_engines(self):
+        self.assertGreater(len(self.writers(250_000)), 6)
+
+    def test_short_prompts_are_packed(self):
+        self.assertEqual(len(self.writers(5_000)), 1)
+
+
 class WaitTest(unittest.TestCase):
     def wait(self, engines, tokens, *, excluded=(), full=False, time_left_s=15):
         """Returns a placement, or None, and the time that it took."""
