--- a/src/auburnswitch/routing/endpoint_choice.py
+++ b/src/auburnswitch/routing/endpoint_choice.py
@@ -246,13 +246,15 @@
             gap_ms=job.route.target_gap_s * _MS_PER_S,
         )
         loads = [(k, self.load.by_endpoint[k.entry.id]) for k in shuffled]
-        plan = choose_engines(model, prompt, loads, now, self._taste(prompt))
+        plan = choose_engines(
+            model, prompt, loads, now, self._tie_break(prompt)
+        )
         if plan is None:
             return None
         return self._placement(plan, model, prompt)
 
-    def _taste(self, prompt: Prompt) -> str:
-        """Returns whose order of equally good engines is used.
+    def _tie_break(self, prompt: Prompt) -> str:
+        """Returns whose order decides between equally good engines.
 
         Daemons of a group prefer the same engines, which packs short answers.
         Two long prompts that are placed at one moment may not fit into the
--- a/src/auburnswitch/routing/prompt_placement.py
+++ b/src/auburnswitch/routing/prompt_placement.py
@@ -81,7 +81,7 @@
     prompt: Prompt,
     candidates: Iterable[tuple[KnownEndpoint, EndpointLoad]],
     now: float,
-    group: str = "",
+    tie_break: str = "",
 ) -> Plan | None:
     """Chooses the engines for a prompt.
 
@@ -90,8 +90,8 @@
         prompt: The prompt and its targets.
         candidates: Endpoints that may get it, with their loads.
         now: Loop time, in seconds.
-        group: Daemons of one group prefer the same engines, so that groups
-            that hear of each other late rarely choose the same one.
+        tie_break: Equally good engines are preferred in an order that
+            follows from this text.
 
     Returns:
         A plan that is in time and makes no other answer late, else the one
@@ -106,7 +106,7 @@
         for known, load in candidates
     ]
     for engine in engines:
-        engine.dislike_ms = _dislike_ms(group, engine.known.entry.id)
+        engine.dislike_ms = _dislike_ms(tie_break, engine.known.entry.id)
     for holders in range(MAX_HOLDERS + 1):
         search = _Search(
             model=model, prompt=prompt, engines=engines, holders=holders
@@ -297,8 +297,8 @@
 
 
 @functools.lru_cache(maxsize=65536)
-def _dislike_ms(group: str, endpoint: str) -> float:
-    digest = hashlib.blake2b(f"{group}/{endpoint}".encode(), digest_size=2)
+def _dislike_ms(tie_break: str, endpoint: str) -> float:
+    digest = hashlib.blake2b(f"{tie_break}/{endpoint}".encode(), digest_size=2)
     share = int.from_bytes(digest.digest(), "big") / HASH_RANGE
     return share * MOST_DISLIKE_MS
 
