--- a/tests/members/test_gossip.py
+++ b/tests/members/test_gossip.py
@@ -43,6 +43,14 @@
     def _note(self, peer, message):
         self.heard.append((peer.record.instance, message))
 
+    def heard_ended(self, sender: str) -> list[int]:
+        return sorted(
+            number
+            for name, message in self.heard
+            if name == sender
+            for number in message.ended
+        )
+
     def heard_items(self, sender: str) -> list[int]:
         return [
             item.id
@@ -122,6 +130,32 @@
                 lambda: all(n.heard_items("a-0") == [7] for n in nodes[18:])
             )
 
+    async def test_work_of_a_cell_is_told_there_only(self):
+        async with open_nodes({"a": 4}) as nodes:
+            _split(nodes)
+            sender, far, near, _ = nodes
+            sender.node.tell_started([WorkItem(id=7)], everywhere=False)
+            sender.node.tell_started([WorkItem(id=8)], everywhere=True)
+            sender.node.tell_ended([7], everywhere=False)
+            sender.node.tell_ended([8], everywhere=True)
+            await until(lambda: near.heard_ended("a-0") == [7, 8])
+            await until(lambda: far.heard_ended("a-0") == [8])
+            self.assertEqual(near.heard_items("a-0"), [7, 8])
+            self.assertEqual(far.heard_items("a-0"), [8])
+
+    async def test_heartbeats_with_all_work_go_to_the_cell(self):
+        async with open_nodes({"a": 4}) as nodes:
+            _split(nodes)
+            sender, far, near, _ = nodes
+            sender.node.list_work = lambda: [WorkItem(id=7)]
+            running = asyncio.create_task(sender.node.run())
+            await until(lambda: near.heard_items("a-0").count(7) >= 2)
+            running.cancel()
+            self.assertEqual(far.heard_items("a-0"), [])
+            beats = [m for name, m in far.heard if name == "a-0"]
+            self.assertGreaterEqual(len(beats), 2)  # it is known to be live
+            self.assertFalse(any(m.complete for m in beats))
+
     async def test_old_and_repeated_datagrams_are_dropped(self):
         node = Node("me", "a", free_port())
         for incarnation, sequence in (
@@ -153,6 +187,13 @@
             self.assertLessEqual(peers / interval_s, 40)
 
 
+def _split(nodes: list[Node]) -> None:
+    """Puts every other node into one of two cells."""
+    names = [node.node.me.instance for node in nodes]
+    for number, node in enumerate(nodes):
+        node.node.is_near = set(names[number % 2 :: 2]).__contains__
+
+
 def _count_datagrams(node: GossipNode):
     transport = node._transport
     sent = []
