Give the granter what it needs in place of its owner

Cause: endpoints/granting and endpoints/owner knew each other; the granter could reach everything of the owner table. Its ten inputs are now named.

--- a/src/auburnswitch/endpoints/granting.py
+++ b/src/auburnswitch/endpoints/granting.py
@@ -15,9 +15,16 @@
 from auburnswitch.schema.results import ResultCode
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from auburnswitch.endpoints.closing import Closings
     from auburnswitch.endpoints.ledger import EndpointLedger
-    from auburnswitch.endpoints.owner import OwnerTable
+    from auburnswitch.endpoints.rights import StrictOwnership
+    from auburnswitch.endpoints.survey import StrictGate
+    from auburnswitch.members.view import MemberView
+    from auburnswitch.observe.invariants import Invariants
     from auburnswitch.schema.peers import ReserveRequest
+    from auburnswitch.schema.settings import RoutingSettings
 
 MIN_RETRY_AFTER_S: Final = 1.0
 
@@ -26,32 +33,77 @@
     """Grants or refuses; what it can do neither with has to wait.
 
     Attributes:
-        owner_table: Ledgers of the owned endpoints.
+        ledgers: Ledgers of the owned endpoints.
+        routing: Bounds of queues and waits.
+        view: The members, this daemon among them.
+        owns: Tells whether this daemon owns an endpoint.
+        is_closed: Tells whether an endpoint receives no new work.
+        is_struck: Tells by a fingerprint whether a request was in flight at a
+            crash.
+        closings: Endpoints that receive no new work, with the reason.
+        gate: Tells whether cold endpoints may be used.
+        rights: Tells whether this daemon is a strict owner.
+        invariants: Checks each grant.
         next_id: Number of the newest reservation.
     """
 
-    __slots__ = ("next_id", "owner_table")
-
-    def __init__(self, *, owner_table: OwnerTable) -> None:
-        self.owner_table = owner_table
+    __slots__ = (
+        "closings",
+        "gate",
+        "invariants",
+        "is_closed",
+        "is_struck",
+        "ledgers",
+        "next_id",
+        "owns",
+        "rights",
+        "routing",
+        "view",
+    )
+
+    def __init__(
+        self,
+        *,
+        ledgers: Mapping[str, EndpointLedger],
+        routing: RoutingSettings,
+        view: MemberView,
+        owns: Callable[[str], bool],
+        is_closed: Callable[[str], bool],
+        is_struck: Callable[[str], bool],
+        closings: Closings,
+        gate: StrictGate,
+        rights: StrictOwnership,
+        invariants: Invariants,
+    ) -> None:
+        self.ledgers = ledgers
+        self.routing = routing
+        self.view = view
+        self.owns = owns
+        self.is_closed = is_closed
+        self.is_struck = is_struck
+        self.closings = closings
+        self.gate = gate
+        self.rights = rights
+        self.invariants = invariants
         self.next_id = 0
 
     def try_reserve(
         self, request: ReserveRequest, member_id: str
     ) -> ReserveReply | None:
         """Returns a final reply, or None while there is no room."""
-        ledger = self.owner_table.ledgers.get(request.endpoint)
-        if ledger is None or not self.owner_table.owns(request.endpoint):
+        ledger = self.ledgers.get(request.endpoint)
+        if ledger is None or not self.owns(request.endpoint):
             return ReserveReply(code=ResultCode.NOT_OWNER)
         if refused := self.refusal(ledger, request):
             return ReserveReply(code=refused, retry_after_s=MIN_RETRY_AFTER_S)
-        routing = self.owner_table.settings.routing
-        if not ledger.bears(request) or not has_room(ledger, request, routing):
+        if not ledger.bears(request):
+            return None
+        if not has_room(ledger, request, self.routing):
             return None
         if self._meets_struck(ledger, request):
             return None
         self.next_id += 1
-        reservation_id = f"{self.owner_table.view.me.id}/{self.next_id}"
+        reservation_id = f"{self.view.me.id}/{self.next_id}"
         reservation = ledger.grant(request, member_id, reservation_id)
         reservation.expected_s = predicted_wait_s(
             ledger, reservation.length_class
@@ -65,27 +117,22 @@
         self, ledger: EndpointLedger, request: ReserveRequest
     ) -> bool:
         """Tells whether a struck request would run beside another one."""
-        if not request.struck and not self.owner_table.is_struck(
-            request.fingerprint
-        ):
+        if not request.struck and not self.is_struck(request.fingerprint):
             return False
         granted = ledger.reservations.values()
-        return any(self.owner_table.is_struck(r.fingerprint) for r in granted)
+        return any(self.is_struck(r.fingerprint) for r in granted)
 
     def refusal(
         self, ledger: EndpointLedger, request: ReserveRequest
     ) -> ResultCode | None:
         """Returns why a request can't be granted by waiting, or None."""
-        if (
-            self.owner_table.is_closed(ledger.name)
-            or ledger.phase in CLOSED_PHASES
-        ):
+        if self.is_closed(ledger.name) or ledger.phase in CLOSED_PHASES:
             return ResultCode.NO_ENDPOINT
         if not can_ever_hold(ledger, request):
             return ResultCode.PROMPT_TOO_LONG
         if ledger.is_cold and request.hold:
             return ResultCode.NO_ENDPOINT
-        if ledger.is_cold and not self.owner_table.gate.may_use_cold(ledger):
+        if ledger.is_cold and not self.gate.may_use_cold(ledger):
             return ResultCode.OWNERSHIP_PENDING
         if not ledger.can_bear_alone(request):
             return ResultCode.ENDPOINT_COLD
@@ -96,18 +143,16 @@
         holds = not ledger.is_cold or (
             ledger.running <= bounds.running
             and ledger.prompt_tokens <= bounds.prompt_tokens
-            and self.owner_table.rights.may_use(ledger.name)
-        )
-        self.owner_table.invariants.check(
-            holds, Invariant.COLD_BOUND, endpoint=ledger.name
+            and self.rights.may_use(ledger.name)
         )
-        closed = self.owner_table.closings.phase(ledger.name)
-        self.owner_table.invariants.check(
+        self.invariants.check(holds, Invariant.COLD_BOUND, endpoint=ledger.name)
+        closed = self.closings.phase(ledger.name)
+        self.invariants.check(
             closed is not EndpointPhase.OUT,
             Invariant.ZONE_OUT,
             endpoint=ledger.name,
         )
-        self.owner_table.invariants.check(
+        self.invariants.check(
             closed is not EndpointPhase.LEAVING,
             Invariant.LEAVING,
             endpoint=ledger.name,
--- a/src/auburnswitch/endpoints/owner.py
+++ b/src/auburnswitch/endpoints/owner.py
@@ -104,8 +104,19 @@
         self.ledgers: dict[str, EndpointLedger] = {}
         self.queues: dict[str, ReservationQueue] = {}
         self.hint_batch: tuple[float, list[EndpointHint]] = (_NEVER, [])
-        self.granter = Granter(owner_table=self)
         self.is_struck: Callable[[str], bool] = lambda _: False
+        self.granter = Granter(
+            ledgers=self.ledgers,
+            routing=settings.routing,
+            view=view,
+            owns=self.owns,
+            is_closed=self.is_closed,
+            is_struck=lambda fingerprint: self.is_struck(fingerprint),
+            closings=self.closings,
+            gate=self.gate,
+            rights=rights,
+            invariants=invariants,
+        )
         state.listeners.append(self.note_state)
         self.transitions = Transitions(
             settings=settings.endpoints,
