Give the status of a daemon the parts that it reads

Cause: daemon/parts and daemon/status knew each other. The nine parts are now named. Import circles that are left are three among the stand-ins, for type checking only.

--- a/src/auburnswitch/daemon/parts.py
+++ b/src/auburnswitch/daemon/parts.py
@@ -18,7 +18,7 @@
     SNAPSHOT_KEY,
     TicketStore,
 )
-from auburnswitch.daemon.status import daemon_status, daemons_in_force
+from auburnswitch.daemon.status import DaemonStatus
 from auburnswitch.endpoints.client import EndpointClient
 from auburnswitch.endpoints.fencing import FencingNumbers
 from auburnswitch.endpoints.handover import Handover
@@ -310,6 +310,17 @@
             refuse_new=self.refuse_new,
         )
         self.in_flight = InFlightCounter(app=self.caller_app.build())
+        status = DaemonStatus(
+            member=self.member,
+            refuse_new=self.refuse_new,
+            state=self.state,
+            invariants=self.invariants,
+            view=self.view,
+            owner_table=self.owner_table,
+            in_flight=self.in_flight,
+            watcher=self.watcher,
+            store=self.store,
+        )
         key_file = self.settings.operators.key_file
         self.operator_app = OperatorApp(
             keys=OperatorKeys(text=read_secret(key_file) if key_file else b""),
@@ -318,8 +329,8 @@
             metrics=self.metrics,
             clock=self.clock,
             refuse_new=self.refuse_new,
-            status=lambda: daemon_status(self),
-            in_force=lambda ticket: daemons_in_force(self, ticket),
+            status=status.to_json,
+            in_force=status.in_force,
         )
         self.callers: HttpServer | None = None
         self.operators: HttpServer | None = None
--- a/src/auburnswitch/daemon/status.py
+++ b/src/auburnswitch/daemon/status.py
@@ -5,53 +5,109 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from auburnswitch.daemon.parts import Daemon
-    from auburnswitch.schema.objects import Ticket
+    from collections.abc import Callable
 
+    from auburnswitch.callers.in_flight import InFlightCounter
+    from auburnswitch.configuration.state import ConfigState
+    from auburnswitch.endpoints.owner import OwnerTable
+    from auburnswitch.members.view import MemberView
+    from auburnswitch.object_store.store import ObjectStore
+    from auburnswitch.object_store.watcher import StoreWatcher
+    from auburnswitch.observe.invariants import Invariants
+    from auburnswitch.results import Refusal
+    from auburnswitch.schema.objects import Member, Ticket
 
-def daemons_in_force(
-    daemon: Daemon, ticket: Ticket
-) -> tuple[list[str], list[str]]:
-    """Returns the daemons in which a ticket is in force, or is not yet.
 
-    A peer counts once it is known to have the same state as this daemon.
+class DaemonStatus:
+    """Reads the parts of a daemon that operators ask about.
+
+    Attributes:
+        member: This daemon.
+        refuse_new: Returns why new work is refused, or None.
+        state: The configuration in force.
+        invariants: Broken promises.
+        view: The members.
+        owner_table: The owned endpoints.
+        in_flight: Requests under way.
+        watcher: Tells whether the store answers.
+        store: Counts its calls.
     """
-    digest = daemon.state.digest
-    joined = daemon.state.has_joined(ticket)
-    in_force: list[str] = []
-    pending: list[str] = []
-    for member_id in daemon.view.live_ids():
-        peer = daemon.view.peers.get(member_id)
-        same = peer is None or peer.state_digest == digest
-        (in_force if joined and same else pending).append(member_id)
-    return in_force, pending
-
-
-def daemon_status(daemon: Daemon) -> dict[str, Any]:
-    """Returns a daemon's status as JSON types."""
-    refused = daemon.refuse_new()
-    violations = daemon.invariants.violations
-    return {
-        "member": daemon.member.id,
-        "instance": daemon.member.instance,
-        "zone": daemon.member.zone,
-        "ready": refused is None,
-        "reason": "" if refused is None else refused.code.name.lower(),
-        "state_digest": daemon.state.digest,
-        "left_out_endpoints": daemon.state.dangling,
-        "roster_epoch": daemon.view.roster.epoch,
-        "strict_rights": daemon.view.has_quorum(),
-        "roster": daemon.view.roster_ids(),
-        "live": daemon.view.live_ids(),
-        "owned_endpoints": daemon.owner_table.owned(),
-        "in_flight": daemon.in_flight.count,
-        "store_available": daemon.watcher.available,
-        "store_calls": daemon.store.calls,
-        "violations": {
-            invariant.name.lower(): count
-            for invariant, count in violations.items()
-        },
-    }
-
-
-__all__ = ["daemon_status", "daemons_in_force"]
+
+    __slots__ = (
+        "in_flight",
+        "invariants",
+        "member",
+        "owner_table",
+        "refuse_new",
+        "state",
+        "store",
+        "view",
+        "watcher",
+    )
+
+    def __init__(
+        self,
+        *,
+        member: Member,
+        refuse_new: Callable[[], Refusal | None],
+        state: ConfigState,
+        invariants: Invariants,
+        view: MemberView,
+        owner_table: OwnerTable,
+        in_flight: InFlightCounter,
+        watcher: StoreWatcher,
+        store: ObjectStore,
+    ) -> None:
+        self.member = member
+        self.refuse_new = refuse_new
+        self.state = state
+        self.invariants = invariants
+        self.view = view
+        self.owner_table = owner_table
+        self.in_flight = in_flight
+        self.watcher = watcher
+        self.store = store
+
+    def in_force(self, ticket: Ticket) -> tuple[list[str], list[str]]:
+        """Returns the daemons in which a ticket is in force, or is not yet.
+
+        A peer counts once it is known to have the same state as this daemon.
+        """
+        digest = self.state.digest
+        joined = self.state.has_joined(ticket)
+        in_force: list[str] = []
+        pending: list[str] = []
+        for member_id in self.view.live_ids():
+            peer = self.view.peers.get(member_id)
+            same = peer is None or peer.state_digest == digest
+            (in_force if joined and same else pending).append(member_id)
+        return in_force, pending
+
+    def to_json(self) -> dict[str, Any]:
+        """Returns the status as JSON types."""
+        refused = self.refuse_new()
+        violations = self.invariants.violations
+        return {
+            "member": self.member.id,
+            "instance": self.member.instance,
+            "zone": self.member.zone,
+            "ready": refused is None,
+            "reason": "" if refused is None else refused.code.name.lower(),
+            "state_digest": self.state.digest,
+            "left_out_endpoints": self.state.dangling,
+            "roster_epoch": self.view.roster.epoch,
+            "strict_rights": self.view.has_quorum(),
+            "roster": self.view.roster_ids(),
+            "live": self.view.live_ids(),
+            "owned_endpoints": self.owner_table.owned(),
+            "in_flight": self.in_flight.count,
+            "store_available": self.watcher.available,
+            "store_calls": self.store.calls,
+            "violations": {
+                invariant.name.lower(): count
+                for invariant, count in violations.items()
+            },
+        }
+
+
+__all__ = ["DaemonStatus"]
