--- a/src/auburnswitch/soak/run.py
+++ b/src/auburnswitch/soak/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import shutil
 import sys
 import tempfile
 from collections import Counter
@@ -124,15 +125,19 @@
 
 
 def main(arguments: list[str]) -> int:
-    """Runs seeds ``FIRST COUNT SECONDS``, and prints what was wrong."""
+    """Runs seeds ``FIRST COUNT SECONDS``; keeps the logs of those that fail."""
     first, count, seconds = (int(text) for text in arguments)
     failed = 0
     for seed in range(first, first + count):
-        with tempfile.TemporaryDirectory() as folder:
-            problems = asyncio.run(soak(seed, seconds, Path(folder)))
-            for problem in problems:
-                print(f"  {problem}")
-            failed += bool(problems)
+        folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
+        problems = asyncio.run(soak(seed, seconds, Path(folder)))
+        for problem in problems:
+            print(f"  {problem}")
+        if problems:
+            failed += 1
+            print(f"  logs: {folder}")
+        else:
+            shutil.rmtree(folder)
     print(f"{count - failed} seeds passed, {failed} failed")
     return 1 if failed else 0
 
