Name a test by what it checks now; say what a cell is

Cause: joint reads no longer have engines of their own, and the glossary lacked the word. The check is the same; tests.routing.test_joint_waves passes.

--- a/tests/routing/test_joint_waves.py
+++ b/tests/routing/test_joint_waves.py
@@ -98,7 +98,7 @@
 
 
 class WaveTest(unittest.TestCase):
-    def test_joint_reads_with_engines_of_their_own(self):
+    def test_reads_that_hold_up_only_what_stays_in_time(self):
         times = run_virtual(wave)
         with mock.patch.object(EndpointLoad, "joint_reads", lambda *_: {}):
             shared = run_virtual(wave)
