--- a/src/auburnswitch/standins/endpoint.py
+++ b/src/auburnswitch/standins/endpoint.py
@@ -70,6 +70,8 @@
             the end.
         running: Number of requests in progress.
         slowdown: Reported execution time relative to the normal one.
+        disconnect_allowed: Delays disconnects in the middle of an event until
+            it is set, which it is at first.
     """
 
     def __init__(self, *, endpoint_id: str, event_count: int = 5) -> None:
@@ -84,6 +86,8 @@
         self.client_disconnects = 0
         self.running = 0
         self.slowdown = 1.0
+        self.disconnect_allowed = asyncio.Event()
+        self.disconnect_allowed.set()
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -180,11 +184,11 @@
                 return
             event = f"id: {number}\ndata: {self.id} {number}\n\n".encode()
             if fault is Fault.DISCONNECT_MID_EVENT and number == first + 1:
-                event = event[: len(event) // 2]
-            await _send_chunk(send, event)
-            if fault is Fault.DISCONNECT_MID_EVENT and number == first + 1:
+                await _send_chunk(send, event[: len(event) // 2])
+                await self.disconnect_allowed.wait()
                 disconnected.cancel()
                 raise AbortConnectionError
+            await _send_chunk(send, event)
             await asyncio.sleep(self.event_interval_s)
         disconnected.cancel()
         await send({"type": "http.response.body", "body": b""})
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -160,6 +160,7 @@
             for name in ("engine-0", "engine-1"):
                 fleet.endpoints[name].faults.append(Fault.DISCONNECT_MID_EVENT)
             # only engine-0 disconnects, and only it is open at first
+            fleet.endpoints["engine-0"].disconnect_allowed.clear()
             fleet.endpoints["engine-1"].faults.clear()
             fleet.put_endpoint("engine-1", "engines", State="draining")
             await asyncio.sleep(0.05)
@@ -168,6 +169,11 @@
                 lambda: fleet.endpoints["engine-0"].received_requests
             )
             fleet.put_endpoint("engine-1", "engines")
+            installation = fleet.daemons[0].installation
+            await wait_until(
+                lambda: installation.is_open(installation.endpoints["engine-1"])
+            )
+            fleet.endpoints["engine-0"].disconnect_allowed.set()
             status, body, _ = await call
         self.assertEqual(status, 200)
         self.assertEqual(_event_ids(body), [1, 2, 3, 4, 5])
