--- a/src/auburnswitch/configuration/installation_watcher.py
+++ b/src/auburnswitch/configuration/installation_watcher.py
@@ -21,8 +21,6 @@
 from auburnswitch.schema.installation import ClosedZones, EndpointList
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from auburnswitch.configuration.installation import Installation
     from auburnswitch.platform.store_client import (
         PlatformStoreClient,
@@ -48,7 +46,7 @@
     Attributes:
         read_at: Loop time as of which all kinds are up to date, in seconds;
             None until every kind has been read.
-        is_reader: Returns whether this daemon has to read the store now.
+        reading: Set while this daemon has to read the store.
         failed_at: Loop time since which calls have failed, in seconds; None
             while they succeed.
     """
@@ -59,7 +57,7 @@
         "bounds",
         "failed_at",
         "installation",
-        "is_reader",
+        "reading",
         "store",
     )
 
@@ -69,12 +67,12 @@
         store: PlatformStoreClient,
         installation: Installation,
         bounds: BoundSettings,
-        is_reader: Callable[[], bool],
+        reading: asyncio.Event,
     ) -> None:
         self.store = store
         self.installation = installation
         self.bounds = bounds
-        self.is_reader = is_reader
+        self.reading = reading
         self.failed_at: float | None = None
         self._read_at: dict[str, float] = {}
         self._revisions: dict[str, int] = {}
@@ -93,9 +91,11 @@
         """
         retry_interval_s = INITIAL_RETRY_INTERVAL_S
         while True:
-            suspended = self.failed_at is not None and kind != WATCHED_KINDS[0]
-            if suspended or not self.is_reader():
+            if not self.reading.is_set():
                 self._revisions.pop(kind, None)  # may be too old to resume from
+                await self.reading.wait()
+            elif self.failed_at is not None and kind != WATCHED_KINDS[0]:
+                self._revisions.pop(kind, None)
                 await asyncio.sleep(IDLE_INTERVAL_S)
             elif await self._read(kind):
                 retry_interval_s = INITIAL_RETRY_INTERVAL_S
--- a/src/auburnswitch/entry/entry_daemon.py
+++ b/src/auburnswitch/entry/entry_daemon.py
@@ -16,9 +16,9 @@
 from auburnswitch.members.cells import Cells
 from auburnswitch.members.entry_directory import EntryDirectory
 from auburnswitch.members.gossip import GossipNode
-from auburnswitch.members.relay_selector import fastest_link_instances
-from auburnswitch.members.rendezvous import rendezvous_order, rendezvous_owner
+from auburnswitch.members.rendezvous import rendezvous_owner
 from auburnswitch.members.state_exchange import StateExchange
+from auburnswitch.members.store_readers import StoreReaderElection
 from auburnswitch.observe.logs import log_event
 from auburnswitch.observe.statistics import EntryStatistics
 from auburnswitch.platform.endpoint_client import PlatformEndpointClient
@@ -45,9 +45,6 @@
     from auburnswitch.schema.gossip import Gossip, WorkItem
 
 EXPIRY_INTERVAL_S: Final = 0.5
-PEER_DISCOVERY_S: Final = 1.0  # time for peers to send their state
-READER_ELECTION_KEY: Final = "store reader"
-READER_CHECK_INTERVAL_S: Final = 0.1
 DAEMONS_PER_GROUP: Final = 8
 MEMBER_CHECK_INTERVAL_S: Final = 15.0
 MISSED_INTERVALS_BEFORE_REMOVAL: Final = 6  # member check intervals
@@ -64,7 +61,7 @@
         app: ASGI application that serves callers.
         gossip: Exchanges datagrams with the other daemons.
         stopping: Whether the daemon is shutting down.
-        started_at: Loop time of the daemon's start, in seconds.
+        reader_election: Decides whether this daemon reads the store.
         member_check_interval_s: Interval between checks for terminated
             daemons, in seconds.
     """
@@ -81,10 +78,7 @@
         self.installation = Installation()
         self.fleet_load = FleetLoad()
         self.stopping = False
-        self.started_at = monotonic_s()
         self.member_check_interval_s = MEMBER_CHECK_INTERVAL_S
-        self._should_read = False
-        self._reader_checked_at = -READER_CHECK_INTERVAL_S
         self._fleet_wide_work_ids: set[int] = set()
         self.store = PlatformStoreClient(settings=settings.store)
         record = DaemonRecord(
@@ -104,13 +98,19 @@
             fill_state=self._fill_state,
             list_work=self._list_work,
             on_gossip=self._on_gossip,
-            is_reader=self._is_reader,
+            is_reader=lambda: self.reader_election.is_reader,
             is_cell_peer=self.cells.is_cell_peer,
         )
+        self.reader_election = StoreReaderElection(
+            settings=settings.store,
+            local_record=record,
+            peers=self.gossip.peers,
+            has_joined=lambda: bool(self.gossip.key),
+        )
         self.state_exchange = StateExchange(
             installation=self.installation,
             get_key=lambda: self.gossip.key,
-            live_peers=self.gossip.live_peers,
+            live_peers=self.gossip.peers.live_peers,
             zone=record.zone,
             rng=rng,
         )
@@ -118,7 +118,7 @@
             store=self.store,
             installation=self.installation,
             bounds=settings.bounds,
-            is_reader=self._is_reader,
+            reading=self.reader_election.reading,
         )
         self.endpoint_selector = EndpointSelector(
             instance=record.instance,
@@ -157,7 +157,7 @@
             endpoint_client=endpoint_client,
             instance=record.instance,
             live_instances=lambda: [
-                peer.record.instance for peer in self.gossip.live_peers()
+                peer.record.instance for peer in self.gossip.peers.live_peers()
             ],
             publish=self.gossip.send_engine_reports,
         )
@@ -176,6 +176,7 @@
 
     def start(self) -> None:
         """Starts the background tasks."""
+        self.tasks.start(self.reader_election.run(), "elect store readers")
         for kind in WATCHED_KINDS:
             self.tasks.start(
                 self.installation_watcher.watch_kind(kind), f"follow {kind}"
@@ -190,7 +191,7 @@
         """Returns the gauges of the metrics and how to read them."""
         return {
             "requests_in_flight": lambda: self.app.in_flight,
-            "live_peers": lambda: len(self.gossip.live_peers()),
+            "live_peers": lambda: len(self.gossip.peers.live_peers()),
             "store_calls": lambda: self.store.call_count,
             "config_version": lambda: self.installation.config_version,
             "endpoints": lambda: len(self.installation.endpoints),
@@ -206,7 +207,7 @@
     async def _join(self) -> None:
         key, known_records = await self.directory.join()
         for record in known_records:
-            self.gossip.add_peer(record)
+            self.gossip.peers.add(record)
         self.gossip.key = key
         self.gossip.send_state()
 
@@ -216,14 +217,14 @@
             await asyncio.sleep(self.member_check_interval_s)
             if not self.gossip.key:
                 continue
-            removed = self.gossip.remove_silent_peers(
+            removed = self.gossip.peers.remove_silent(
                 MISSED_INTERVALS_BEFORE_REMOVAL * self.member_check_interval_s
             )
             for instance in removed:
                 log_event(EventId.PEER_FORGOTTEN, peer=instance)
-                if self._is_reader():
+                if self.reader_election.is_reader:
                     await self.directory.unregister(instance)
-            if not self.gossip.live_peers():
+            if not self.gossip.peers.live_peers():
                 await self._join()
 
     async def _expire_peer_work(self) -> None:
@@ -246,55 +247,6 @@
             else max(daemon_count, ASSUMED_DAEMON_COUNT)
         )
 
-    def _is_reader(self) -> bool:
-        """Whether this daemon reads the store for itself and its peers."""
-        now = monotonic_s()
-        if now >= self._reader_checked_at + READER_CHECK_INTERVAL_S:
-            self._reader_checked_at = now
-            self._should_read = self._should_read_store()
-        return self._should_read
-
-    def _should_read_store(self) -> bool:
-        """Whether this daemon is an elected reader or has to act as one.
-
-        Readers are elected by rendezvous hashing among the daemons with the
-        fastest links. Other daemons read the store only if they have not joined
-        the fleet in time, if fewer peers than readers are live, or if the
-        latest read of their peers is unknown or too old.
-        """
-        if not self.gossip.key:
-            return monotonic_s() - self.started_at > PEER_DISCOVERY_S
-        readers = self.settings.store.readers
-        live_records = [peer.record for peer in self.gossip.live_peers()]
-        starting = monotonic_s() - self.started_at < PEER_DISCOVERY_S
-        if starting:
-            live_records = [peer.record for peer in self.gossip.peers.values()]
-        if len(live_records) < readers:
-            return True
-        local_instance = self.gossip.local_record.instance
-        eligible_instances = fastest_link_instances(
-            [*live_records, self.gossip.local_record]
-        )
-        reader_order = rendezvous_order(READER_ELECTION_KEY, eligible_instances)
-        if local_instance in reader_order[:readers]:
-            return True
-        if starting:
-            return False  # the elected readers send their state shortly
-        peers_read_at = self._latest_peer_read_at()
-        if peers_read_at is None:
-            return True
-        age_s = monotonic_s() - peers_read_at
-        return age_s > self.settings.store.peer_read_max_age_s + (
-            self.settings.store.watch_wait_s
-        )
-
-    def _latest_peer_read_at(self) -> float | None:
-        read_times = [peer.store_read_at() for peer in self.gossip.live_peers()]
-        return max(
-            (read_at for read_at in read_times if read_at is not None),
-            default=None,
-        )
-
     def _fill_state(self, message: Gossip) -> None:
         message.config_version = self.installation.config_version
         message.endpoints_revision = self.installation.endpoints_revision
--- a/src/auburnswitch/members/gossip.py
+++ b/src/auburnswitch/members/gossip.py
@@ -8,7 +8,8 @@
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.http_server import ListenError
-from auburnswitch.members.gossip_peer import GossipPeer, heartbeat_interval_s
+from auburnswitch.members.gossip_peer import heartbeat_interval_s
+from auburnswitch.members.peer_table import PeerTable
 from auburnswitch.members.relay_selector import RelaySelector
 from auburnswitch.members.signed_frames import (
     SignedFrameError,
@@ -28,6 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Iterable
 
+    from auburnswitch.members.gossip_peer import GossipPeer
     from auburnswitch.schema.gossip import (
         EngineReport,
         WorkItem,
@@ -38,7 +40,6 @@
 MAX_DATAGRAM_BYTES: Final = 16_000
 MAX_DIRECT_PEERS: Final = 16  # relays forward messages to more peers
 RELAY_BATCH_DELAY_S: Final = 0.01
-CELL_PEERS_REFRESH_INTERVAL_S: Final = 0.25
 MAX_RELAYED_MESSAGES_PER_FRAME: Final = 100
 
 
@@ -50,13 +51,11 @@
         incarnation: Start time of this process, in milliseconds since the
             epoch.
         key: Key that all daemons share; empty until it is available.
-        peers: The other daemons, by instance.
+        peers: The other daemons.
         fill_state: Adds this daemon's state versions to a message.
         list_work: Returns all work of this daemon.
         on_gossip: Called with each accepted message and its sender.
         is_reader: Returns whether this daemon reads the store for its peers.
-        is_cell_peer: Returns whether the daemon on an instance is in this
-            daemon's cell.
         stopping: Whether this daemon is stopping.
     """
 
@@ -72,23 +71,20 @@
         is_cell_peer: Callable[[str], bool] = lambda _: True,
     ) -> None:
         self.is_reader = is_reader
-        self.is_cell_peer = is_cell_peer
         self.local_record = local_record
         self.incarnation = incarnation
         self.key = b""
-        self.peers: dict[str, GossipPeer] = {}
+        self.peers = PeerTable(is_cell_peer=is_cell_peer)
         self.fill_state = fill_state
         self.list_work = list_work
         self.on_gossip = on_gossip
         self.stopping = False
         self._sequence = 0
         self._ended_work: dict[bool, list[int]] = {True: [], False: []}
-        self._cell_peers: list[GossipPeer] = []
-        self._cell_peers_refreshed_at = -CELL_PEERS_REFRESH_INTERVAL_S
         self._flush_timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._relays = RelaySelector(
-            local_record=local_record, live_peers=self.live_peers
+            local_record=local_record, live_peers=self.peers.live_peers
         )
         self._relayed: list[Gossip] = []
 
@@ -119,50 +115,6 @@
     def error_received(self, exc: Exception) -> None:
         """Ignores errors; the liveness timeout detects a closed peer port."""
 
-    def add_peer(self, record: DaemonRecord) -> GossipPeer:
-        """Adds a daemon, or updates its record."""
-        peer = self.peers.get(record.instance)
-        if peer is None:
-            peer = self.peers[record.instance] = GossipPeer(record=record)
-            self._cell_peers_refreshed_at = -CELL_PEERS_REFRESH_INTERVAL_S
-        peer.record = record
-        return peer
-
-    def remove_silent_peers(self, silence_s: float) -> list[str]:
-        """Removes peers from which nothing was received for a time.
-
-        Args:
-            silence_s: Time without a message, in seconds.
-
-        Returns:
-            The instances of the removed peers.
-        """
-        oldest = monotonic_s() - silence_s
-        silent = [
-            name
-            for name, peer in self.peers.items()
-            if max(peer.last_received_at or 0.0, peer.added_at) < oldest
-        ]
-        for name in silent:
-            del self.peers[name]
-        return silent
-
-    def live_peers(self) -> list[GossipPeer]:
-        """Returns the peers within their liveness timeout."""
-        return [peer for peer in self.peers.values() if peer.is_live]
-
-    def cell_peers(self) -> list[GossipPeer]:
-        """Returns the peers in this daemon's cell."""
-        now = monotonic_s()
-        if now >= self._cell_peers_refreshed_at + CELL_PEERS_REFRESH_INTERVAL_S:
-            self._cell_peers_refreshed_at = now
-            self._cell_peers = [
-                peer
-                for name, peer in self.peers.items()
-                if self.is_cell_peer(name)
-            ]
-        return self._cell_peers
-
     def send_started_work(
         self, items: list[WorkItem], *, to_all_cells: bool = True
     ) -> None:
@@ -206,7 +158,7 @@
                 message.changes = changes
             case ConfigChanges():
                 message.config_changes = changes
-        self._send_to(self.peers.values(), [message])
+        self._send_to(self.peers.by_instance.values(), [message])
 
     def send_engine_reports(self, reports: list[EngineReport]) -> None:
         """Sends engine reports to all peers."""
@@ -228,7 +180,7 @@
             fleet_interval_s = heartbeat_interval_s(
                 len(self.peers), leading=message.leading
             )
-            cell_peers = self.cell_peers()
+            cell_peers = self.peers.cell_peers()
             if len(cell_peers) >= len(self.peers):
                 self._send(message)
                 await asyncio.sleep(fleet_interval_s)
@@ -268,7 +220,7 @@
         return message
 
     def _send_to_cell(self, message: Gossip) -> None:
-        cell_peers = self.cell_peers()
+        cell_peers = self.peers.cell_peers()
         if len(cell_peers) >= len(self.peers):
             self._send(message)
         else:
@@ -277,21 +229,22 @@
     def _send(self, message: Gossip) -> None:
         """Sends to all peers, through one relay per zone if there are many."""
         if len(self.peers) <= MAX_DIRECT_PEERS:
-            self._send_to(self.peers.values(), [message])
+            self._send_to(self.peers.by_instance.values(), [message])
             return
         message.relayed = True
         for zone, members in self._peers_by_zone().items():
             relay = self._relays.relay_for(zone)
             if relay == self.local_record.instance:
                 self._enqueue_relayed(message)
-            elif relay in self.peers:
-                self._send_to([self.peers[relay]], [message], relay=True)
+            elif relay in self.peers.by_instance:
+                relay_peer = self.peers.by_instance[relay]
+                self._send_to([relay_peer], [message], relay=True)
             else:
                 self._send_to(members, [message])
 
     def _peers_by_zone(self) -> dict[str, list[GossipPeer]]:
         zones: dict[str, list[GossipPeer]] = {self.local_record.zone: []}
-        for peer in self.peers.values():
+        for peer in self.peers.by_instance.values():
             zones.setdefault(peer.record.zone, []).append(peer)
         return zones
 
@@ -357,16 +310,16 @@
             port=message.port,
             link_mbps=message.link_mbps,
         )
-        peer = self.peers.get(message.sender)
+        peer = self.peers.by_instance.get(message.sender)
         if peer is not None and not peer.is_newer(message):
             return
         if peer is None or peer.record != record:
-            peer = self.add_peer(record)
+            peer = self.peers.add(record)
             log_event(EventId.PEER_CONNECTED, peer=message.sender)
         interval_s = heartbeat_interval_s(
             len(self.peers), leading=message.leading
         )
-        peer.record_message(message, interval_s)
+        self.peers.record_message(peer, message, interval_s)
         self.on_gossip(peer, message)
 
 
--- a/src/auburnswitch/members/gossip_peer.py
+++ b/src/auburnswitch/members/gossip_peer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Final
 
 from auburnswitch.clock import monotonic_s
@@ -28,8 +29,8 @@
         last_received_at: Loop time at which ``last_message`` was received, in
             seconds; None before the first message.
         added_at: Loop time at which the peer was added, in seconds.
-        liveness_timeout_s: Time without a message after which the peer no
-            longer counts as live, in seconds.
+        live_until: Loop time until which the peer counts as live without a
+            further message, in seconds.
         last_sequences: Newest sequence number of the peer's incarnation, by
             whether the message was relayed.
     """
@@ -39,16 +40,14 @@
         "last_message",
         "last_received_at",
         "last_sequences",
-        "liveness_timeout_s",
+        "live_until",
         "record",
     )
 
     def __init__(self, *, record: DaemonRecord) -> None:
         self.last_sequences: dict[bool, int] = {}
         self.added_at = monotonic_s()
-        self.liveness_timeout_s = (
-            LIVENESS_TIMEOUT_HEARTBEATS * MIN_HEARTBEAT_INTERVAL_S
-        )
+        self.live_until = -math.inf
         self.record = record
         self.last_message = Gossip()
         self.last_received_at: float | None = None
@@ -56,9 +55,7 @@
     @property
     def is_live(self) -> bool:
         """Whether the peer is within its liveness timeout and not stopping."""
-        if self.last_received_at is None or self.last_message.stopping:
-            return False
-        return monotonic_s() - self.last_received_at < self.liveness_timeout_s
+        return monotonic_s() < self.live_until
 
     def store_read_at(self) -> float | None:
         """Returns the loop time of the newest store read the peer reported.
@@ -100,7 +97,12 @@
         self.last_sequences[message.relayed] = message.sequence
         self.last_message = message
         self.last_received_at = monotonic_s()
-        self.liveness_timeout_s = LIVENESS_TIMEOUT_HEARTBEATS * interval_s
+        self.live_until = (
+            -math.inf
+            if message.stopping
+            else self.last_received_at
+            + LIVENESS_TIMEOUT_HEARTBEATS * interval_s
+        )
 
 
 def heartbeat_interval_s(
--- /dev/null
+++ b/src/auburnswitch/members/peer_table.py
@@ -0,0 +1,149 @@
+"""Keeps the other entry daemons and which of them are live.
+
+The list of live peers is built again only when a peer has joined, left or
+become silent. Its readers compare the list's identity to notice a change.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Final
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.members.gossip_peer import GossipPeer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from auburnswitch.schema.gossip import DaemonRecord, Gossip
+
+CELL_PEERS_REFRESH_INTERVAL_S: Final = 0.25
+
+
+class PeerTable:
+    """The other entry daemons.
+
+    Attributes:
+        by_instance: The peers, by instance.
+        is_cell_peer: Returns whether the daemon on an instance is in this
+            daemon's cell.
+        latest_store_read_at: Loop time of the newest store read that a peer
+            has reported, in seconds; None before the first report.
+    """
+
+    __slots__ = (
+        "_cell_peers",
+        "_cell_peers_refreshed_at",
+        "_live",
+        "_live_valid_until",
+        "by_instance",
+        "is_cell_peer",
+        "latest_store_read_at",
+    )
+
+    def __init__(self, *, is_cell_peer: Callable[[str], bool]) -> None:
+        self.is_cell_peer = is_cell_peer
+        self.by_instance: dict[str, GossipPeer] = {}
+        self.latest_store_read_at: float | None = None
+        self._live: list[GossipPeer] = []
+        self._live_valid_until = math.inf
+        self._cell_peers: list[GossipPeer] = []
+        self._cell_peers_refreshed_at = -CELL_PEERS_REFRESH_INTERVAL_S
+
+    def __len__(self) -> int:
+        return len(self.by_instance)
+
+    def add(self, record: DaemonRecord) -> GossipPeer:
+        """Adds a daemon, or updates its record."""
+        peer = self.by_instance.get(record.instance)
+        if peer is None:
+            peer = GossipPeer(record=record)
+            self.by_instance[record.instance] = peer
+            self._cell_peers_refreshed_at = -CELL_PEERS_REFRESH_INTERVAL_S
+        elif peer.record != record:
+            peer.record = record
+            self._live = []  # readers of the list look at the records too
+            self._live_valid_until = -math.inf
+        return peer
+
+    def record_message(
+        self, peer: GossipPeer, message: Gossip, interval_s: float
+    ) -> None:
+        """Records a message of a peer.
+
+        Args:
+            peer: The sender.
+            message: The message.
+            interval_s: Heartbeat interval of the sender, in seconds.
+        """
+        was_live = peer.is_live
+        peer.record_message(message, interval_s)
+        if not was_live:
+            self._live_valid_until = -math.inf
+        self._live_valid_until = min(self._live_valid_until, peer.live_until)
+        read_at = peer.store_read_at()
+        if read_at is not None:
+            self.latest_store_read_at = max(
+                read_at, self.latest_store_read_at or read_at
+            )
+
+    def remove_silent(self, silence_s: float) -> list[str]:
+        """Removes peers from which nothing was received for a time.
+
+        Args:
+            silence_s: Time without a message, in seconds.
+
+        Returns:
+            The instances of the removed peers.
+        """
+        oldest = monotonic_s() - silence_s
+        silent = [
+            name
+            for name, peer in self.by_instance.items()
+            if max(peer.last_received_at or 0.0, peer.added_at) < oldest
+        ]
+        for name in silent:
+            del self.by_instance[name]
+        if silent:
+            self._live_valid_until = -math.inf
+        return silent
+
+    def clear(self) -> None:
+        """Removes all peers."""
+        self.by_instance.clear()
+        self._live_valid_until = -math.inf
+
+    def live_peers(self) -> list[GossipPeer]:
+        """Returns the peers within their liveness timeout.
+
+        Returns:
+            The same list as the last call, unless it has changed since.
+        """
+        now = monotonic_s()
+        if now >= self._live_valid_until:
+            live = [
+                peer
+                for peer in self.by_instance.values()
+                if now < peer.live_until
+            ]
+            self._live_valid_until = min(
+                (peer.live_until for peer in live), default=math.inf
+            )
+            if live != self._live:
+                self._live = live
+        return self._live
+
+    def cell_peers(self) -> list[GossipPeer]:
+        """Returns the peers in this daemon's cell."""
+        now = monotonic_s()
+        if now >= self._cell_peers_refreshed_at + CELL_PEERS_REFRESH_INTERVAL_S:
+            self._cell_peers_refreshed_at = now
+            self._cell_peers = [
+                peer
+                for name, peer in self.by_instance.items()
+                if self.is_cell_peer(name)
+            ]
+        return self._cell_peers
+
+
+__all__ = ["PeerTable"]
