Report work only to the cells of its endpoints, through relays, in batches

Cause: at 195 daemons before 172 engines there were two cells. A daemon received every start and end of half of the fleet, 145 messages a second, most in datagrams of their own: senders sent to all 97 cell peers directly, and work that used an engine of the other cell to all daemons. Each datagram wakes a daemon; select() for one request compared 86 engines (0.9 to 1.4 ms, every 20 ms while it waits, microbenchmark), and the observer built a ring of all daemons whenever one became live.

Change: cells of 32 engines; work goes to the cells of its endpoints, reports of engines to their cell; a relay passes messages of a cell on to that cell only, in batches whose delay grows with the fleet up to 40 ms. Messages name their cell; an old daemon passes them on to all, which does no harm.

What is left: 2,400 store calls are the largest price; engines of other cells are sampled without their load when the own cell is full.

--- a/schema/gossip.thrift
+++ b/schema/gossip.thrift
@@ -101,12 +101,14 @@
   21: double link_mbps = 0
   // Change of the configuration that the sender has just read from the store.
   22: optional ConfigChanges config_changes
+  // Number of the cell whose daemons receive the message; negative for all daemons.
+  23: i32 cell = -1
 }
 
 // One datagram.
 struct GossipFrame {
   1: list<Gossip> messages = []
-  // The receiver forwards the messages to the daemons of its zone.
+  // The receiver forwards each message to the daemons of its cell in the receiver's zone.
   2: bool relay = 0
 }
 
--- a/src/auburnswitch/entry/entry_daemon.py
+++ b/src/auburnswitch/entry/entry_daemon.py
@@ -15,7 +15,7 @@
 )
 from auburnswitch.members.cells import Cells
 from auburnswitch.members.entry_directory import EntryDirectory
-from auburnswitch.members.gossip import GossipNode
+from auburnswitch.members.gossip import ALL_CELLS, GossipNode
 from auburnswitch.members.rendezvous import rendezvous_owner
 from auburnswitch.members.state_exchange import StateExchange
 from auburnswitch.members.store_readers import StoreReaderElection
@@ -42,7 +42,7 @@
     from auburnswitch.members.gossip_peer import GossipPeer
     from auburnswitch.observe.tasks import TaskSet
     from auburnswitch.schema.entry import EntrySettings
-    from auburnswitch.schema.gossip import Gossip, WorkItem
+    from auburnswitch.schema.gossip import EngineReport, Gossip, WorkItem
 
 EXPIRY_INTERVAL_S: Final = 0.5
 DAEMONS_PER_GROUP: Final = 8
@@ -79,7 +79,7 @@
         self.fleet_load = FleetLoad()
         self.stopping = False
         self.member_check_interval_s = MEMBER_CHECK_INTERVAL_S
-        self._fleet_wide_work_ids: set[int] = set()
+        self._cells_by_work_id: dict[int, list[int]] = {}
         self.store = PlatformStoreClient(settings=settings.store)
         record = DaemonRecord(
             instance=settings.instance.name,
@@ -99,7 +99,7 @@
             list_work=self._list_work,
             on_gossip=self._on_gossip,
             is_reader=lambda: self.reader_election.is_reader,
-            is_cell_peer=self.cells.is_cell_peer,
+            cell_of=self.cells.cell_of,
         )
         self.reader_election = StoreReaderElection(
             settings=settings.store,
@@ -156,10 +156,9 @@
             load=self.fleet_load,
             endpoint_client=endpoint_client,
             instance=record.instance,
-            live_instances=lambda: [
-                peer.record.instance for peer in self.gossip.peers.live_peers()
-            ],
-            publish=self.gossip.send_engine_reports,
+            live_instances=self._live_cell_instances,
+            is_cell_endpoint=self.cells.is_cell_endpoint,
+            publish=self._publish_engine_reports,
         )
         self.app = EntryApp(
             installation=self.installation,
@@ -276,28 +275,44 @@
     ) -> None:
         """Sends started and ended work to the cells that it concerns."""
         for item in started:
-            to_all_cells = self._concerns_all_cells(item)
-            if to_all_cells:
-                self._fleet_wide_work_ids.add(item.id)
-            self.gossip.send_started_work([item], to_all_cells=to_all_cells)
+            cells = self._concerned_cells(item)
+            self._cells_by_work_id[item.id] = cells
+            for cell in cells:
+                self.gossip.send_started_work([item], cell=cell)
         for work_id in ended:
-            to_all_cells = work_id in self._fleet_wide_work_ids
-            self._fleet_wide_work_ids.discard(work_id)
-            self.gossip.schedule_ended_work(
-                [work_id], to_all_cells=to_all_cells
-            )
+            for cell in self._cells_by_work_id.pop(work_id, []):
+                self.gossip.schedule_ended_work([work_id], cell=cell)
 
-    def _concerns_all_cells(self, item: WorkItem) -> bool:
-        """Whether other cells may use one of the item's endpoints."""
+    def _concerned_cells(self, item: WorkItem) -> list[int]:
+        """Returns the cells whose daemons prefer one of the endpoints."""
         endpoint = self.installation.endpoints.get(item.endpoint)
         if endpoint is None or not item.memory_tokens:
-            return False  # plain endpoints use only load known in the cell
-        spans_cells = self.cells.spans_cells(endpoint.entry.service_name)
+            # plain endpoints use only load known in the cell
+            return [self.cells.local_cell]
+        if not self.cells.spans_cells(endpoint.entry.service_name):
+            return [ALL_CELLS]
         endpoints_in_use = (item.endpoint, *item.helpers)
-        return not spans_cells or not all(
-            map(self.cells.is_cell_endpoint, endpoints_in_use)
+        return sorted(set(map(self.cells.cell_of, endpoints_in_use)))
+
+    def _publish_engine_reports(self, reports: list[EngineReport]) -> None:
+        """Sends reports to the cell if only its daemons prefer the engines."""
+        services = {
+            endpoint.entry.service_name
+            for report in reports
+            if (endpoint := self.installation.endpoints.get(report.endpoint))
+        }
+        in_cell = all(map(self.cells.spans_cells, services))
+        self.gossip.send_engine_reports(
+            reports, cell=self.cells.local_cell if in_cell else ALL_CELLS
         )
 
+    def _live_cell_instances(self) -> list[str]:
+        return [
+            peer.record.instance
+            for peer in self.gossip.peers.live_peers()
+            if self.cells.is_cell_peer(peer.record.instance)
+        ]
+
     def _on_gossip(self, peer: GossipPeer, message: Gossip) -> None:
         """Applies a peer's message to the local state."""
         instance = peer.record.instance
--- a/src/auburnswitch/members/cells.py
+++ b/src/auburnswitch/members/cells.py
@@ -18,8 +18,9 @@
         TrackedEndpoint,
     )
 
-ENDPOINTS_PER_CELL: Final = 64
+ENDPOINTS_PER_CELL: Final = 32
 MAX_SINGLE_CELL_ENDPOINTS: Final = 128
+SINGLE_CELL: Final = 0
 
 
 class Cells:
@@ -50,7 +51,7 @@
         self._revision = -1
         self._endpoint_counts: collections.Counter[str] = collections.Counter()
         self._ring = HashRing(members=["0"])
-        self._local_cell = "0"
+        self._local_cell = SINGLE_CELL
         self._local_endpoints: dict[str, list[TrackedEndpoint]] = {}
 
     @property
@@ -59,9 +60,19 @@
         self._refresh()
         return len(self._ring.members)
 
+    @property
+    def local_cell(self) -> int:
+        """Number of this daemon's cell."""
+        self._refresh()
+        return self._local_cell
+
+    def cell_of(self, name: str) -> int:
+        """Returns the number of the cell of an endpoint or of an instance."""
+        return SINGLE_CELL if self.count == 1 else int(self._ring.owner(name))
+
     def is_cell_peer(self, instance: str) -> bool:
         """Returns whether a daemon is in this daemon's cell."""
-        return self.count == 1 or self._ring.owner(instance) == self._local_cell
+        return self.cell_of(instance) == self._local_cell
 
     def spans_cells(self, service: str) -> bool:
         """Returns whether the endpoints of a service are in several cells."""
@@ -72,7 +83,7 @@
 
     def is_cell_endpoint(self, endpoint: str) -> bool:
         """Returns whether an endpoint is in this daemon's cell."""
-        return self.count == 1 or self._ring.owner(endpoint) == self._local_cell
+        return self.cell_of(endpoint) == self._local_cell
 
     def cell_endpoints(self, service: str) -> list[TrackedEndpoint]:
         """Returns the local cell's endpoints of a service in several cells."""
@@ -94,11 +105,11 @@
             count = largest // ENDPOINTS_PER_CELL
         if count != len(self._ring.members):
             self._ring = HashRing(members=[str(n) for n in range(count)])
-            self._local_cell = self._ring.owner(self.instance)
+            self._local_cell = int(self._ring.owner(self.instance))
         self._local_endpoints = {}
         if count > 1:
             for endpoint in endpoints:
-                if self._ring.owner(endpoint.entry.id) == self._local_cell:
+                if int(self._ring.owner(endpoint.entry.id)) == self._local_cell:
                     service_endpoints = self._local_endpoints.setdefault(
                         endpoint.entry.service_name, []
                     )
--- a/src/auburnswitch/members/gossip.py
+++ b/src/auburnswitch/members/gossip.py
@@ -8,6 +8,7 @@
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.http_server import ListenError
+from auburnswitch.members.cells import SINGLE_CELL
 from auburnswitch.members.gossip_peer import heartbeat_interval_s
 from auburnswitch.members.peer_table import PeerTable
 from auburnswitch.members.relay_selector import RelaySelector
@@ -27,7 +28,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable, Iterable
+    from collections.abc import AsyncIterator, Callable, Iterable, Iterator
 
     from auburnswitch.members.gossip_peer import GossipPeer
     from auburnswitch.schema.gossip import (
@@ -39,7 +40,10 @@
 MAX_HEARTBEAT_ITEMS: Final = 400  # fit into one datagram
 MAX_DATAGRAM_BYTES: Final = 16_000
 MAX_DIRECT_PEERS: Final = 16  # relays forward messages to more peers
-RELAY_BATCH_DELAY_S: Final = 0.01
+ALL_CELLS: Final = -1
+# A relay's datagrams per second do not grow with the fleet.
+RELAY_BATCH_DELAY_PER_PEER_S: Final = 0.0002
+MAX_RELAY_BATCH_DELAY_S: Final = 0.04
 MAX_RELAYED_MESSAGES_PER_FRAME: Final = 100
 
 
@@ -68,19 +72,19 @@
         list_work: Callable[[], list[WorkItem]],
         on_gossip: Callable[[GossipPeer, Gossip], None],
         is_reader: Callable[[], bool],
-        is_cell_peer: Callable[[str], bool] = lambda _: True,
+        cell_of: Callable[[str], int] = lambda _: SINGLE_CELL,
     ) -> None:
         self.is_reader = is_reader
         self.local_record = local_record
         self.incarnation = incarnation
         self.key = b""
-        self.peers = PeerTable(is_cell_peer=is_cell_peer)
+        self.peers = PeerTable(cell_of=cell_of)
         self.fill_state = fill_state
         self.list_work = list_work
         self.on_gossip = on_gossip
         self.stopping = False
         self._sequence = 0
-        self._ended_work: dict[bool, list[int]] = {True: [], False: []}
+        self._ended_work: dict[int, list[int]] = {}
         self._flush_timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._relays = RelaySelector(
@@ -116,32 +120,27 @@
         """Ignores errors; the liveness timeout detects a closed peer port."""
 
     def send_started_work(
-        self, items: list[WorkItem], *, to_all_cells: bool = True
+        self, items: list[WorkItem], *, cell: int = ALL_CELLS
     ) -> None:
         """Reports started work to peers, with ended work not yet reported.
 
         Args:
             items: The started work.
-            to_all_cells: Sends to all peers rather than to this cell's only.
+            cell: Cell whose daemons receive the report.
         """
-        ended = self._ended_work[to_all_cells]
-        self._ended_work[to_all_cells] = []
-        message = self._new_message(items=items, ended=ended)
-        if to_all_cells:
-            self._send(message)
-        else:
-            self._send_to_cell(message)
+        ended = self._ended_work.pop(cell, [])
+        self._send(self._new_message(items=items, ended=ended), cell)
 
     def schedule_ended_work(
-        self, ids: list[int], *, to_all_cells: bool = True
+        self, ids: list[int], *, cell: int = ALL_CELLS
     ) -> None:
         """Reports ended work to peers after a short batching delay.
 
         Args:
             ids: Ids of the ended work items.
-            to_all_cells: Sends to all peers rather than to this cell's only.
+            cell: Cell whose daemons receive the report.
         """
-        self._ended_work[to_all_cells] += ids
+        self._ended_work.setdefault(cell, []).extend(ids)
         if self._flush_timer is None:
             loop = asyncio.get_running_loop()
             self._flush_timer = loop.call_later(
@@ -160,17 +159,18 @@
                 message.config_changes = changes
         self._send_to(self.peers.by_instance.values(), [message])
 
-    def send_engine_reports(self, reports: list[EngineReport]) -> None:
-        """Sends engine reports to all peers."""
+    def send_engine_reports(
+        self, reports: list[EngineReport], *, cell: int = ALL_CELLS
+    ) -> None:
+        """Sends engine reports to the daemons of a cell."""
         message = self._new_message(items=[], ended=[])
         message.reports = reports
-        self._send(message)
+        self._send(message, cell)
 
     def _flush_ended_work(self) -> None:
         self._flush_timer = None
-        for to_all_cells in (True, False):
-            if self._ended_work[to_all_cells]:
-                self.send_started_work([], to_all_cells=to_all_cells)
+        for cell in [*self._ended_work]:
+            self.send_started_work([], cell=cell)
 
     async def run(self) -> None:
         """Sends heartbeats until cancelled, less often to other cells."""
@@ -180,12 +180,13 @@
             fleet_interval_s = heartbeat_interval_s(
                 len(self.peers), leading=message.leading
             )
-            cell_peers = self.peers.cell_peers()
+            cell = self._local_cell()
+            cell_peers = self.peers.by_cell().get(cell, [])
             if len(cell_peers) >= len(self.peers):
                 self._send(message)
                 await asyncio.sleep(fleet_interval_s)
                 continue
-            self._send_to_cell(message)
+            self._send(message, cell)
             if monotonic_s() >= next_fleet_heartbeat_at:
                 next_fleet_heartbeat_at = monotonic_s() + fleet_interval_s
                 self._send(self._new_message(items=[], ended=[]))
@@ -219,20 +220,15 @@
         self.fill_state(message)
         return message
 
-    def _send_to_cell(self, message: Gossip) -> None:
-        cell_peers = self.peers.cell_peers()
-        if len(cell_peers) >= len(self.peers):
-            self._send(message)
-        else:
-            self._send_to(cell_peers, [message])
-
-    def _send(self, message: Gossip) -> None:
-        """Sends to all peers, through one relay per zone if there are many."""
+    def _send(self, message: Gossip, cell: int = ALL_CELLS) -> None:
+        """Sends to a cell, through one relay per zone in a large fleet."""
+        message.cell = cell
+        recipients = self._recipients(cell)
         if len(self.peers) <= MAX_DIRECT_PEERS:
-            self._send_to(self.peers.by_instance.values(), [message])
+            self._send_to(recipients, [message])
             return
         message.relayed = True
-        for zone, members in self._peers_by_zone().items():
+        for zone, members in _group_by_zone(recipients).items():
             relay = self._relays.relay_for(zone)
             if relay == self.local_record.instance:
                 self._enqueue_relayed(message)
@@ -242,25 +238,35 @@
             else:
                 self._send_to(members, [message])
 
-    def _peers_by_zone(self) -> dict[str, list[GossipPeer]]:
-        zones: dict[str, list[GossipPeer]] = {self.local_record.zone: []}
-        for peer in self.peers.by_instance.values():
-            zones.setdefault(peer.record.zone, []).append(peer)
-        return zones
+    def _recipients(self, cell: int) -> list[GossipPeer]:
+        if cell == ALL_CELLS:
+            return [*self.peers.by_instance.values()]
+        return self.peers.by_cell().get(cell, [])
 
     def _enqueue_relayed(self, message: Gossip) -> None:
         """Queues a message to be forwarded in a batch to this zone."""
         if not self._relayed:
+            delay_s = len(self.peers) * RELAY_BATCH_DELAY_PER_PEER_S
             loop = asyncio.get_running_loop()
-            loop.call_later(RELAY_BATCH_DELAY_S, self._flush_relayed)
+            loop.call_later(
+                min(delay_s, MAX_RELAY_BATCH_DELAY_S), self._flush_relayed
+            )
         self._relayed.append(message)
 
     def _flush_relayed(self) -> None:
         messages, self._relayed = self._relayed, []
-        members = self._peers_by_zone()[self.local_record.zone]
-        for start in range(0, len(messages), MAX_RELAYED_MESSAGES_PER_FRAME):
-            batch = messages[start : start + MAX_RELAYED_MESSAGES_PER_FRAME]
-            self._send_to(members, batch)
+        for cell, members in self.peers.by_cell().items():
+            zone = self.local_record.zone
+            members = [peer for peer in members if peer.record.zone == zone]
+            cell_messages = [
+                message
+                for message in messages
+                if message.cell in (ALL_CELLS, cell)
+            ]
+            if not members:
+                continue
+            for batch in _batches(cell_messages):
+                self._send_to(members, batch)
 
     def _send_to(
         self,
@@ -320,7 +326,24 @@
             len(self.peers), leading=message.leading
         )
         self.peers.record_message(peer, message, interval_s)
-        self.on_gossip(peer, message)
+        if message.cell in (ALL_CELLS, self._local_cell()):
+            self.on_gossip(peer, message)
+
+    def _local_cell(self) -> int:
+        return self.peers.cell_of(self.local_record.instance)
+
+
+def _group_by_zone(peers: list[GossipPeer]) -> dict[str, list[GossipPeer]]:
+    zones: dict[str, list[GossipPeer]] = {}
+    for peer in peers:
+        zones.setdefault(peer.record.zone, []).append(peer)
+    return zones
+
+
+def _batches(messages: list[Gossip]) -> Iterator[list[Gossip]]:
+    size = MAX_RELAYED_MESSAGES_PER_FRAME
+    for start in range(0, len(messages), size):
+        yield messages[start : start + size]
 
 
-__all__ = ["GossipNode"]
+__all__ = ["ALL_CELLS", "GossipNode"]
--- a/src/auburnswitch/members/peer_table.py
+++ b/src/auburnswitch/members/peer_table.py
@@ -17,7 +17,7 @@
 
     from auburnswitch.schema.gossip import DaemonRecord, Gossip
 
-CELL_PEERS_REFRESH_INTERVAL_S: Final = 0.25
+CELLS_REFRESH_INTERVAL_S: Final = 0.25
 
 
 class PeerTable:
@@ -25,30 +25,29 @@
 
     Attributes:
         by_instance: The peers, by instance.
-        is_cell_peer: Returns whether the daemon on an instance is in this
-            daemon's cell.
+        cell_of: Returns the number of the cell of an instance.
         latest_store_read_at: Loop time of the newest store read that a peer
             has reported, in seconds; None before the first report.
     """
 
     __slots__ = (
-        "_cell_peers",
-        "_cell_peers_refreshed_at",
+        "_cells",
+        "_cells_refreshed_at",
         "_live",
         "_live_valid_until",
         "by_instance",
-        "is_cell_peer",
+        "cell_of",
         "latest_store_read_at",
     )
 
-    def __init__(self, *, is_cell_peer: Callable[[str], bool]) -> None:
-        self.is_cell_peer = is_cell_peer
+    def __init__(self, *, cell_of: Callable[[str], int]) -> None:
+        self.cell_of = cell_of
         self.by_instance: dict[str, GossipPeer] = {}
         self.latest_store_read_at: float | None = None
         self._live: list[GossipPeer] = []
         self._live_valid_until = math.inf
-        self._cell_peers: list[GossipPeer] = []
-        self._cell_peers_refreshed_at = -CELL_PEERS_REFRESH_INTERVAL_S
+        self._cells: dict[int, list[GossipPeer]] = {}
+        self._cells_refreshed_at = -CELLS_REFRESH_INTERVAL_S
 
     def __len__(self) -> int:
         return len(self.by_instance)
@@ -59,7 +58,7 @@
         if peer is None:
             peer = GossipPeer(record=record)
             self.by_instance[record.instance] = peer
-            self._cell_peers_refreshed_at = -CELL_PEERS_REFRESH_INTERVAL_S
+            self._cells_refreshed_at = -CELLS_REFRESH_INTERVAL_S
         elif peer.record != record:
             peer.record = record
             self._live = []  # readers of the list look at the records too
@@ -133,17 +132,15 @@
                 self._live = live
         return self._live
 
-    def cell_peers(self) -> list[GossipPeer]:
-        """Returns the peers in this daemon's cell."""
+    def by_cell(self) -> dict[int, list[GossipPeer]]:
+        """Returns the peers by the number of their cell."""
         now = monotonic_s()
-        if now >= self._cell_peers_refreshed_at + CELL_PEERS_REFRESH_INTERVAL_S:
-            self._cell_peers_refreshed_at = now
-            self._cell_peers = [
-                peer
-                for name, peer in self.by_instance.items()
-                if self.is_cell_peer(name)
-            ]
-        return self._cell_peers
+        if now >= self._cells_refreshed_at + CELLS_REFRESH_INTERVAL_S:
+            self._cells_refreshed_at = now
+            self._cells = {}
+            for name, peer in self.by_instance.items():
+                self._cells.setdefault(self.cell_of(name), []).append(peer)
+        return self._cells
 
 
 __all__ = ["PeerTable"]
--- a/src/auburnswitch/routing/load_observer.py
+++ b/src/auburnswitch/routing/load_observer.py
@@ -36,16 +36,18 @@
 class LoadObserver:
     """Polls the engines assigned to this daemon for their load.
 
-    Each engine is polled by one live daemon, which publishes the results to the
-    others. The number of engines polled in one round is bounded, as a daemon
-    that has just started sees no peers and assigns all engines to itself.
+    Each engine is polled by one live daemon of its cell, which publishes the
+    results to the others. The number of engines polled in one round is bounded,
+    as a daemon that has just started sees no peers and assigns all engines of
+    its cell to itself.
 
     Attributes:
         installation: The endpoints and services.
         load: Work of all daemons on each endpoint.
         endpoint_client: Client for calls to endpoints.
         instance: This daemon's instance.
-        live_instances: Returns the instances of the live peers.
+        live_instances: Returns the instances of the live peers in the cell.
+        is_cell_endpoint: Returns whether an endpoint is in this daemon's cell.
         publish: Publishes reports to peers.
     """
 
@@ -57,6 +59,7 @@
         "endpoint_client",
         "installation",
         "instance",
+        "is_cell_endpoint",
         "live_instances",
         "load",
         "publish",
@@ -70,6 +73,7 @@
         endpoint_client: PlatformEndpointClient,
         instance: str,
         live_instances: Callable[[], Iterable[str]],
+        is_cell_endpoint: Callable[[str], bool],
         publish: Callable[[list[EngineReport]], None],
     ) -> None:
         self.installation = installation
@@ -77,6 +81,7 @@
         self.endpoint_client = endpoint_client
         self.instance = instance
         self.live_instances = live_instances
+        self.is_cell_endpoint = is_cell_endpoint
         self.publish = publish
         self._started_at = monotonic_s()
         self._next_poll_at: dict[str, float] = {}
@@ -129,6 +134,7 @@
             endpoint
             for endpoint in self.installation.endpoints.values()
             if endpoint.entry.service_name in engines
+            and self.is_cell_endpoint(endpoint.entry.id)
             and ring.owner(endpoint.entry.id) == self.instance
         ]
 
--- a/src/auburnswitch/schema/gossip.py
+++ b/src/auburnswitch/schema/gossip.py
@@ -243,6 +243,7 @@
     relayed: bool = False
     link_mbps: float = 0.0
     config_changes: ConfigChanges | None = None
+    cell: int = -1
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "sender", False),
@@ -267,6 +268,7 @@
         20: (TType.BOOL, "relayed", False),
         21: (TType.DOUBLE, "link_mbps", False),
         22: (TType.STRUCT, "config_changes", ConfigChanges, False),
+        23: (TType.I32, "cell", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("sender", None),
@@ -291,6 +293,7 @@
         ("relayed", None),
         ("link_mbps", None),
         ("config_changes", None),
+        ("cell", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -354,6 +357,10 @@
             text="Change of the configuration that the sender has just read from the store.",
             options={},
         ),
+        "cell": Description(
+            text="Number of the cell whose daemons receive the message; negative for all daemons.",
+            options={},
+        ),
     }
 
 
@@ -376,7 +383,7 @@
     descriptions: ClassVar[dict[str, Description]] = {
         "messages": Description(text="", options={}),
         "relay": Description(
-            text="The receiver forwards the messages to the daemons of its zone.",
+            text="The receiver forwards each message to the daemons of its cell in the receiver's zone.",
             options={},
         ),
     }
--- a/tests/members/test_gossip.py
+++ b/tests/members/test_gossip.py
@@ -8,7 +8,7 @@
 
 from auburnswitch.experiments.installation import wait_until
 from auburnswitch.members import gossip
-from auburnswitch.members.gossip import GossipNode
+from auburnswitch.members.gossip import ALL_CELLS, GossipNode
 from auburnswitch.members.relay_selector import RELAY_REFRESH_INTERVAL_S
 from auburnswitch.members.signed_frames import encode_signed
 from auburnswitch.schema.gossip import (
@@ -142,14 +142,12 @@
         async with open_nodes({"a": 4}) as nodes:
             _split_into_cells(nodes)
             sender, other_cell_peer, cell_peer, _ = nodes
+            sender.gossip_node.send_started_work([WorkItem(id=7)], cell=0)
             sender.gossip_node.send_started_work(
-                [WorkItem(id=7)], to_all_cells=False
+                [WorkItem(id=8)], cell=ALL_CELLS
             )
-            sender.gossip_node.send_started_work(
-                [WorkItem(id=8)], to_all_cells=True
-            )
-            sender.gossip_node.schedule_ended_work([7], to_all_cells=False)
-            sender.gossip_node.schedule_ended_work([8], to_all_cells=True)
+            sender.gossip_node.schedule_ended_work([7], cell=0)
+            sender.gossip_node.schedule_ended_work([8])
             await wait_until(lambda: cell_peer.received_ended("a-0") == [7, 8])
             await wait_until(
                 lambda: other_cell_peer.received_ended("a-0") == [8]
@@ -157,6 +155,25 @@
             self.assertEqual(cell_peer.received_items("a-0"), [7, 8])
             self.assertEqual(other_cell_peer.received_items("a-0"), [8])
 
+    async def test_relays_forward_work_of_a_cell_to_that_cell_only(self):
+        async with open_nodes({"a": 14, "b": 6}) as nodes:
+            _split_into_cells(nodes)
+            await asyncio.sleep(RELAY_REFRESH_INTERVAL_S)
+            sender = nodes[2].gossip_node
+            name = sender.local_record.instance
+            datagram_count = _count_datagrams(sender)
+            sender.send_started_work([WorkItem(id=7)], cell=1)
+            sender.send_started_work([WorkItem(id=8)], cell=ALL_CELLS)
+            self.assertLessEqual(datagram_count(), 4)
+            others = [n for n in nodes if n.gossip_node is not sender]
+            await wait_until(
+                lambda: all(8 in n.received_items(name) for n in others)
+            )
+            for number, node in enumerate(nodes):
+                if node.gossip_node is not sender:
+                    expected = [7, 8] if number % 2 else [8]
+                    self.assertEqual(node.received_items(name), expected)
+
     async def test_heartbeats_with_all_work_go_to_the_cell(self):
         async with open_nodes({"a": 4}) as nodes:
             _split_into_cells(nodes)
@@ -210,10 +227,9 @@
 def _split_into_cells(nodes: list[RecordingNode]) -> None:
     """Assigns the nodes to two cells alternately."""
     names = [node.gossip_node.local_record.instance for node in nodes]
-    for number, node in enumerate(nodes):
-        node.gossip_node.peers.is_cell_peer = set(
-            names[number % 2 :: 2]
-        ).__contains__
+    cells = {name: number % 2 for number, name in enumerate(names)}
+    for node in nodes:
+        node.gossip_node.peers.cell_of = cells.__getitem__
 
 
 def _count_datagrams(node: GossipNode):
--- a/tests/members/test_peer_table.py
+++ b/tests/members/test_peer_table.py
@@ -37,7 +37,7 @@
             )
             patch.start()
             self.addCleanup(patch.stop)
-        self.table = PeerTable(is_cell_peer=lambda _: True)
+        self.table = PeerTable(cell_of=lambda _: 0)
         self.sequence = 0
 
     def hear(self, name, *, interval_s=INTERVAL_S, **fields):
--- a/tests/routing/test_load_observer.py
+++ b/tests/routing/test_load_observer.py
@@ -62,6 +62,7 @@
         async def run():
             calls = CountingCalls()
             observer = LoadObserver(
+                is_cell_endpoint=lambda _: True,
                 installation=make_installation(),
                 load=FleetLoad(),
                 endpoint_client=calls,
