--- a/src/auburnswitch/members/gossip.py
+++ b/src/auburnswitch/members/gossip.py
@@ -28,7 +28,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable, Iterable, Iterator
+    from collections.abc import AsyncIterator, Callable, Collection, Iterator
 
     from auburnswitch.members.gossip_peer import GossipPeer
     from auburnswitch.schema.gossip import (
@@ -254,28 +254,27 @@
         self._relayed.append(message)
 
     def _flush_relayed(self) -> None:
+        """Forwards the queued messages to the daemons of this zone, by cell."""
         messages, self._relayed = self._relayed, []
-        for cell, members in self.peers.by_cell().items():
-            zone = self.local_record.zone
-            members = [peer for peer in members if peer.record.zone == zone]
+        zone = self.local_record.zone
+        for cell, peers in self.peers.by_cell().items():
+            members = [peer for peer in peers if peer.record.zone == zone]
             cell_messages = [
                 message
                 for message in messages
                 if message.cell in (ALL_CELLS, cell)
             ]
-            if not members:
-                continue
             for batch in _batches(cell_messages):
                 self._send_to(members, batch)
 
     def _send_to(
         self,
-        peers: Iterable[GossipPeer],
+        peers: Collection[GossipPeer],
         messages: list[Gossip],
         *,
         relay: bool = False,
     ) -> None:
-        if not self.key or self._transport is None:
+        if not self.key or self._transport is None or not peers:
             return
         frame = encode_signed(
             self.key, GossipFrame(messages=messages, relay=relay)
