Let daemons that start together not poll each other's engines

Ruled out: taking all registered daemons for live, which leaves engines without an observer when a zone has lost power. Change: the first poll is 2 s after the start, when the heartbeats of the cell have come. Test: with peers heard after 1.9 s the polled engines are those of this daemon only; red before.

--- a/src/auburnswitch/routing/load_observer.py
+++ b/src/auburnswitch/routing/load_observer.py
@@ -29,6 +29,7 @@
 # Applies after the start and to engines with unknown requests or a slowdown.
 FAST_OBSERVE_INTERVAL_S: Final = 0.5
 STARTUP_S: Final = 8.0
+FIRST_POLL_DELAY_S: Final = 2.0  # until the peers have sent a heartbeat
 SLOWDOWN_THRESHOLD: Final = 1.15
 MAX_CONCURRENT_REPORTS: Final = 24
 
@@ -90,6 +91,7 @@
 
     async def run(self) -> None:
         """Polls engines until cancelled."""
+        await asyncio.sleep(FIRST_POLL_DELAY_S)
         while True:
             await asyncio.sleep(FAST_OBSERVE_INTERVAL_S)
             due = self._due_engines()
--- a/tests/routing/test_load_observer.py
+++ b/tests/routing/test_load_observer.py
@@ -5,6 +5,7 @@
 import asyncio
 import unittest
 
+from auburnswitch.clock import monotonic_s
 from auburnswitch.configuration.installation import Installation
 from auburnswitch.platform.endpoint_client import EngineLoadReport
 from auburnswitch.routing.fleet_load import FleetLoad
@@ -58,7 +59,9 @@
 
 
 class ObserverTest(unittest.TestCase):
-    def observe(self, name, peers, seconds) -> CountingCalls:
+    def observe(
+        self, name, peers, seconds, *, peers_heard_at_s=0.0
+    ) -> CountingCalls:
         async def run():
             calls = CountingCalls()
             observer = LoadObserver(
@@ -67,7 +70,9 @@
                 load=FleetLoad(),
                 endpoint_client=calls,
                 instance=name,
-                live_instances=lambda: peers,
+                live_instances=lambda: (
+                    peers if monotonic_s() >= peers_heard_at_s else []
+                ),
                 publish=lambda reports: None,
             )
             observer_task = asyncio.create_task(observer.run())
@@ -80,6 +85,7 @@
     def test_daemon_without_peers_bounds_concurrent_reports(self):
         calls = self.observe("entry-0", [], 10)
         self.assertLessEqual(calls.max_in_flight, MAX_CONCURRENT_REPORTS)
+        self.assertGreater(len(calls.requested_ids), MAX_CONCURRENT_REPORTS)
 
     def test_each_engine_is_observed_by_one_daemon(self):
         names = [f"entry-{n}" for n in range(DAEMONS)]
@@ -93,6 +99,13 @@
             len(set().union(*requested_ids)), sum(map(len, requested_ids))
         )
         self.assertLess(max(map(len, requested_ids)), 60)
+        self.assertGreater(min(map(len, requested_ids)), 0)
+
+    def test_daemons_that_start_together_do_not_poll_each_others_engines(self):
+        peers = [f"entry-{n}" for n in range(1, DAEMONS)]
+        own = set(self.observe("entry-0", peers, 5).requested_ids)
+        calls = self.observe("entry-0", peers, 5, peers_heard_at_s=1.9)
+        self.assertEqual(set(calls.requested_ids), own)
 
 
 if __name__ == "__main__":
