--- a/src/auburnswitch/claims/shard.py
+++ b/src/auburnswitch/claims/shard.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 from dataclasses import dataclass
 from typing import Any, Final
 
@@ -196,7 +195,7 @@
 
 def claim_with_outcome(claim: Claim, **outcome: Any) -> Claim:
     """Returns a copy of a claim with its outcome."""
-    return dataclasses.replace(claim, **outcome)
+    return claim.replace(**outcome)
 
 
 __all__ = [
--- a/src/auburnswitch/configuration/config_diff.py
+++ b/src/auburnswitch/configuration/config_diff.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import TYPE_CHECKING
 
 from auburnswitch.schema.gossip import ConfigChanges
@@ -30,7 +29,7 @@
             route for name, route in after.items() if before.get(name) != route
         ],
         removed=[name for name in before if name not in after],
-        rest=dataclasses.replace(new, routes=[]),
+        rest=new.replace(routes=[]),
     )
 
 
@@ -42,7 +41,7 @@
     for name in changes.removed:
         routes.pop(name, None)
     routes.update({route.name: route for route in changes.changed})
-    return dataclasses.replace(changes.rest, routes=[*routes.values()])
+    return changes.rest.replace(routes=[*routes.values()])
 
 
 __all__ = ["apply_config_changes", "diff_configs"]
--- a/src/auburnswitch/configuration/tickets.py
+++ b/src/auburnswitch/configuration/tickets.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 from typing import TYPE_CHECKING, Any, Final
 
 from expression import Error, Ok, Result
@@ -124,7 +123,7 @@
                 return Error(_unavailable(error, Ran.NO))
 
     async def _publish(self, ticket: Ticket) -> Result[Ticket, Refusal]:
-        value = to_json(dataclasses.replace(ticket, before=[]))
+        value = to_json(ticket.replace(before=[]))
         error = StoreUnavailable(reason="")
         for attempt in range(MAX_WRITE_ATTEMPTS):
             if attempt:
--- a/src/auburnswitch/schema/base.py
+++ b/src/auburnswitch/schema/base.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 import base64
-import dataclasses
 import enum
-from typing import TYPE_CHECKING, Any, ClassVar, Final, TypeVar
+from typing import TYPE_CHECKING, Any, ClassVar, Final, Self, TypeVar
 
 from thriftpy2.thrift import TType
 
@@ -42,6 +41,32 @@
     default_spec: ClassVar[list[tuple[str, Any]]]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]]
 
+    def __eq__(self, other: object) -> bool:
+        if self.__class__ is not other.__class__:
+            return NotImplemented
+        return all(
+            getattr(self, name) == getattr(other, name)
+            for name in self.field_names()
+        )
+
+    __hash__ = None  # type: ignore[assignment]
+
+    def __repr__(self) -> str:
+        values = (
+            f"{name}={getattr(self, name)!r}" for name in self.field_names()
+        )
+        return f"{type(self).__name__}({', '.join(values)})"
+
+    @classmethod
+    def field_names(cls) -> list[str]:
+        """Returns the names of the fields, in the order of the schema."""
+        return [name for name, _ in cls.default_spec]
+
+    def replace(self, **changes: Any) -> Self:
+        """Returns a shallow copy with other values of some fields."""
+        values = {name: getattr(self, name) for name in self.field_names()}
+        return type(self)(**(values | changes))
+
     def read(self, protocol: TProtocolBase) -> None:
         """Reads the fields from a thrift protocol."""
         protocol.read_struct(self)
@@ -54,12 +79,12 @@
 def to_json(struct: Struct) -> dict[str, Any]:
     """Converts a struct to JSON types, leaving out absent optional fields."""
     result: dict[str, Any] = {}
-    for field in dataclasses.fields(struct):  # type: ignore[arg-type]
-        value = getattr(struct, field.name)
+    for name in struct.field_names():
+        value = getattr(struct, name)
         if value is None:
             continue
-        enum_type = struct.enum_fields.get(field.name)
-        result[field.name] = _value_to_json(value, enum_type)
+        enum_type = struct.enum_fields.get(name)
+        result[name] = _value_to_json(value, enum_type)
     return result
 
 
--- a/src/auburnswitch/schema/entry.py
+++ b/src/auburnswitch/schema/entry.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass, field
 from typing import Any, ClassVar, Final
 
 from thriftpy2.thrift import TType
@@ -14,13 +13,25 @@
 from auburnswitch.schema.base import Description, Struct
 
 
-@dataclass(slots=True, kw_only=True)
 class InstanceSettings(Struct):
     """Identity of this daemon."""
 
-    name: str = ""
-    zone: str = ""
-    link_mbps: float = 100.0
+    __slots__ = (
+        "link_mbps",
+        "name",
+        "zone",
+    )
+
+    name: str
+    zone: str
+    link_mbps: float
+
+    def __init__(
+        self, *, name: str = "", zone: str = "", link_mbps: float = 100.0
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.link_mbps = link_mbps
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "name", False),
@@ -48,15 +59,37 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class ListenSettings(Struct):
     """Addresses the daemon listens on."""
 
-    callers: str = ""
-    readiness: str = ""
-    peer_host: str = ""
-    peer_port: int = 0
-    metrics: str = ""
+    __slots__ = (
+        "callers",
+        "metrics",
+        "peer_host",
+        "peer_port",
+        "readiness",
+    )
+
+    callers: str
+    readiness: str
+    peer_host: str
+    peer_port: int
+    metrics: str
+
+    def __init__(
+        self,
+        *,
+        callers: str = "",
+        readiness: str = "",
+        peer_host: str = "",
+        peer_port: int = 0,
+        metrics: str = "",
+    ) -> None:
+        self.callers = callers
+        self.readiness = readiness
+        self.peer_host = peer_host
+        self.peer_port = peer_port
+        self.metrics = metrics
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "callers", False),
@@ -96,16 +129,41 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class StoreSettings(Struct):
     """The platform's object store."""
 
-    address: str = ""
-    call_timeout_s: float = 0.8
-    watch_wait_s: float = 15.0
-    readers: int = 3
-    peer_read_max_age_s: float = 1.5
-    probe_interval_s: float = 2.0
+    __slots__ = (
+        "address",
+        "call_timeout_s",
+        "peer_read_max_age_s",
+        "probe_interval_s",
+        "readers",
+        "watch_wait_s",
+    )
+
+    address: str
+    call_timeout_s: float
+    watch_wait_s: float
+    readers: int
+    peer_read_max_age_s: float
+    probe_interval_s: float
+
+    def __init__(
+        self,
+        *,
+        address: str = "",
+        call_timeout_s: float = 0.8,
+        watch_wait_s: float = 15.0,
+        readers: int = 3,
+        peer_read_max_age_s: float = 1.5,
+        probe_interval_s: float = 2.0,
+    ) -> None:
+        self.address = address
+        self.call_timeout_s = call_timeout_s
+        self.watch_wait_s = watch_wait_s
+        self.readers = readers
+        self.peer_read_max_age_s = peer_read_max_age_s
+        self.probe_interval_s = probe_interval_s
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "address", False),
@@ -151,18 +209,49 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class BoundSettings(Struct):
     """Limits of the installation that bound the guarantees to callers and operators."""
 
-    stop_grace_s: float = 8.0
-    retry_ratio: float = 0.2
-    retry_extra: float = 100.0
-    retry_window_s: float = 10.0
-    cold_ratio: float = 1.0
-    cold_extra: float = 0.0
-    lapsed_entry_grace_s: float = 2.0
-    reservation_max_ms: float = 20000.0
+    __slots__ = (
+        "cold_extra",
+        "cold_ratio",
+        "lapsed_entry_grace_s",
+        "reservation_max_ms",
+        "retry_extra",
+        "retry_ratio",
+        "retry_window_s",
+        "stop_grace_s",
+    )
+
+    stop_grace_s: float
+    retry_ratio: float
+    retry_extra: float
+    retry_window_s: float
+    cold_ratio: float
+    cold_extra: float
+    lapsed_entry_grace_s: float
+    reservation_max_ms: float
+
+    def __init__(
+        self,
+        *,
+        stop_grace_s: float = 8.0,
+        retry_ratio: float = 0.2,
+        retry_extra: float = 100.0,
+        retry_window_s: float = 10.0,
+        cold_ratio: float = 1.0,
+        cold_extra: float = 0.0,
+        lapsed_entry_grace_s: float = 2.0,
+        reservation_max_ms: float = 20000.0,
+    ) -> None:
+        self.stop_grace_s = stop_grace_s
+        self.retry_ratio = retry_ratio
+        self.retry_extra = retry_extra
+        self.retry_window_s = retry_window_s
+        self.cold_ratio = cold_ratio
+        self.cold_extra = cold_extra
+        self.lapsed_entry_grace_s = lapsed_entry_grace_s
+        self.reservation_max_ms = reservation_max_ms
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.DOUBLE, "stop_grace_s", False),
@@ -221,12 +310,22 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class EntryLogSettings(Struct):
     """Structured logs."""
 
-    level: str = "info"
-    max_lines_per_s: int = 200
+    __slots__ = (
+        "level",
+        "max_lines_per_s",
+    )
+
+    level: str
+    max_lines_per_s: int
+
+    def __init__(
+        self, *, level: str = "info", max_lines_per_s: int = 200
+    ) -> None:
+        self.level = level
+        self.max_lines_per_s = max_lines_per_s
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "level", False),
@@ -249,15 +348,37 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class EntrySettings(Struct):
     """All sections of the settings file."""
 
-    instance: InstanceSettings = field(default_factory=InstanceSettings)
-    listen: ListenSettings = field(default_factory=ListenSettings)
-    store: StoreSettings = field(default_factory=StoreSettings)
-    bounds: BoundSettings = field(default_factory=BoundSettings)
-    log: EntryLogSettings = field(default_factory=EntryLogSettings)
+    __slots__ = (
+        "bounds",
+        "instance",
+        "listen",
+        "log",
+        "store",
+    )
+
+    instance: InstanceSettings
+    listen: ListenSettings
+    store: StoreSettings
+    bounds: BoundSettings
+    log: EntryLogSettings
+
+    def __init__(
+        self,
+        *,
+        instance: InstanceSettings | None = None,
+        listen: ListenSettings | None = None,
+        store: StoreSettings | None = None,
+        bounds: BoundSettings | None = None,
+        log: EntryLogSettings | None = None,
+    ) -> None:
+        self.instance = InstanceSettings() if instance is None else instance
+        self.listen = ListenSettings() if listen is None else listen
+        self.store = StoreSettings() if store is None else store
+        self.bounds = BoundSettings() if bounds is None else bounds
+        self.log = EntryLogSettings() if log is None else log
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRUCT, "instance", InstanceSettings, False),
--- a/src/auburnswitch/schema/gossip.py
+++ b/src/auburnswitch/schema/gossip.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass, field
 from typing import Any, ClassVar, Final
 
 from thriftpy2.thrift import TType
@@ -15,21 +14,61 @@
 from auburnswitch.schema.installation import *
 
 
-@dataclass(slots=True, kw_only=True)
 class WorkItem(Struct):
     """A request that a daemon has dispatched to endpoints."""
 
-    id: int = 0
-    endpoint: str = ""
-    helpers: list[str] = field(default_factory=list)
-    read_ms: float = 0.0
-    memory_tokens: int = 0
-    target_gap_ms: float = 0.0
-    remaining_ms: float = 0.0
-    writing: bool = False
-    helper_memory_tokens: int = 0
-    holders: int = 0
-    due_ms: float = 0.0
+    __slots__ = (
+        "due_ms",
+        "endpoint",
+        "helper_memory_tokens",
+        "helpers",
+        "holders",
+        "id",
+        "memory_tokens",
+        "read_ms",
+        "remaining_ms",
+        "target_gap_ms",
+        "writing",
+    )
+
+    id: int
+    endpoint: str
+    helpers: list[str]
+    read_ms: float
+    memory_tokens: int
+    target_gap_ms: float
+    remaining_ms: float
+    writing: bool
+    helper_memory_tokens: int
+    holders: int
+    due_ms: float
+
+    def __init__(
+        self,
+        *,
+        id: int = 0,
+        endpoint: str = "",
+        helpers: list[str] | None = None,
+        read_ms: float = 0.0,
+        memory_tokens: int = 0,
+        target_gap_ms: float = 0.0,
+        remaining_ms: float = 0.0,
+        writing: bool = False,
+        helper_memory_tokens: int = 0,
+        holders: int = 0,
+        due_ms: float = 0.0,
+    ) -> None:
+        self.id = id
+        self.endpoint = endpoint
+        self.helpers = [] if helpers is None else helpers
+        self.read_ms = read_ms
+        self.memory_tokens = memory_tokens
+        self.target_gap_ms = target_gap_ms
+        self.remaining_ms = remaining_ms
+        self.writing = writing
+        self.helper_memory_tokens = helper_memory_tokens
+        self.holders = holders
+        self.due_ms = due_ms
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "id", False),
@@ -104,15 +143,37 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class ConfigChanges(Struct):
     """Changes of the configuration between two versions."""
 
-    since_version: int = 0
-    version: int = 0
-    changed: list[Route] = field(default_factory=list)
-    removed: list[str] = field(default_factory=list)
-    rest: InstallationConfig = field(default_factory=InstallationConfig)
+    __slots__ = (
+        "changed",
+        "removed",
+        "rest",
+        "since_version",
+        "version",
+    )
+
+    since_version: int
+    version: int
+    changed: list[Route]
+    removed: list[str]
+    rest: InstallationConfig
+
+    def __init__(
+        self,
+        *,
+        since_version: int = 0,
+        version: int = 0,
+        changed: list[Route] | None = None,
+        removed: list[str] | None = None,
+        rest: InstallationConfig | None = None,
+    ) -> None:
+        self.since_version = since_version
+        self.version = version
+        self.changed = [] if changed is None else changed
+        self.removed = [] if removed is None else removed
+        self.rest = InstallationConfig() if rest is None else rest
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "since_version", False),
@@ -144,14 +205,33 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class EndpointChanges(Struct):
     """Changes of endpoints between two revisions of the store."""
 
-    since_revision: int = 0
-    revision: int = 0
-    changed: list[EndpointEntry] = field(default_factory=list)
-    removed: list[str] = field(default_factory=list)
+    __slots__ = (
+        "changed",
+        "removed",
+        "revision",
+        "since_revision",
+    )
+
+    since_revision: int
+    revision: int
+    changed: list[EndpointEntry]
+    removed: list[str]
+
+    def __init__(
+        self,
+        *,
+        since_revision: int = 0,
+        revision: int = 0,
+        changed: list[EndpointEntry] | None = None,
+        removed: list[str] | None = None,
+    ) -> None:
+        self.since_revision = since_revision
+        self.revision = revision
+        self.changed = [] if changed is None else changed
+        self.removed = [] if removed is None else removed
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "since_revision", False),
@@ -178,14 +258,33 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class EngineReport(Struct):
     """Difference between the load that an engine reports and the work that daemons have there."""
 
-    endpoint: str = ""
-    unknown_requests: int = 0
-    slowdown: float = 1.0
-    unknown_tokens: int = 0
+    __slots__ = (
+        "endpoint",
+        "slowdown",
+        "unknown_requests",
+        "unknown_tokens",
+    )
+
+    endpoint: str
+    unknown_requests: int
+    slowdown: float
+    unknown_tokens: int
+
+    def __init__(
+        self,
+        *,
+        endpoint: str = "",
+        unknown_requests: int = 0,
+        slowdown: float = 1.0,
+        unknown_tokens: int = 0,
+    ) -> None:
+        self.endpoint = endpoint
+        self.unknown_requests = unknown_requests
+        self.slowdown = slowdown
+        self.unknown_tokens = unknown_tokens
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "endpoint", False),
@@ -217,33 +316,111 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class Gossip(Struct):
     """State that a daemon publishes to each peer when its work changes, and periodically."""
 
-    sender: str = ""
-    incarnation: int = 0
-    sequence: int = 0
-    host: str = ""
-    port: int = 0
-    zone: str = ""
-    config_version: int = 0
-    endpoints_revision: int = 0
-    closed_zones_revision: int = 0
-    store_read_age_ms: float = -1.0
-    stopping: bool = False
-    complete: bool = False
-    items: list[WorkItem] = field(default_factory=list)
-    ended: list[int] = field(default_factory=list)
-    failed_endpoints: list[str] = field(default_factory=list)
-    crash_strikes: list[str] = field(default_factory=list)
-    changes: EndpointChanges | None = None
-    reports: list[EngineReport] = field(default_factory=list)
-    leading: bool = False
-    relayed: bool = False
-    link_mbps: float = 0.0
-    config_changes: ConfigChanges | None = None
-    cell: int = -1
+    __slots__ = (
+        "cell",
+        "changes",
+        "closed_zones_revision",
+        "complete",
+        "config_changes",
+        "config_version",
+        "crash_strikes",
+        "ended",
+        "endpoints_revision",
+        "failed_endpoints",
+        "host",
+        "incarnation",
+        "items",
+        "leading",
+        "link_mbps",
+        "port",
+        "relayed",
+        "reports",
+        "sender",
+        "sequence",
+        "stopping",
+        "store_read_age_ms",
+        "zone",
+    )
+
+    sender: str
+    incarnation: int
+    sequence: int
+    host: str
+    port: int
+    zone: str
+    config_version: int
+    endpoints_revision: int
+    closed_zones_revision: int
+    store_read_age_ms: float
+    stopping: bool
+    complete: bool
+    items: list[WorkItem]
+    ended: list[int]
+    failed_endpoints: list[str]
+    crash_strikes: list[str]
+    changes: EndpointChanges | None
+    reports: list[EngineReport]
+    leading: bool
+    relayed: bool
+    link_mbps: float
+    config_changes: ConfigChanges | None
+    cell: int
+
+    def __init__(
+        self,
+        *,
+        sender: str = "",
+        incarnation: int = 0,
+        sequence: int = 0,
+        host: str = "",
+        port: int = 0,
+        zone: str = "",
+        config_version: int = 0,
+        endpoints_revision: int = 0,
+        closed_zones_revision: int = 0,
+        store_read_age_ms: float = -1.0,
+        stopping: bool = False,
+        complete: bool = False,
+        items: list[WorkItem] | None = None,
+        ended: list[int] | None = None,
+        failed_endpoints: list[str] | None = None,
+        crash_strikes: list[str] | None = None,
+        changes: EndpointChanges | None = None,
+        reports: list[EngineReport] | None = None,
+        leading: bool = False,
+        relayed: bool = False,
+        link_mbps: float = 0.0,
+        config_changes: ConfigChanges | None = None,
+        cell: int = -1,
+    ) -> None:
+        self.sender = sender
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.host = host
+        self.port = port
+        self.zone = zone
+        self.config_version = config_version
+        self.endpoints_revision = endpoints_revision
+        self.closed_zones_revision = closed_zones_revision
+        self.store_read_age_ms = store_read_age_ms
+        self.stopping = stopping
+        self.complete = complete
+        self.items = [] if items is None else items
+        self.ended = [] if ended is None else ended
+        self.failed_endpoints = (
+            [] if failed_endpoints is None else failed_endpoints
+        )
+        self.crash_strikes = [] if crash_strikes is None else crash_strikes
+        self.changes = changes
+        self.reports = [] if reports is None else reports
+        self.leading = leading
+        self.relayed = relayed
+        self.link_mbps = link_mbps
+        self.config_changes = config_changes
+        self.cell = cell
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "sender", False),
@@ -364,12 +541,22 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class GossipFrame(Struct):
     """One datagram."""
 
-    messages: list[Gossip] = field(default_factory=list)
-    relay: bool = False
+    __slots__ = (
+        "messages",
+        "relay",
+    )
+
+    messages: list[Gossip]
+    relay: bool
+
+    def __init__(
+        self, *, messages: list[Gossip] | None = None, relay: bool = False
+    ) -> None:
+        self.messages = [] if messages is None else messages
+        self.relay = relay
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.LIST, "messages", (TType.STRUCT, Gossip), False),
@@ -389,13 +576,29 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class StateFetch(Struct):
     """Requests the state that a peer has in a newer version than the sender."""
 
-    config_version: int = 0
-    endpoints_revision: int = 0
-    closed_zones_revision: int = 0
+    __slots__ = (
+        "closed_zones_revision",
+        "config_version",
+        "endpoints_revision",
+    )
+
+    config_version: int
+    endpoints_revision: int
+    closed_zones_revision: int
+
+    def __init__(
+        self,
+        *,
+        config_version: int = 0,
+        endpoints_revision: int = 0,
+        closed_zones_revision: int = 0,
+    ) -> None:
+        self.config_version = config_version
+        self.endpoints_revision = endpoints_revision
+        self.closed_zones_revision = closed_zones_revision
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "config_version", False),
@@ -415,13 +618,29 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class StateUpdate(Struct):
     """State that a peer has in a newer version than the requester."""
 
-    config: InstallationConfig | None = None
-    endpoints: EndpointList | None = None
-    closed_zones: ClosedZones | None = None
+    __slots__ = (
+        "closed_zones",
+        "config",
+        "endpoints",
+    )
+
+    config: InstallationConfig | None
+    endpoints: EndpointList | None
+    closed_zones: ClosedZones | None
+
+    def __init__(
+        self,
+        *,
+        config: InstallationConfig | None = None,
+        endpoints: EndpointList | None = None,
+        closed_zones: ClosedZones | None = None,
+    ) -> None:
+        self.config = config
+        self.endpoints = endpoints
+        self.closed_zones = closed_zones
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRUCT, "config", InstallationConfig, False),
@@ -441,15 +660,37 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class DaemonRecord(Struct):
     """Record of an entry daemon in the store."""
 
-    instance: str = ""
-    zone: str = ""
-    host: str = ""
-    port: int = 0
-    link_mbps: float = 0.0
+    __slots__ = (
+        "host",
+        "instance",
+        "link_mbps",
+        "port",
+        "zone",
+    )
+
+    instance: str
+    zone: str
+    host: str
+    port: int
+    link_mbps: float
+
+    def __init__(
+        self,
+        *,
+        instance: str = "",
+        zone: str = "",
+        host: str = "",
+        port: int = 0,
+        link_mbps: float = 0.0,
+    ) -> None:
+        self.instance = instance
+        self.zone = zone
+        self.host = host
+        self.port = port
+        self.link_mbps = link_mbps
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "instance", False),
--- a/src/auburnswitch/schema/installation.py
+++ b/src/auburnswitch/schema/installation.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass, field
 from typing import Any, ClassVar, Final
 
 from thriftpy2.thrift import TType
@@ -14,12 +13,20 @@
 from auburnswitch.schema.base import Description, Struct
 
 
-@dataclass(slots=True, kw_only=True)
 class TrafficShare(Struct):
     """Share of one service in a route's traffic split."""
 
-    service_name: str = ""
-    weight: float = 0.0
+    __slots__ = (
+        "service_name",
+        "weight",
+    )
+
+    service_name: str
+    weight: float
+
+    def __init__(self, *, service_name: str = "", weight: float = 0.0) -> None:
+        self.service_name = service_name
+        self.weight = weight
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "service_name", False),
@@ -60,22 +67,65 @@
 }
 
 
-@dataclass(slots=True, kw_only=True)
 class Route(Struct):
     """Route for the requests of one host below one path prefix."""
 
-    name: str = ""
-    host: str = ""
-    path_prefix: str = ""
-    kind: RequestKind = RequestKind.NON_IDEMPOTENT
-    timeout_s: float = 0.0
-    target_latency_s: float = 0.0
-    target_gap_s: float = 0.0
-    priority: int = 0
-    max_attempts: int = 1
-    anonymous: bool = False
-    resumable: bool = False
-    shares: list[TrafficShare] = field(default_factory=list)
+    __slots__ = (
+        "anonymous",
+        "host",
+        "kind",
+        "max_attempts",
+        "name",
+        "path_prefix",
+        "priority",
+        "resumable",
+        "shares",
+        "target_gap_s",
+        "target_latency_s",
+        "timeout_s",
+    )
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RequestKind
+    timeout_s: float
+    target_latency_s: float
+    target_gap_s: float
+    priority: int
+    max_attempts: int
+    anonymous: bool
+    resumable: bool
+    shares: list[TrafficShare]
+
+    def __init__(
+        self,
+        *,
+        name: str = "",
+        host: str = "",
+        path_prefix: str = "",
+        kind: RequestKind = RequestKind.NON_IDEMPOTENT,
+        timeout_s: float = 0.0,
+        target_latency_s: float = 0.0,
+        target_gap_s: float = 0.0,
+        priority: int = 0,
+        max_attempts: int = 1,
+        anonymous: bool = False,
+        resumable: bool = False,
+        shares: list[TrafficShare] | None = None,
+    ) -> None:
+        self.name = name
+        self.host = host
+        self.path_prefix = path_prefix
+        self.kind = kind
+        self.timeout_s = timeout_s
+        self.target_latency_s = target_latency_s
+        self.target_gap_s = target_gap_s
+        self.priority = priority
+        self.max_attempts = max_attempts
+        self.anonymous = anonymous
+        self.resumable = resumable
+        self.shares = [] if shares is None else shares
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "name", False),
@@ -143,19 +193,53 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class EngineModel(Struct):
     """Performance model of the engines of a service."""
 
-    slots: int = 0
-    memory_tokens: int = 0
-    steps_per_pass: int = 1
-    step_ms: float = 0.0
-    step_per_request_ms: float = 0.0
-    step_per_kilotoken_ms: float = 0.0
-    read_tokens_per_s: float = 0.0
-    read_per_megapair_ms: float = 0.0
-    joint_step_ms: float = 0.0
+    __slots__ = (
+        "joint_step_ms",
+        "memory_tokens",
+        "read_per_megapair_ms",
+        "read_tokens_per_s",
+        "slots",
+        "step_ms",
+        "step_per_kilotoken_ms",
+        "step_per_request_ms",
+        "steps_per_pass",
+    )
+
+    slots: int
+    memory_tokens: int
+    steps_per_pass: int
+    step_ms: float
+    step_per_request_ms: float
+    step_per_kilotoken_ms: float
+    read_tokens_per_s: float
+    read_per_megapair_ms: float
+    joint_step_ms: float
+
+    def __init__(
+        self,
+        *,
+        slots: int = 0,
+        memory_tokens: int = 0,
+        steps_per_pass: int = 1,
+        step_ms: float = 0.0,
+        step_per_request_ms: float = 0.0,
+        step_per_kilotoken_ms: float = 0.0,
+        read_tokens_per_s: float = 0.0,
+        read_per_megapair_ms: float = 0.0,
+        joint_step_ms: float = 0.0,
+    ) -> None:
+        self.slots = slots
+        self.memory_tokens = memory_tokens
+        self.steps_per_pass = steps_per_pass
+        self.step_ms = step_ms
+        self.step_per_request_ms = step_per_request_ms
+        self.step_per_kilotoken_ms = step_per_kilotoken_ms
+        self.read_tokens_per_s = read_tokens_per_s
+        self.read_per_megapair_ms = read_per_megapair_ms
+        self.joint_step_ms = joint_step_ms
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I32, "slots", False),
@@ -216,15 +300,37 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class Service(Struct):
     """A pool of interchangeable endpoints."""
 
-    name: str = ""
-    health_path: str = ""
-    max_connections: int = 0
-    cold_requests_per_s: float = 0.0
-    engine: EngineModel | None = None
+    __slots__ = (
+        "cold_requests_per_s",
+        "engine",
+        "health_path",
+        "max_connections",
+        "name",
+    )
+
+    name: str
+    health_path: str
+    max_connections: int
+    cold_requests_per_s: float
+    engine: EngineModel | None
+
+    def __init__(
+        self,
+        *,
+        name: str = "",
+        health_path: str = "",
+        max_connections: int = 0,
+        cold_requests_per_s: float = 0.0,
+        engine: EngineModel | None = None,
+    ) -> None:
+        self.name = name
+        self.health_path = health_path
+        self.max_connections = max_connections
+        self.cold_requests_per_s = cold_requests_per_s
+        self.engine = engine
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "name", False),
@@ -256,13 +362,29 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class CallerTeam(Struct):
     """A team and the keys of its callers."""
 
-    name: str = ""
-    caller_keys: list[str] = field(default_factory=list)
-    priority: int = -1
+    __slots__ = (
+        "caller_keys",
+        "name",
+        "priority",
+    )
+
+    name: str
+    caller_keys: list[str]
+    priority: int
+
+    def __init__(
+        self,
+        *,
+        name: str = "",
+        caller_keys: list[str] | None = None,
+        priority: int = -1,
+    ) -> None:
+        self.name = name
+        self.caller_keys = [] if caller_keys is None else caller_keys
+        self.priority = priority
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "name", False),
@@ -285,14 +407,33 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class IngressLimits(Struct):
     """Limits on requests of callers."""
 
-    max_header_bytes: int = 65536
-    max_body_bytes: int = 16777216
-    header_timeout_s: float = 10.0
-    idle_timeout_s: float = 60.0
+    __slots__ = (
+        "header_timeout_s",
+        "idle_timeout_s",
+        "max_body_bytes",
+        "max_header_bytes",
+    )
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+    def __init__(
+        self,
+        *,
+        max_header_bytes: int = 65536,
+        max_body_bytes: int = 16777216,
+        header_timeout_s: float = 10.0,
+        idle_timeout_s: float = 60.0,
+    ) -> None:
+        self.max_header_bytes = max_header_bytes
+        self.max_body_bytes = max_body_bytes
+        self.header_timeout_s = header_timeout_s
+        self.idle_timeout_s = idle_timeout_s
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "max_header_bytes", False),
@@ -321,15 +462,37 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class InstallationConfig(Struct):
     """One complete version of the configuration."""
 
-    version: int = 0
-    routes: list[Route] = field(default_factory=list)
-    services: list[Service] = field(default_factory=list)
-    teams: list[CallerTeam] = field(default_factory=list)
-    limits: IngressLimits = field(default_factory=IngressLimits)
+    __slots__ = (
+        "limits",
+        "routes",
+        "services",
+        "teams",
+        "version",
+    )
+
+    version: int
+    routes: list[Route]
+    services: list[Service]
+    teams: list[CallerTeam]
+    limits: IngressLimits
+
+    def __init__(
+        self,
+        *,
+        version: int = 0,
+        routes: list[Route] | None = None,
+        services: list[Service] | None = None,
+        teams: list[CallerTeam] | None = None,
+        limits: IngressLimits | None = None,
+    ) -> None:
+        self.version = version
+        self.routes = [] if routes is None else routes
+        self.services = [] if services is None else services
+        self.teams = [] if teams is None else teams
+        self.limits = IngressLimits() if limits is None else limits
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "version", False),
@@ -355,18 +518,49 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class EndpointEntry(Struct):
     """Entry in which an endpoint describes itself."""
 
-    id: str = ""
-    service_name: str = ""
-    host: str = ""
-    port: int = 0
-    zone: str = ""
-    slots: int = 0
-    ready: bool = False
-    cold_s: float = 0.0
+    __slots__ = (
+        "cold_s",
+        "host",
+        "id",
+        "port",
+        "ready",
+        "service_name",
+        "slots",
+        "zone",
+    )
+
+    id: str
+    service_name: str
+    host: str
+    port: int
+    zone: str
+    slots: int
+    ready: bool
+    cold_s: float
+
+    def __init__(
+        self,
+        *,
+        id: str = "",
+        service_name: str = "",
+        host: str = "",
+        port: int = 0,
+        zone: str = "",
+        slots: int = 0,
+        ready: bool = False,
+        cold_s: float = 0.0,
+    ) -> None:
+        self.id = id
+        self.service_name = service_name
+        self.host = host
+        self.port = port
+        self.zone = zone
+        self.slots = slots
+        self.ready = ready
+        self.cold_s = cold_s
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "id", False),
@@ -409,12 +603,22 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class EndpointList(Struct):
     """All endpoints at one revision of the store."""
 
-    revision: int = 0
-    endpoints: list[EndpointEntry] = field(default_factory=list)
+    __slots__ = (
+        "endpoints",
+        "revision",
+    )
+
+    revision: int
+    endpoints: list[EndpointEntry]
+
+    def __init__(
+        self, *, revision: int = 0, endpoints: list[EndpointEntry] | None = None
+    ) -> None:
+        self.revision = revision
+        self.endpoints = [] if endpoints is None else endpoints
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "revision", False),
@@ -431,12 +635,22 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class ClosedZones(Struct):
     """Availability zones that receive no new requests, at one revision of the store."""
 
-    revision: int = 0
-    zones: list[str] = field(default_factory=list)
+    __slots__ = (
+        "revision",
+        "zones",
+    )
+
+    revision: int
+    zones: list[str]
+
+    def __init__(
+        self, *, revision: int = 0, zones: list[str] | None = None
+    ) -> None:
+        self.revision = revision
+        self.zones = [] if zones is None else zones
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "revision", False),
--- a/src/auburnswitch/schema/objects.py
+++ b/src/auburnswitch/schema/objects.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass, field
 from typing import Any, ClassVar, Final
 
 from thriftpy2.thrift import TType
@@ -66,15 +65,37 @@
 }
 
 
-@dataclass(slots=True, kw_only=True)
 class Team(Struct):
     """A customer whose callers share limits."""
 
-    key_digests: list[str] = field(default_factory=list)
-    tokens_per_second: float = 0.0
-    burst_tokens: float = 0.0
-    max_in_flight: int = 0
-    weight: float = 1.0
+    __slots__ = (
+        "burst_tokens",
+        "key_digests",
+        "max_in_flight",
+        "tokens_per_second",
+        "weight",
+    )
+
+    key_digests: list[str]
+    tokens_per_second: float
+    burst_tokens: float
+    max_in_flight: int
+    weight: float
+
+    def __init__(
+        self,
+        *,
+        key_digests: list[str] | None = None,
+        tokens_per_second: float = 0.0,
+        burst_tokens: float = 0.0,
+        max_in_flight: int = 0,
+        weight: float = 1.0,
+    ) -> None:
+        self.key_digests = [] if key_digests is None else key_digests
+        self.tokens_per_second = tokens_per_second
+        self.burst_tokens = burst_tokens
+        self.max_in_flight = max_in_flight
+        self.weight = weight
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.LIST, "key_digests", TType.STRING, False),
@@ -114,12 +135,20 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class AvailabilityZone(Struct):
     """A failure domain: its instances and endpoints can fail together."""
 
-    region: str = ""
-    out: bool = False
+    __slots__ = (
+        "out",
+        "region",
+    )
+
+    region: str
+    out: bool
+
+    def __init__(self, *, region: str = "", out: bool = False) -> None:
+        self.region = region
+        self.out = out
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "region", False),
@@ -138,22 +167,63 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class Service(Struct):
     """A model or a plain service that teams may call."""
 
-    kind: ServiceKind = ServiceKind.MODEL
-    model: str = ""
-    teams: list[str] = field(default_factory=list)
-    short_deadline_s: float = 60.0
-    medium_deadline_s: float = 300.0
-    long_deadline_s: float = 1800.0
-    idempotent_methods: list[str] = field(
-        default_factory=lambda: ["GET", "HEAD"]
+    __slots__ = (
+        "allow_continuation",
+        "idempotent_methods",
+        "idempotent_paths",
+        "kind",
+        "long_deadline_s",
+        "max_attempts",
+        "medium_deadline_s",
+        "model",
+        "short_deadline_s",
+        "teams",
     )
-    allow_continuation: bool = True
-    max_attempts: int = 3
-    idempotent_paths: list[str] = field(default_factory=list)
+
+    kind: ServiceKind
+    model: str
+    teams: list[str]
+    short_deadline_s: float
+    medium_deadline_s: float
+    long_deadline_s: float
+    idempotent_methods: list[str]
+    allow_continuation: bool
+    max_attempts: int
+    idempotent_paths: list[str]
+
+    def __init__(
+        self,
+        *,
+        kind: ServiceKind = ServiceKind.MODEL,
+        model: str = "",
+        teams: list[str] | None = None,
+        short_deadline_s: float = 60.0,
+        medium_deadline_s: float = 300.0,
+        long_deadline_s: float = 1800.0,
+        idempotent_methods: list[str] | None = None,
+        allow_continuation: bool = True,
+        max_attempts: int = 3,
+        idempotent_paths: list[str] | None = None,
+    ) -> None:
+        self.kind = kind
+        self.model = model
+        self.teams = [] if teams is None else teams
+        self.short_deadline_s = short_deadline_s
+        self.medium_deadline_s = medium_deadline_s
+        self.long_deadline_s = long_deadline_s
+        self.idempotent_methods = (
+            ["GET", "HEAD"]
+            if idempotent_methods is None
+            else idempotent_methods
+        )
+        self.allow_continuation = allow_continuation
+        self.max_attempts = max_attempts
+        self.idempotent_paths = (
+            [] if idempotent_paths is None else idempotent_paths
+        )
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I32, "kind", False),
@@ -213,26 +283,81 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class Endpoint(Struct):
     """A back end that runs requests of one service."""
 
-    service: str = ""
-    zone: str = ""
-    host: str = ""
-    port: int = 0
-    memory_tokens: int = 500000
-    prefill_tokens_per_second: int = 20000
-    max_running: int = 64
-    cold_max_running: int = 2
-    cold_max_tokens: int = 20000
-    warm_after: int = 8
-    fencing: FencingSupport = FencingSupport.IGNORED
-    leaving: bool = False
-    long_share: float = 0.6
-    model_version: str = ""
-    role: str = ""
-    instance: str = ""
+    __slots__ = (
+        "cold_max_running",
+        "cold_max_tokens",
+        "fencing",
+        "host",
+        "instance",
+        "leaving",
+        "long_share",
+        "max_running",
+        "memory_tokens",
+        "model_version",
+        "port",
+        "prefill_tokens_per_second",
+        "role",
+        "service",
+        "warm_after",
+        "zone",
+    )
+
+    service: str
+    zone: str
+    host: str
+    port: int
+    memory_tokens: int
+    prefill_tokens_per_second: int
+    max_running: int
+    cold_max_running: int
+    cold_max_tokens: int
+    warm_after: int
+    fencing: FencingSupport
+    leaving: bool
+    long_share: float
+    model_version: str
+    role: str
+    instance: str
+
+    def __init__(
+        self,
+        *,
+        service: str = "",
+        zone: str = "",
+        host: str = "",
+        port: int = 0,
+        memory_tokens: int = 500000,
+        prefill_tokens_per_second: int = 20000,
+        max_running: int = 64,
+        cold_max_running: int = 2,
+        cold_max_tokens: int = 20000,
+        warm_after: int = 8,
+        fencing: FencingSupport = FencingSupport.IGNORED,
+        leaving: bool = False,
+        long_share: float = 0.6,
+        model_version: str = "",
+        role: str = "",
+        instance: str = "",
+    ) -> None:
+        self.service = service
+        self.zone = zone
+        self.host = host
+        self.port = port
+        self.memory_tokens = memory_tokens
+        self.prefill_tokens_per_second = prefill_tokens_per_second
+        self.max_running = max_running
+        self.cold_max_running = cold_max_running
+        self.cold_max_tokens = cold_max_tokens
+        self.warm_after = warm_after
+        self.fencing = fencing
+        self.leaving = leaving
+        self.long_share = long_share
+        self.model_version = model_version
+        self.role = role
+        self.instance = instance
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "service", False),
@@ -323,17 +448,45 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class Change(Struct):
     """Complete new state of one object within a ticket."""
 
-    kind: ObjectKind = ObjectKind.TEAM
-    name: str = ""
-    deleted: bool = False
-    team: Team | None = None
-    zone: AvailabilityZone | None = None
-    service: Service | None = None
-    endpoint: Endpoint | None = None
+    __slots__ = (
+        "deleted",
+        "endpoint",
+        "kind",
+        "name",
+        "service",
+        "team",
+        "zone",
+    )
+
+    kind: ObjectKind
+    name: str
+    deleted: bool
+    team: Team | None
+    zone: AvailabilityZone | None
+    service: Service | None
+    endpoint: Endpoint | None
+
+    def __init__(
+        self,
+        *,
+        kind: ObjectKind = ObjectKind.TEAM,
+        name: str = "",
+        deleted: bool = False,
+        team: Team | None = None,
+        zone: AvailabilityZone | None = None,
+        service: Service | None = None,
+        endpoint: Endpoint | None = None,
+    ) -> None:
+        self.kind = kind
+        self.name = name
+        self.deleted = deleted
+        self.team = team
+        self.zone = zone
+        self.service = service
+        self.endpoint = endpoint
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I32, "kind", False),
@@ -365,12 +518,22 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class VersionedChange(Struct):
     """The newest change of one object and the ticket that made it."""
 
-    number: int = 0
-    change: Change = field(default_factory=Change)
+    __slots__ = (
+        "change",
+        "number",
+    )
+
+    number: int
+    change: Change
+
+    def __init__(
+        self, *, number: int = 0, change: Change | None = None
+    ) -> None:
+        self.number = number
+        self.change = Change() if change is None else change
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "number", False),
@@ -387,17 +550,45 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class Ticket(Struct):
     """A numbered change of configuration. A later number supersedes an earlier one."""
 
-    number: int = 0
-    author: str = ""
-    note: str = ""
-    changes: list[Change] = field(default_factory=list)
-    accepted_at: float = 0.0
-    operator: str = ""
-    before: list[VersionedChange] = field(default_factory=list)
+    __slots__ = (
+        "accepted_at",
+        "author",
+        "before",
+        "changes",
+        "note",
+        "number",
+        "operator",
+    )
+
+    number: int
+    author: str
+    note: str
+    changes: list[Change]
+    accepted_at: float
+    operator: str
+    before: list[VersionedChange]
+
+    def __init__(
+        self,
+        *,
+        number: int = 0,
+        author: str = "",
+        note: str = "",
+        changes: list[Change] | None = None,
+        accepted_at: float = 0.0,
+        operator: str = "",
+        before: list[VersionedChange] | None = None,
+    ) -> None:
+        self.number = number
+        self.author = author
+        self.note = note
+        self.changes = [] if changes is None else changes
+        self.accepted_at = accepted_at
+        self.operator = operator
+        self.before = [] if before is None else before
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "number", False),
@@ -437,12 +628,25 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class Snapshot(Struct):
     """Merged state of many tickets."""
 
-    entries: list[VersionedChange] = field(default_factory=list)
-    included_through: int = 0
+    __slots__ = (
+        "entries",
+        "included_through",
+    )
+
+    entries: list[VersionedChange]
+    included_through: int
+
+    def __init__(
+        self,
+        *,
+        entries: list[VersionedChange] | None = None,
+        included_through: int = 0,
+    ) -> None:
+        self.entries = [] if entries is None else entries
+        self.included_through = included_through
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.LIST, "entries", (TType.STRUCT, VersionedChange), False),
@@ -462,15 +666,37 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class Member(Struct):
     """One incarnation (process start) of a daemon."""
 
-    id: str = ""
-    instance: str = ""
-    zone: str = ""
-    host: str = ""
-    port: int = 0
+    __slots__ = (
+        "host",
+        "id",
+        "instance",
+        "port",
+        "zone",
+    )
+
+    id: str
+    instance: str
+    zone: str
+    host: str
+    port: int
+
+    def __init__(
+        self,
+        *,
+        id: str = "",
+        instance: str = "",
+        zone: str = "",
+        host: str = "",
+        port: int = 0,
+    ) -> None:
+        self.id = id
+        self.instance = instance
+        self.zone = zone
+        self.host = host
+        self.port = port
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "id", False),
@@ -498,12 +724,22 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class Roster(Struct):
     """Agreed membership of one cell."""
 
-    epoch: int = 0
-    members: list[Member] = field(default_factory=list)
+    __slots__ = (
+        "epoch",
+        "members",
+    )
+
+    epoch: int
+    members: list[Member]
+
+    def __init__(
+        self, *, epoch: int = 0, members: list[Member] | None = None
+    ) -> None:
+        self.epoch = epoch
+        self.members = [] if members is None else members
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "epoch", False),
@@ -540,22 +776,65 @@
 }
 
 
-@dataclass(slots=True, kw_only=True)
 class Claim(Struct):
     """A claim on one idempotency key."""
 
-    key_hash: str = ""
-    request_hash: str = ""
-    nonce: str = ""
-    state: ClaimState = ClaimState.CLAIMED
-    expires_at: float = 0.0
-    status: int = 0
-    content_type: str = ""
-    body: str = ""
-    member_id: str = ""
-    body_dropped: bool = False
-    dispatch_by: float = 0.0
-    deadline_at: float = 0.0
+    __slots__ = (
+        "body",
+        "body_dropped",
+        "content_type",
+        "deadline_at",
+        "dispatch_by",
+        "expires_at",
+        "key_hash",
+        "member_id",
+        "nonce",
+        "request_hash",
+        "state",
+        "status",
+    )
+
+    key_hash: str
+    request_hash: str
+    nonce: str
+    state: ClaimState
+    expires_at: float
+    status: int
+    content_type: str
+    body: str
+    member_id: str
+    body_dropped: bool
+    dispatch_by: float
+    deadline_at: float
+
+    def __init__(
+        self,
+        *,
+        key_hash: str = "",
+        request_hash: str = "",
+        nonce: str = "",
+        state: ClaimState = ClaimState.CLAIMED,
+        expires_at: float = 0.0,
+        status: int = 0,
+        content_type: str = "",
+        body: str = "",
+        member_id: str = "",
+        body_dropped: bool = False,
+        dispatch_by: float = 0.0,
+        deadline_at: float = 0.0,
+    ) -> None:
+        self.key_hash = key_hash
+        self.request_hash = request_hash
+        self.nonce = nonce
+        self.state = state
+        self.expires_at = expires_at
+        self.status = status
+        self.content_type = content_type
+        self.body = body
+        self.member_id = member_id
+        self.body_dropped = body_dropped
+        self.dispatch_by = dispatch_by
+        self.deadline_at = deadline_at
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "key_hash", False),
@@ -617,12 +896,22 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class ClaimShard(Struct):
     """A group of claims stored as one value."""
 
-    claims: list[Claim] = field(default_factory=list)
-    split_into: str = ""
+    __slots__ = (
+        "claims",
+        "split_into",
+    )
+
+    claims: list[Claim]
+    split_into: str
+
+    def __init__(
+        self, *, claims: list[Claim] | None = None, split_into: str = ""
+    ) -> None:
+        self.claims = [] if claims is None else claims
+        self.split_into = split_into
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.LIST, "claims", (TType.STRUCT, Claim), False),
@@ -642,11 +931,15 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class ClaimLayout(Struct):
     """Initial number of claim shards; equal for all daemons and never changed."""
 
-    shards: int = 0
+    __slots__ = ("shards",)
+
+    shards: int
+
+    def __init__(self, *, shards: int = 0) -> None:
+        self.shards = shards
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I32, "shards", False)
@@ -658,12 +951,20 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class FencingRecord(Struct):
     """The fencing number of orders to one endpoint."""
 
-    number: int = 0
-    member_id: str = ""
+    __slots__ = (
+        "member_id",
+        "number",
+    )
+
+    number: int
+    member_id: str
+
+    def __init__(self, *, number: int = 0, member_id: str = "") -> None:
+        self.number = number
+        self.member_id = member_id
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "number", False),
--- a/src/auburnswitch/schema/peers.py
+++ b/src/auburnswitch/schema/peers.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass, field
 from typing import Any, ClassVar, Final
 
 from thriftpy2.thrift import TType
@@ -67,13 +66,25 @@
 }
 
 
-@dataclass(slots=True, kw_only=True)
 class Hello(Struct):
     """First frame of each side of a peer connection."""
 
-    member_id: str = ""
-    nonce: str = ""
-    protocol_version: int = 1
+    __slots__ = (
+        "member_id",
+        "nonce",
+        "protocol_version",
+    )
+
+    member_id: str
+    nonce: str
+    protocol_version: int
+
+    def __init__(
+        self, *, member_id: str = "", nonce: str = "", protocol_version: int = 1
+    ) -> None:
+        self.member_id = member_id
+        self.nonce = nonce
+        self.protocol_version = protocol_version
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "member_id", False),
@@ -93,21 +104,61 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class EndpointHint(Struct):
     """State that an owner publishes to peers about one of its endpoints."""
 
-    endpoint: str = ""
-    phase: EndpointPhase = EndpointPhase.UNKNOWN
-    free_tokens: int = 0
-    short_wait_s: float = 0.0
-    long_wait_s: float = 0.0
-    running: int = 0
-    max_running: int = 0
-    boot_id: str = ""
-    reported_prefill_tokens: int = 0
-    successes: int = 0
-    window: int = 0
+    __slots__ = (
+        "boot_id",
+        "endpoint",
+        "free_tokens",
+        "long_wait_s",
+        "max_running",
+        "phase",
+        "reported_prefill_tokens",
+        "running",
+        "short_wait_s",
+        "successes",
+        "window",
+    )
+
+    endpoint: str
+    phase: EndpointPhase
+    free_tokens: int
+    short_wait_s: float
+    long_wait_s: float
+    running: int
+    max_running: int
+    boot_id: str
+    reported_prefill_tokens: int
+    successes: int
+    window: int
+
+    def __init__(
+        self,
+        *,
+        endpoint: str = "",
+        phase: EndpointPhase = EndpointPhase.UNKNOWN,
+        free_tokens: int = 0,
+        short_wait_s: float = 0.0,
+        long_wait_s: float = 0.0,
+        running: int = 0,
+        max_running: int = 0,
+        boot_id: str = "",
+        reported_prefill_tokens: int = 0,
+        successes: int = 0,
+        window: int = 0,
+    ) -> None:
+        self.endpoint = endpoint
+        self.phase = phase
+        self.free_tokens = free_tokens
+        self.short_wait_s = short_wait_s
+        self.long_wait_s = long_wait_s
+        self.running = running
+        self.max_running = max_running
+        self.boot_id = boot_id
+        self.reported_prefill_tokens = reported_prefill_tokens
+        self.successes = successes
+        self.window = window
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "endpoint", False),
@@ -169,20 +220,57 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class RunningWork(Struct):
     """Reservation of a daemon on an endpoint, with its request."""
 
-    endpoint: str = ""
-    reservation_id: str = ""
-    tokens: int = 0
-    prefill_tokens: int = 0
-    length_class: LengthClass = LengthClass.SHORT
-    team: str = ""
-    fingerprint: str = ""
-    prompt_tokens: int = 0
-    request_id: str = ""
-    attempt: int = 0
+    __slots__ = (
+        "attempt",
+        "endpoint",
+        "fingerprint",
+        "length_class",
+        "prefill_tokens",
+        "prompt_tokens",
+        "request_id",
+        "reservation_id",
+        "team",
+        "tokens",
+    )
+
+    endpoint: str
+    reservation_id: str
+    tokens: int
+    prefill_tokens: int
+    length_class: LengthClass
+    team: str
+    fingerprint: str
+    prompt_tokens: int
+    request_id: str
+    attempt: int
+
+    def __init__(
+        self,
+        *,
+        endpoint: str = "",
+        reservation_id: str = "",
+        tokens: int = 0,
+        prefill_tokens: int = 0,
+        length_class: LengthClass = LengthClass.SHORT,
+        team: str = "",
+        fingerprint: str = "",
+        prompt_tokens: int = 0,
+        request_id: str = "",
+        attempt: int = 0,
+    ) -> None:
+        self.endpoint = endpoint
+        self.reservation_id = reservation_id
+        self.tokens = tokens
+        self.prefill_tokens = prefill_tokens
+        self.length_class = length_class
+        self.team = team
+        self.fingerprint = fingerprint
+        self.prompt_tokens = prompt_tokens
+        self.request_id = request_id
+        self.attempt = attempt
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "endpoint", False),
@@ -232,15 +320,37 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class Strike(Struct):
     """A request that was in flight when an endpoint crashed."""
 
-    fingerprint: str = ""
-    endpoint: str = ""
-    boot_id: str = ""
-    age_s: float = 0.0
-    cleared: bool = False
+    __slots__ = (
+        "age_s",
+        "boot_id",
+        "cleared",
+        "endpoint",
+        "fingerprint",
+    )
+
+    fingerprint: str
+    endpoint: str
+    boot_id: str
+    age_s: float
+    cleared: bool
+
+    def __init__(
+        self,
+        *,
+        fingerprint: str = "",
+        endpoint: str = "",
+        boot_id: str = "",
+        age_s: float = 0.0,
+        cleared: bool = False,
+    ) -> None:
+        self.fingerprint = fingerprint
+        self.endpoint = endpoint
+        self.boot_id = boot_id
+        self.age_s = age_s
+        self.cleared = cleared
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "fingerprint", False),
@@ -268,14 +378,33 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class TeamUsage(Struct):
     """Tokens used and requests in flight by one team at one daemon."""
 
-    team: str = ""
-    tokens_per_second: float = 0.0
-    in_flight: int = 0
-    tokens: int = 0
+    __slots__ = (
+        "in_flight",
+        "team",
+        "tokens",
+        "tokens_per_second",
+    )
+
+    team: str
+    tokens_per_second: float
+    in_flight: int
+    tokens: int
+
+    def __init__(
+        self,
+        *,
+        team: str = "",
+        tokens_per_second: float = 0.0,
+        in_flight: int = 0,
+        tokens: int = 0,
+    ) -> None:
+        self.team = team
+        self.tokens_per_second = tokens_per_second
+        self.in_flight = in_flight
+        self.tokens = tokens
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "team", False),
@@ -303,25 +432,79 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class Heartbeat(Struct):
     """Generated from the schema."""
 
-    sender: Member = field(default_factory=Member)
-    epoch: int = 0
-    sent_at: float = 0.0
-    hints: list[EndpointHint] = field(default_factory=list)
-    running: list[RunningWork] = field(default_factory=list)
-    state_digest: str = ""
-    leaving: bool = False
-    strikes: list[Strike] = field(default_factory=list)
-    usage: list[TeamUsage] = field(default_factory=list)
-    heard: list[str] = field(default_factory=list)
-    store_age_s: float = 0.0
-    leaving_endpoints: list[str] = field(default_factory=list)
-    reads_instances: bool = False
-    former_ids: list[str] = field(default_factory=list)
-    quorum_ids: list[str] = field(default_factory=list)
+    __slots__ = (
+        "epoch",
+        "former_ids",
+        "heard",
+        "hints",
+        "leaving",
+        "leaving_endpoints",
+        "quorum_ids",
+        "reads_instances",
+        "running",
+        "sender",
+        "sent_at",
+        "state_digest",
+        "store_age_s",
+        "strikes",
+        "usage",
+    )
+
+    sender: Member
+    epoch: int
+    sent_at: float
+    hints: list[EndpointHint]
+    running: list[RunningWork]
+    state_digest: str
+    leaving: bool
+    strikes: list[Strike]
+    usage: list[TeamUsage]
+    heard: list[str]
+    store_age_s: float
+    leaving_endpoints: list[str]
+    reads_instances: bool
+    former_ids: list[str]
+    quorum_ids: list[str]
+
+    def __init__(
+        self,
+        *,
+        sender: Member | None = None,
+        epoch: int = 0,
+        sent_at: float = 0.0,
+        hints: list[EndpointHint] | None = None,
+        running: list[RunningWork] | None = None,
+        state_digest: str = "",
+        leaving: bool = False,
+        strikes: list[Strike] | None = None,
+        usage: list[TeamUsage] | None = None,
+        heard: list[str] | None = None,
+        store_age_s: float = 0.0,
+        leaving_endpoints: list[str] | None = None,
+        reads_instances: bool = False,
+        former_ids: list[str] | None = None,
+        quorum_ids: list[str] | None = None,
+    ) -> None:
+        self.sender = Member() if sender is None else sender
+        self.epoch = epoch
+        self.sent_at = sent_at
+        self.hints = [] if hints is None else hints
+        self.running = [] if running is None else running
+        self.state_digest = state_digest
+        self.leaving = leaving
+        self.strikes = [] if strikes is None else strikes
+        self.usage = [] if usage is None else usage
+        self.heard = [] if heard is None else heard
+        self.store_age_s = store_age_s
+        self.leaving_endpoints = (
+            [] if leaving_endpoints is None else leaving_endpoints
+        )
+        self.reads_instances = reads_instances
+        self.former_ids = [] if former_ids is None else former_ids
+        self.quorum_ids = [] if quorum_ids is None else quorum_ids
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRUCT, "sender", Member, False),
@@ -403,15 +586,37 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class HeartbeatAck(Struct):
     """Generated from the schema."""
 
-    member_id: str = ""
-    epoch: int = 0
-    sent_at: float = 0.0
-    state_digest: str = ""
-    leaving: bool = False
+    __slots__ = (
+        "epoch",
+        "leaving",
+        "member_id",
+        "sent_at",
+        "state_digest",
+    )
+
+    member_id: str
+    epoch: int
+    sent_at: float
+    state_digest: str
+    leaving: bool
+
+    def __init__(
+        self,
+        *,
+        member_id: str = "",
+        epoch: int = 0,
+        sent_at: float = 0.0,
+        state_digest: str = "",
+        leaving: bool = False,
+    ) -> None:
+        self.member_id = member_id
+        self.epoch = epoch
+        self.sent_at = sent_at
+        self.state_digest = state_digest
+        self.leaving = leaving
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "member_id", False),
@@ -437,28 +642,89 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class ReserveRequest(Struct):
     """Requests a reservation of capacity from the owner of an endpoint."""
 
-    endpoint: str = ""
-    request_id: str = ""
-    attempt: int = 0
-    team: str = ""
-    prompt_tokens: int = 0
-    answer_tokens: int = 0
-    cached_tokens: int = 0
-    length_class: LengthClass = LengthClass.SHORT
-    time_left_s: float = 0.0
-    fingerprint: str = ""
-    struck: bool = False
-    team_weight: float = 1.0
-    epoch: int = 0
-    max_wait_s: float = 0.0
-    max_start_wait_s: float = 0.0
-    waited_s: float = 0.0
-    service: str = ""
-    hold: bool = False
+    __slots__ = (
+        "answer_tokens",
+        "attempt",
+        "cached_tokens",
+        "endpoint",
+        "epoch",
+        "fingerprint",
+        "hold",
+        "length_class",
+        "max_start_wait_s",
+        "max_wait_s",
+        "prompt_tokens",
+        "request_id",
+        "service",
+        "struck",
+        "team",
+        "team_weight",
+        "time_left_s",
+        "waited_s",
+    )
+
+    endpoint: str
+    request_id: str
+    attempt: int
+    team: str
+    prompt_tokens: int
+    answer_tokens: int
+    cached_tokens: int
+    length_class: LengthClass
+    time_left_s: float
+    fingerprint: str
+    struck: bool
+    team_weight: float
+    epoch: int
+    max_wait_s: float
+    max_start_wait_s: float
+    waited_s: float
+    service: str
+    hold: bool
+
+    def __init__(
+        self,
+        *,
+        endpoint: str = "",
+        request_id: str = "",
+        attempt: int = 0,
+        team: str = "",
+        prompt_tokens: int = 0,
+        answer_tokens: int = 0,
+        cached_tokens: int = 0,
+        length_class: LengthClass = LengthClass.SHORT,
+        time_left_s: float = 0.0,
+        fingerprint: str = "",
+        struck: bool = False,
+        team_weight: float = 1.0,
+        epoch: int = 0,
+        max_wait_s: float = 0.0,
+        max_start_wait_s: float = 0.0,
+        waited_s: float = 0.0,
+        service: str = "",
+        hold: bool = False,
+    ) -> None:
+        self.endpoint = endpoint
+        self.request_id = request_id
+        self.attempt = attempt
+        self.team = team
+        self.prompt_tokens = prompt_tokens
+        self.answer_tokens = answer_tokens
+        self.cached_tokens = cached_tokens
+        self.length_class = length_class
+        self.time_left_s = time_left_s
+        self.fingerprint = fingerprint
+        self.struck = struck
+        self.team_weight = team_weight
+        self.epoch = epoch
+        self.max_wait_s = max_wait_s
+        self.max_start_wait_s = max_start_wait_s
+        self.waited_s = waited_s
+        self.service = service
+        self.hold = hold
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "endpoint", False),
@@ -543,17 +809,45 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class ReserveReply(Struct):
     """Generated from the schema."""
 
-    code: ResultCode = ResultCode.OK
-    reservation_id: str = ""
-    retry_after_s: float = 0.0
-    alternatives: list[str] = field(default_factory=list)
-    boot_id: str = ""
-    waited_s: float = 0.0
-    hints: list[EndpointHint] = field(default_factory=list)
+    __slots__ = (
+        "alternatives",
+        "boot_id",
+        "code",
+        "hints",
+        "reservation_id",
+        "retry_after_s",
+        "waited_s",
+    )
+
+    code: ResultCode
+    reservation_id: str
+    retry_after_s: float
+    alternatives: list[str]
+    boot_id: str
+    waited_s: float
+    hints: list[EndpointHint]
+
+    def __init__(
+        self,
+        *,
+        code: ResultCode = ResultCode.OK,
+        reservation_id: str = "",
+        retry_after_s: float = 0.0,
+        alternatives: list[str] | None = None,
+        boot_id: str = "",
+        waited_s: float = 0.0,
+        hints: list[EndpointHint] | None = None,
+    ) -> None:
+        self.code = code
+        self.reservation_id = reservation_id
+        self.retry_after_s = retry_after_s
+        self.alternatives = [] if alternatives is None else alternatives
+        self.boot_id = boot_id
+        self.waited_s = waited_s
+        self.hints = [] if hints is None else hints
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I32, "code", False),
@@ -596,17 +890,45 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class ReleaseRequest(Struct):
     """Ends a reservation, used or not."""
 
-    endpoint: str = ""
-    reservation_id: str = ""
-    used: bool = False
-    succeeded: bool = False
-    first_token_s: float = 0.0
-    endpoint_lost: bool = False
-    may_still_run: bool = False
+    __slots__ = (
+        "endpoint",
+        "endpoint_lost",
+        "first_token_s",
+        "may_still_run",
+        "reservation_id",
+        "succeeded",
+        "used",
+    )
+
+    endpoint: str
+    reservation_id: str
+    used: bool
+    succeeded: bool
+    first_token_s: float
+    endpoint_lost: bool
+    may_still_run: bool
+
+    def __init__(
+        self,
+        *,
+        endpoint: str = "",
+        reservation_id: str = "",
+        used: bool = False,
+        succeeded: bool = False,
+        first_token_s: float = 0.0,
+        endpoint_lost: bool = False,
+        may_still_run: bool = False,
+    ) -> None:
+        self.endpoint = endpoint
+        self.reservation_id = reservation_id
+        self.used = used
+        self.succeeded = succeeded
+        self.first_token_s = first_token_s
+        self.endpoint_lost = endpoint_lost
+        self.may_still_run = may_still_run
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "endpoint", False),
@@ -646,13 +968,29 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class ProgressRequest(Struct):
     """The prompt has been prefilled."""
 
-    endpoint: str = ""
-    reservation_id: str = ""
-    first_token_s: float = 0.0
+    __slots__ = (
+        "endpoint",
+        "first_token_s",
+        "reservation_id",
+    )
+
+    endpoint: str
+    reservation_id: str
+    first_token_s: float
+
+    def __init__(
+        self,
+        *,
+        endpoint: str = "",
+        reservation_id: str = "",
+        first_token_s: float = 0.0,
+    ) -> None:
+        self.endpoint = endpoint
+        self.reservation_id = reservation_id
+        self.first_token_s = first_token_s
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "endpoint", False),
@@ -674,11 +1012,15 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class Done(Struct):
     """Generated from the schema."""
 
-    code: ResultCode = ResultCode.OK
+    __slots__ = ("code",)
+
+    code: ResultCode
+
+    def __init__(self, *, code: ResultCode = ResultCode.OK) -> None:
+        self.code = code
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I32, "code", False)
@@ -690,11 +1032,15 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class StateRequest(Struct):
     """Requests a peer's configuration state."""
 
-    state_digest: str = ""
+    __slots__ = ("state_digest",)
+
+    state_digest: str
+
+    def __init__(self, *, state_digest: str = "") -> None:
+        self.state_digest = state_digest
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "state_digest", False)
@@ -706,13 +1052,29 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class StateReply(Struct):
     """Generated from the schema."""
 
-    snapshot: Snapshot = field(default_factory=Snapshot)
-    roster: Roster | None = None
-    heard_members: list[Member] = field(default_factory=list)
+    __slots__ = (
+        "heard_members",
+        "roster",
+        "snapshot",
+    )
+
+    snapshot: Snapshot
+    roster: Roster | None
+    heard_members: list[Member]
+
+    def __init__(
+        self,
+        *,
+        snapshot: Snapshot | None = None,
+        roster: Roster | None = None,
+        heard_members: list[Member] | None = None,
+    ) -> None:
+        self.snapshot = Snapshot() if snapshot is None else snapshot
+        self.roster = roster
+        self.heard_members = [] if heard_members is None else heard_members
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRUCT, "snapshot", Snapshot, False),
@@ -735,16 +1097,41 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class HandoverRequest(Struct):
     """A leaving owner releases its ownership leases on endpoints."""
 
-    member_id: str = ""
-    epoch: int = 0
-    endpoints: list[str] = field(default_factory=list)
-    states: list[EndpointHint] = field(default_factory=list)
-    running: list[RunningWork] = field(default_factory=list)
-    holders: list[str] = field(default_factory=list)
+    __slots__ = (
+        "endpoints",
+        "epoch",
+        "holders",
+        "member_id",
+        "running",
+        "states",
+    )
+
+    member_id: str
+    epoch: int
+    endpoints: list[str]
+    states: list[EndpointHint]
+    running: list[RunningWork]
+    holders: list[str]
+
+    def __init__(
+        self,
+        *,
+        member_id: str = "",
+        epoch: int = 0,
+        endpoints: list[str] | None = None,
+        states: list[EndpointHint] | None = None,
+        running: list[RunningWork] | None = None,
+        holders: list[str] | None = None,
+    ) -> None:
+        self.member_id = member_id
+        self.epoch = epoch
+        self.endpoints = [] if endpoints is None else endpoints
+        self.states = [] if states is None else states
+        self.running = [] if running is None else running
+        self.holders = [] if holders is None else holders
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "member_id", False),
@@ -793,12 +1180,25 @@
 }
 
 
-@dataclass(slots=True, kw_only=True)
 class KeyClaimRequest(Struct):
     """Requests a change of a claim shard from the daemon that commits the shard."""
 
-    action: ClaimAction = ClaimAction.ADD
-    claim: Claim = field(default_factory=Claim)
+    __slots__ = (
+        "action",
+        "claim",
+    )
+
+    action: ClaimAction
+    claim: Claim
+
+    def __init__(
+        self,
+        *,
+        action: ClaimAction = ClaimAction.ADD,
+        claim: Claim | None = None,
+    ) -> None:
+        self.action = action
+        self.claim = Claim() if claim is None else claim
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         60: (TType.I32, "action", False),
@@ -838,13 +1238,29 @@
 }
 
 
-@dataclass(slots=True, kw_only=True)
 class KeyClaimReply(Struct):
     """Generated from the schema."""
 
-    verdict: ClaimVerdict = ClaimVerdict.DONE
-    earlier: Claim | None = None
-    written: bool = False
+    __slots__ = (
+        "earlier",
+        "verdict",
+        "written",
+    )
+
+    verdict: ClaimVerdict
+    earlier: Claim | None
+    written: bool
+
+    def __init__(
+        self,
+        *,
+        verdict: ClaimVerdict = ClaimVerdict.DONE,
+        earlier: Claim | None = None,
+        written: bool = False,
+    ) -> None:
+        self.verdict = verdict
+        self.earlier = earlier
+        self.written = written
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         60: (TType.I32, "verdict", False),
@@ -871,12 +1287,20 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class AttemptId(Struct):
     """One attempt of a request."""
 
-    request_id: str = ""
-    attempt: int = 0
+    __slots__ = (
+        "attempt",
+        "request_id",
+    )
+
+    request_id: str
+    attempt: int
+
+    def __init__(self, *, request_id: str = "", attempt: int = 0) -> None:
+        self.request_id = request_id
+        self.attempt = attempt
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "request_id", False),
@@ -893,12 +1317,22 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class ClaimsRequest(Struct):
     """Requests the list of attempts on an endpoint that a member still has."""
 
-    endpoint: str = ""
-    attempts: list[AttemptId] = field(default_factory=list)
+    __slots__ = (
+        "attempts",
+        "endpoint",
+    )
+
+    endpoint: str
+    attempts: list[AttemptId]
+
+    def __init__(
+        self, *, endpoint: str = "", attempts: list[AttemptId] | None = None
+    ) -> None:
+        self.endpoint = endpoint
+        self.attempts = [] if attempts is None else attempts
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "endpoint", False),
@@ -915,11 +1349,15 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class ClaimsReply(Struct):
     """Generated from the schema."""
 
-    attempts: list[AttemptId] = field(default_factory=list)
+    __slots__ = ("attempts",)
+
+    attempts: list[AttemptId]
+
+    def __init__(self, *, attempts: list[AttemptId] | None = None) -> None:
+        self.attempts = [] if attempts is None else attempts
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.LIST, "attempts", (TType.STRUCT, AttemptId), False)
@@ -933,27 +1371,85 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class Envelope(Struct):
     """One frame of a peer connection; exactly one optional field is set."""
 
-    call_id: int = 0
-    is_reply: bool = False
-    heartbeat: Heartbeat | None = None
-    heartbeat_ack: HeartbeatAck | None = None
-    reserve: ReserveRequest | None = None
-    reserve_reply: ReserveReply | None = None
-    release: ReleaseRequest | None = None
-    progress: ProgressRequest | None = None
-    state_request: StateRequest | None = None
-    state_reply: StateReply | None = None
-    handover: HandoverRequest | None = None
-    done: Done | None = None
-    hello: Hello | None = None
-    key_claim: KeyClaimRequest | None = None
-    key_claim_reply: KeyClaimReply | None = None
-    claims: ClaimsRequest | None = None
-    claims_reply: ClaimsReply | None = None
+    __slots__ = (
+        "call_id",
+        "claims",
+        "claims_reply",
+        "done",
+        "handover",
+        "heartbeat",
+        "heartbeat_ack",
+        "hello",
+        "is_reply",
+        "key_claim",
+        "key_claim_reply",
+        "progress",
+        "release",
+        "reserve",
+        "reserve_reply",
+        "state_reply",
+        "state_request",
+    )
+
+    call_id: int
+    is_reply: bool
+    heartbeat: Heartbeat | None
+    heartbeat_ack: HeartbeatAck | None
+    reserve: ReserveRequest | None
+    reserve_reply: ReserveReply | None
+    release: ReleaseRequest | None
+    progress: ProgressRequest | None
+    state_request: StateRequest | None
+    state_reply: StateReply | None
+    handover: HandoverRequest | None
+    done: Done | None
+    hello: Hello | None
+    key_claim: KeyClaimRequest | None
+    key_claim_reply: KeyClaimReply | None
+    claims: ClaimsRequest | None
+    claims_reply: ClaimsReply | None
+
+    def __init__(
+        self,
+        *,
+        call_id: int = 0,
+        is_reply: bool = False,
+        heartbeat: Heartbeat | None = None,
+        heartbeat_ack: HeartbeatAck | None = None,
+        reserve: ReserveRequest | None = None,
+        reserve_reply: ReserveReply | None = None,
+        release: ReleaseRequest | None = None,
+        progress: ProgressRequest | None = None,
+        state_request: StateRequest | None = None,
+        state_reply: StateReply | None = None,
+        handover: HandoverRequest | None = None,
+        done: Done | None = None,
+        hello: Hello | None = None,
+        key_claim: KeyClaimRequest | None = None,
+        key_claim_reply: KeyClaimReply | None = None,
+        claims: ClaimsRequest | None = None,
+        claims_reply: ClaimsReply | None = None,
+    ) -> None:
+        self.call_id = call_id
+        self.is_reply = is_reply
+        self.heartbeat = heartbeat
+        self.heartbeat_ack = heartbeat_ack
+        self.reserve = reserve
+        self.reserve_reply = reserve_reply
+        self.release = release
+        self.progress = progress
+        self.state_request = state_request
+        self.state_reply = state_reply
+        self.handover = handover
+        self.done = done
+        self.hello = hello
+        self.key_claim = key_claim
+        self.key_claim_reply = key_claim_reply
+        self.claims = claims
+        self.claims_reply = claims_reply
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "call_id", False),
--- a/src/auburnswitch/schema/results.py
+++ b/src/auburnswitch/schema/results.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass, field
 from typing import Any, ClassVar, Final
 
 from thriftpy2.thrift import TType
--- a/src/auburnswitch/schema/settings.py
+++ b/src/auburnswitch/schema/settings.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass, field
 from typing import Any, ClassVar, Final
 
 from thriftpy2.thrift import TType
@@ -14,13 +13,25 @@
 from auburnswitch.schema.base import Description, Struct
 
 
-@dataclass(slots=True, kw_only=True)
 class DaemonSettings(Struct):
     """Identity of this daemon."""
 
-    instance: str = ""
-    zone: str = ""
-    seed: int = 0
+    __slots__ = (
+        "instance",
+        "seed",
+        "zone",
+    )
+
+    instance: str
+    zone: str
+    seed: int
+
+    def __init__(
+        self, *, instance: str = "", zone: str = "", seed: int = 0
+    ) -> None:
+        self.instance = instance
+        self.zone = zone
+        self.seed = seed
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "instance", False),
@@ -48,17 +59,45 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class CallersSettings(Struct):
     """The listener for callers."""
 
-    host: str = "127.0.0.1"
-    port: int = 8080
-    max_body_bytes: int = 16777216
-    max_header_bytes: int = 16384
-    max_deadline_s: float = 7200.0
-    stream_buffer_bytes: int = 65536
-    slow_caller_timeout_s: float = 30.0
+    __slots__ = (
+        "host",
+        "max_body_bytes",
+        "max_deadline_s",
+        "max_header_bytes",
+        "port",
+        "slow_caller_timeout_s",
+        "stream_buffer_bytes",
+    )
+
+    host: str
+    port: int
+    max_body_bytes: int
+    max_header_bytes: int
+    max_deadline_s: float
+    stream_buffer_bytes: int
+    slow_caller_timeout_s: float
+
+    def __init__(
+        self,
+        *,
+        host: str = "127.0.0.1",
+        port: int = 8080,
+        max_body_bytes: int = 16777216,
+        max_header_bytes: int = 16384,
+        max_deadline_s: float = 7200.0,
+        stream_buffer_bytes: int = 65536,
+        slow_caller_timeout_s: float = 30.0,
+    ) -> None:
+        self.host = host
+        self.port = port
+        self.max_body_bytes = max_body_bytes
+        self.max_header_bytes = max_header_bytes
+        self.max_deadline_s = max_deadline_s
+        self.stream_buffer_bytes = stream_buffer_bytes
+        self.slow_caller_timeout_s = slow_caller_timeout_s
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "host", False),
@@ -107,13 +146,25 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class OperatorsSettings(Struct):
     """The listener for operators."""
 
-    host: str = "127.0.0.1"
-    port: int = 8081
-    key_file: str = ""
+    __slots__ = (
+        "host",
+        "key_file",
+        "port",
+    )
+
+    host: str
+    port: int
+    key_file: str
+
+    def __init__(
+        self, *, host: str = "127.0.0.1", port: int = 8081, key_file: str = ""
+    ) -> None:
+        self.host = host
+        self.port = port
+        self.key_file = key_file
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "host", False),
@@ -138,17 +189,45 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class PeersSettings(Struct):
     """The listener for other daemons."""
 
-    host: str = "127.0.0.1"
-    port: int = 8082
-    key_file: str = ""
-    max_frame_bytes: int = 4194304
-    call_timeout_s: float = 1.0
-    max_unsent_bytes: int = 1048576
-    max_calls: int = 1024
+    __slots__ = (
+        "call_timeout_s",
+        "host",
+        "key_file",
+        "max_calls",
+        "max_frame_bytes",
+        "max_unsent_bytes",
+        "port",
+    )
+
+    host: str
+    port: int
+    key_file: str
+    max_frame_bytes: int
+    call_timeout_s: float
+    max_unsent_bytes: int
+    max_calls: int
+
+    def __init__(
+        self,
+        *,
+        host: str = "127.0.0.1",
+        port: int = 8082,
+        key_file: str = "",
+        max_frame_bytes: int = 4194304,
+        call_timeout_s: float = 1.0,
+        max_unsent_bytes: int = 1048576,
+        max_calls: int = 1024,
+    ) -> None:
+        self.host = host
+        self.port = port
+        self.key_file = key_file
+        self.max_frame_bytes = max_frame_bytes
+        self.call_timeout_s = call_timeout_s
+        self.max_unsent_bytes = max_unsent_bytes
+        self.max_calls = max_calls
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "host", False),
@@ -200,21 +279,61 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class PlatformSettings(Struct):
     """The platform's object store."""
 
-    url: str = ""
-    call_timeout_s: float = 2.0
-    watch_timeout_s: float = 30.0
-    max_concurrency: int = 8
-    calls_per_second: float = 40.0
-    max_value_bytes: int = 1000000
-    claim_shards: int = 16
-    claim_retention_s: float = 86400.0
-    claim_split_bytes: int = 131072
-    fleet_reads_per_second: float = 1500.0
-    fleet_writes_per_second: float = 250.0
+    __slots__ = (
+        "call_timeout_s",
+        "calls_per_second",
+        "claim_retention_s",
+        "claim_shards",
+        "claim_split_bytes",
+        "fleet_reads_per_second",
+        "fleet_writes_per_second",
+        "max_concurrency",
+        "max_value_bytes",
+        "url",
+        "watch_timeout_s",
+    )
+
+    url: str
+    call_timeout_s: float
+    watch_timeout_s: float
+    max_concurrency: int
+    calls_per_second: float
+    max_value_bytes: int
+    claim_shards: int
+    claim_retention_s: float
+    claim_split_bytes: int
+    fleet_reads_per_second: float
+    fleet_writes_per_second: float
+
+    def __init__(
+        self,
+        *,
+        url: str = "",
+        call_timeout_s: float = 2.0,
+        watch_timeout_s: float = 30.0,
+        max_concurrency: int = 8,
+        calls_per_second: float = 40.0,
+        max_value_bytes: int = 1000000,
+        claim_shards: int = 16,
+        claim_retention_s: float = 86400.0,
+        claim_split_bytes: int = 131072,
+        fleet_reads_per_second: float = 1500.0,
+        fleet_writes_per_second: float = 250.0,
+    ) -> None:
+        self.url = url
+        self.call_timeout_s = call_timeout_s
+        self.watch_timeout_s = watch_timeout_s
+        self.max_concurrency = max_concurrency
+        self.calls_per_second = calls_per_second
+        self.max_value_bytes = max_value_bytes
+        self.claim_shards = claim_shards
+        self.claim_retention_s = claim_retention_s
+        self.claim_split_bytes = claim_split_bytes
+        self.fleet_reads_per_second = fleet_reads_per_second
+        self.fleet_writes_per_second = fleet_writes_per_second
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "url", False),
@@ -290,18 +409,49 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class MembersSettings(Struct):
     """Membership of the daemons."""
 
-    heartbeat_interval_s: float = 0.5
-    suspect_after_s: float = 2.0
-    remove_after_s: float = 10.0
-    strict_lease_s: float = 3.0
-    reservation_ttl_s: float = 1.0
-    isolated_after_s: float = 3.0
-    seeds: str = ""
-    instances_lag_s: float = 10.0
+    __slots__ = (
+        "heartbeat_interval_s",
+        "instances_lag_s",
+        "isolated_after_s",
+        "remove_after_s",
+        "reservation_ttl_s",
+        "seeds",
+        "strict_lease_s",
+        "suspect_after_s",
+    )
+
+    heartbeat_interval_s: float
+    suspect_after_s: float
+    remove_after_s: float
+    strict_lease_s: float
+    reservation_ttl_s: float
+    isolated_after_s: float
+    seeds: str
+    instances_lag_s: float
+
+    def __init__(
+        self,
+        *,
+        heartbeat_interval_s: float = 0.5,
+        suspect_after_s: float = 2.0,
+        remove_after_s: float = 10.0,
+        strict_lease_s: float = 3.0,
+        reservation_ttl_s: float = 1.0,
+        isolated_after_s: float = 3.0,
+        seeds: str = "",
+        instances_lag_s: float = 10.0,
+    ) -> None:
+        self.heartbeat_interval_s = heartbeat_interval_s
+        self.suspect_after_s = suspect_after_s
+        self.remove_after_s = remove_after_s
+        self.strict_lease_s = strict_lease_s
+        self.reservation_ttl_s = reservation_ttl_s
+        self.isolated_after_s = isolated_after_s
+        self.seeds = seeds
+        self.instances_lag_s = instances_lag_s
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.DOUBLE, "heartbeat_interval_s", False),
@@ -360,20 +510,57 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class RoutingSettings(Struct):
     """Length classes, queues and retries."""
 
-    short_max_tokens: int = 8000
-    medium_max_tokens: int = 100000
-    bytes_per_token: float = 4.0
-    default_answer_tokens: int = 256
-    retry_budget_share: float = 0.1
-    retry_budget_floor: int = 10
-    short_memory_share: float = 0.1
-    policy: str = "owner"
-    aging_s: float = 60.0
-    strike_retention_s: float = 900.0
+    __slots__ = (
+        "aging_s",
+        "bytes_per_token",
+        "default_answer_tokens",
+        "medium_max_tokens",
+        "policy",
+        "retry_budget_floor",
+        "retry_budget_share",
+        "short_max_tokens",
+        "short_memory_share",
+        "strike_retention_s",
+    )
+
+    short_max_tokens: int
+    medium_max_tokens: int
+    bytes_per_token: float
+    default_answer_tokens: int
+    retry_budget_share: float
+    retry_budget_floor: int
+    short_memory_share: float
+    policy: str
+    aging_s: float
+    strike_retention_s: float
+
+    def __init__(
+        self,
+        *,
+        short_max_tokens: int = 8000,
+        medium_max_tokens: int = 100000,
+        bytes_per_token: float = 4.0,
+        default_answer_tokens: int = 256,
+        retry_budget_share: float = 0.1,
+        retry_budget_floor: int = 10,
+        short_memory_share: float = 0.1,
+        policy: str = "owner",
+        aging_s: float = 60.0,
+        strike_retention_s: float = 900.0,
+    ) -> None:
+        self.short_max_tokens = short_max_tokens
+        self.medium_max_tokens = medium_max_tokens
+        self.bytes_per_token = bytes_per_token
+        self.default_answer_tokens = default_answer_tokens
+        self.retry_budget_share = retry_budget_share
+        self.retry_budget_floor = retry_budget_floor
+        self.short_memory_share = short_memory_share
+        self.policy = policy
+        self.aging_s = aging_s
+        self.strike_retention_s = strike_retention_s
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "short_max_tokens", False),
@@ -444,20 +631,57 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class EndpointsSettings(Struct):
     """How endpoints are called and observed."""
 
-    connect_timeout_s: float = 2.0
-    load_interval_s: float = 1.0
-    stream_idle_timeout_s: float = 30.0
-    down_after_failures: int = 3
-    orphan_interval_s: float = 2.0
-    load_lag_s: float = 1.0
-    weight_store_url: str = ""
-    weight_loads_per_second: float = 0.4
-    slow_first_token_ratio: float = 8.0
-    instances_interval_s: float = 1.0
+    __slots__ = (
+        "connect_timeout_s",
+        "down_after_failures",
+        "instances_interval_s",
+        "load_interval_s",
+        "load_lag_s",
+        "orphan_interval_s",
+        "slow_first_token_ratio",
+        "stream_idle_timeout_s",
+        "weight_loads_per_second",
+        "weight_store_url",
+    )
+
+    connect_timeout_s: float
+    load_interval_s: float
+    stream_idle_timeout_s: float
+    down_after_failures: int
+    orphan_interval_s: float
+    load_lag_s: float
+    weight_store_url: str
+    weight_loads_per_second: float
+    slow_first_token_ratio: float
+    instances_interval_s: float
+
+    def __init__(
+        self,
+        *,
+        connect_timeout_s: float = 2.0,
+        load_interval_s: float = 1.0,
+        stream_idle_timeout_s: float = 30.0,
+        down_after_failures: int = 3,
+        orphan_interval_s: float = 2.0,
+        load_lag_s: float = 1.0,
+        weight_store_url: str = "",
+        weight_loads_per_second: float = 0.4,
+        slow_first_token_ratio: float = 8.0,
+        instances_interval_s: float = 1.0,
+    ) -> None:
+        self.connect_timeout_s = connect_timeout_s
+        self.load_interval_s = load_interval_s
+        self.stream_idle_timeout_s = stream_idle_timeout_s
+        self.down_after_failures = down_after_failures
+        self.orphan_interval_s = orphan_interval_s
+        self.load_lag_s = load_lag_s
+        self.weight_store_url = weight_store_url
+        self.weight_loads_per_second = weight_loads_per_second
+        self.slow_first_token_ratio = slow_first_token_ratio
+        self.instances_interval_s = instances_interval_s
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.DOUBLE, "connect_timeout_s", False),
@@ -528,11 +752,15 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class LogSettings(Struct):
     """Structured logs."""
 
-    level: str = "info"
+    __slots__ = ("level",)
+
+    level: str
+
+    def __init__(self, *, level: str = "info") -> None:
+        self.level = level
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "level", False)
@@ -547,19 +775,53 @@
     }
 
 
-@dataclass(slots=True, kw_only=True)
 class Settings(Struct):
     """All sections of the settings file."""
 
-    daemon: DaemonSettings = field(default_factory=DaemonSettings)
-    callers: CallersSettings = field(default_factory=CallersSettings)
-    operators: OperatorsSettings = field(default_factory=OperatorsSettings)
-    peers: PeersSettings = field(default_factory=PeersSettings)
-    platform: PlatformSettings = field(default_factory=PlatformSettings)
-    members: MembersSettings = field(default_factory=MembersSettings)
-    routing: RoutingSettings = field(default_factory=RoutingSettings)
-    endpoints: EndpointsSettings = field(default_factory=EndpointsSettings)
-    log: LogSettings = field(default_factory=LogSettings)
+    __slots__ = (
+        "callers",
+        "daemon",
+        "endpoints",
+        "log",
+        "members",
+        "operators",
+        "peers",
+        "platform",
+        "routing",
+    )
+
+    daemon: DaemonSettings
+    callers: CallersSettings
+    operators: OperatorsSettings
+    peers: PeersSettings
+    platform: PlatformSettings
+    members: MembersSettings
+    routing: RoutingSettings
+    endpoints: EndpointsSettings
+    log: LogSettings
+
+    def __init__(
+        self,
+        *,
+        daemon: DaemonSettings | None = None,
+        callers: CallersSettings | None = None,
+        operators: OperatorsSettings | None = None,
+        peers: PeersSettings | None = None,
+        platform: PlatformSettings | None = None,
+        members: MembersSettings | None = None,
+        routing: RoutingSettings | None = None,
+        endpoints: EndpointsSettings | None = None,
+        log: LogSettings | None = None,
+    ) -> None:
+        self.daemon = DaemonSettings() if daemon is None else daemon
+        self.callers = CallersSettings() if callers is None else callers
+        self.operators = OperatorsSettings() if operators is None else operators
+        self.peers = PeersSettings() if peers is None else peers
+        self.platform = PlatformSettings() if platform is None else platform
+        self.members = MembersSettings() if members is None else members
+        self.routing = RoutingSettings() if routing is None else routing
+        self.endpoints = EndpointsSettings() if endpoints is None else endpoints
+        self.log = LogSettings() if log is None else log
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRUCT, "daemon", DaemonSettings, False),
--- a/src/auburnswitch/settings/loader.py
+++ b/src/auburnswitch/settings/loader.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import configparser
-import dataclasses
 import ipaddress
 from dataclasses import dataclass
 from pathlib import Path
@@ -97,7 +96,7 @@
     except configparser.Error as error:
         return Error([_make_problem("", "", str(error).replace("\n", " "))])
     problems: list[SettingsProblem] = []
-    section_names = {field.name for field in dataclasses.fields(settings)}
+    section_names = set(settings.field_names())
     for section in parser.sections():
         if section not in section_names:
             problems.append(_make_problem(section, "", "unknown section"))
--- a/tools/generate_schema.py
+++ b/tools/generate_schema.py
@@ -141,9 +141,23 @@
 
 
 class Field:
-    """One field of a struct, rendered as Python source."""
+    """One field of a struct, rendered as Python source.
 
-    __slots__ = ("annotation", "default", "enum", "name", "number", "spec")
+    Attributes:
+        annotation: Type of the attribute.
+        default: Default of the parameter.
+        factory: Expression for an omitted value, empty if the default is it.
+    """
+
+    __slots__ = (
+        "annotation",
+        "default",
+        "enum",
+        "factory",
+        "name",
+        "number",
+        "spec",
+    )
 
     def __init__(
         self,
@@ -158,13 +172,14 @@
         self.name = spec[1].rstrip("_")
         inner_type = spec[2] if len(spec) == 4 else None
         self.number = number
-        self.enum = ""
+        self.enum = self.factory = ""
         type_name = _TTYPE_NAMES[type_id]
         if type_id == TType.LIST:
             item, kind = _element_type(inner_type)
             self.annotation = f"list[{item}]"
             self.enum = item if _is_enum(kind) else ""
-            self.default = self._list_default(default)
+            self.default = "None"
+            self.factory = repr(default or [])
             self.spec = (
                 f"(TType.LIST, {self.name!r}, {_element_spec(inner_type)},"
                 " False)"
@@ -172,9 +187,8 @@
         elif type_id == TType.STRUCT:
             name = inner_type.__name__
             self.annotation = f"{name} | None" if optional else name
-            self.default = (
-                "None" if optional else f"field(default_factory={name})"
-            )
+            self.default = "None"
+            self.factory = "" if optional else f"{name}()"
             self.spec = f"(TType.STRUCT, {self.name!r}, {name}, False)"
         else:
             self.annotation = _PYTHON_TYPES[type_id]
@@ -183,10 +197,17 @@
             self.default = self._scalar_default(default, inner_type)
             self.spec = f"(TType.{type_name}, {self.name!r}, False)"
 
-    def _list_default(self, default: Any) -> str:
-        if default:
-            return f"field(default_factory=lambda: {default!r})"
-        return "field(default_factory=list)"
+    def render_parameter(self) -> str:
+        """Renders the field as a parameter of the constructor."""
+        optional = " | None" if self.factory else ""
+        return f"{self.name}: {self.annotation}{optional} = {self.default}"
+
+    def render_assignment(self) -> str:
+        """Renders the line of the constructor that sets the field."""
+        if not self.factory:
+            return f"self.{self.name} = {self.name}"
+        value = f"{self.factory} if {self.name} is None else {self.name}"
+        return f"self.{self.name} = {value}"
 
     def _scalar_default(self, default: Any, enum: Any) -> str:
         if enum is not None:
@@ -248,18 +269,26 @@
 
 
 def render_struct(struct: Any, source: str, comments: SchemaComments) -> str:
-    """Renders one struct as a data class with slots."""
+    """Renders one struct as a class with slots.
+
+    The methods are written out, since the decorator for data classes compiles
+    them at each import.
+    """
     name = struct.__name__
     fields = _struct_fields(struct, source)
     specs = ", ".join(f"{f.number}: {f.spec}" for f in fields)
     enums = ", ".join(f"{f.name!r}: {f.enum}" for f in fields if f.enum)
     names = ", ".join(f"({f.name!r}, None)" for f in fields)
+    slots = "".join(f"{n!r}, " for n in sorted(f.name for f in fields))
     lines = [
-        "@dataclass(slots=True, kw_only=True)",
         f"class {name}(Struct):",
         _docstring(comments.find_comment(name).text, "    "),
         "",
-        *(f"    {f.name}: {f.annotation} = {f.default}" for f in fields),
+        f"    __slots__ = ({slots})",
+        "",
+        *(f"    {f.name}: {f.annotation}" for f in fields),
+        "",
+        *_render_constructor(fields),
         "",
         f"    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {{{specs}}}",
         f"    default_spec: ClassVar[list[tuple[str, Any]]] = [{names}]",
@@ -275,6 +304,16 @@
     return "\n".join([*lines, "    }"])
 
 
+def _render_constructor(fields: list[Field]) -> list[str]:
+    parameters = "".join(f", {f.render_parameter()}" for f in fields)
+    star = ", *" if fields else ""
+    return [
+        f"    def __init__(self{star}{parameters}) -> None:",
+        *(f"        {f.render_assignment()}" for f in fields),
+        *([] if fields else ["        pass"]),
+    ]
+
+
 def render_module(name: str, module: ModuleType) -> str:
     """Renders the Python module of one IDL file."""
     source = (SCHEMA_DIR / f"{name}.thrift").read_text("utf-8")
@@ -307,7 +346,6 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass, field
 from typing import Any, ClassVar, Final
 
 from thriftpy2.thrift import TType
