Keep probing the store while a watch is slow to end

Cause, found in the read-through: a probe that failed ended all watches by moving their timeouts to now; if one took longer to end than the next probe, a timeout that had expired was moved again, which raises RuntimeError and ended the task of the probes. Nothing showed it; peers would have taken this reader's reads for old. Change: a timeout that is ending already is left alone.

--- a/src/auburnswitch/configuration/installation_watcher.py
+++ b/src/auburnswitch/configuration/installation_watcher.py
@@ -116,7 +116,8 @@
 
     def _end_watches(self) -> None:
         for timeout in self._watch_timeouts.values():
-            timeout.reschedule(monotonic_s())
+            if timeout.when() is None:  # not ending already
+                timeout.reschedule(monotonic_s())
 
     async def _watch(
         self, kind: str, revision: int
--- a/src/auburnswitch/members/peer_table.py
+++ b/src/auburnswitch/members/peer_table.py
@@ -1,7 +1,7 @@
 """Keeps the other entry daemons and which of them are live.
 
 The list of live peers is built again only when a peer has joined, left or
-become silent. Its readers compare the list's identity to notice a change.
+become silent. Callers compare the list's identity to notice a change.
 """
 
 from __future__ import annotations
@@ -60,7 +60,7 @@
             self.by_instance[record.instance] = peer
         elif peer.record != record:
             peer.record = record
-            self._live = []  # readers of the list look at the records too
+            self._live = []  # callers compare the records as well
             self._live_valid_until = -math.inf
         return peer
 
--- a/tests/configuration/test_installation_watcher.py
+++ b/tests/configuration/test_installation_watcher.py
@@ -87,6 +87,17 @@
         return Listing(revision=max(newest, revision + 1), objects=[changed])
 
 
+class SlowlyClosingStore(ScriptedStore):
+    """A store whose watches take longer to end than a probe interval."""
+
+    async def watch(self, kind, revision):
+        try:
+            return await super().watch(kind, revision)
+        except asyncio.CancelledError:
+            await asyncio.sleep(2 * PROBE_INTERVAL_S)
+            raise
+
+
 @contextlib.asynccontextmanager
 async def open_watcher(store):
     reading = asyncio.Event()
@@ -153,6 +164,20 @@
             max(store.noticed_after_s), ENDPOINT_BATCH_DELAY_S + 0.001
         )
 
+    @in_virtual_loop
+    async def test_probes_go_on_while_a_watch_is_slow_to_end(self):
+        store = SlowlyClosingStore()
+        async with open_watcher(store) as watcher:
+            await asyncio.sleep(1)
+            store.silent = True
+            await asyncio.sleep(3 * PROBE_INTERVAL_S)
+            store.silent = False
+            await asyncio.sleep(3 * PROBE_INTERVAL_S)
+            self.assertGreater(store.probes, 3)
+            self.assertIsNone(watcher.failed_at)
+            age_s = monotonic_s() - watcher.read_at
+            self.assertLessEqual(age_s, PROBE_INTERVAL_S + 0.1)
+
 
 if __name__ == "__main__":
     unittest.main()
