--- /dev/null
+++ b/tests/entry/test_planned_stop.py
@@ -0,0 +1,149 @@
+"""Tests of answers that are under way while an entry daemon is stopped."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+import aiohttp
+
+from auburnswitch.platform.protocol import READINESS_PATH
+from auburnswitch.soak.fleet import STREAM_EVENTS, SoakFleet, open_fleet
+from auburnswitch.standins import installation_objects
+from auburnswitch.standins.caller_headers import request_headers
+
+GRACE_S = 8.0
+STREAM_S = 6.0
+DEADLINE_MS = 20_000
+KEY = "key-1"
+TOKENS = "900,50"
+
+
+def write_slow_routes(fleet: SoakFleet):
+    """Writes routes whose requests may outlast a stop."""
+    stream = {"GapAimMs": 2000, "StreamResume": True, "TimeoutMs": DEADLINE_MS}
+    fleet.config_version += 1
+    routes = [
+        installation_objects.make_route(
+            "/chat/", "streaming", "engines", **stream
+        )
+    ]
+    config = installation_objects.make_config(
+        fleet.config_version, list(fleet.caller_keys), Routes=routes
+    )
+    installation_objects.put_config(fleet.store, config)
+
+
+async def wait_until_ready(fleet: SoakFleet):
+    async with aiohttp.ClientSession() as session, asyncio.timeout(10):
+        url = f"http://{fleet.daemons[0].readiness_address}{READINESS_PATH}"
+        while True:
+            try:
+                async with session.get(url) as response:
+                    if response.status == 200:
+                        return
+            except aiohttp.ClientError:
+                pass  # port not open yet
+            await asyncio.sleep(0.05)
+
+
+class Caller:
+    """Sends streams to the only daemon of a fleet and keeps their ends."""
+
+    def __init__(self, fleet: SoakFleet):
+        self.fleet = fleet
+        self.statuses: dict[str, int] = {}
+        self.whole: set[str] = set()
+
+    async def stream(self, request_id: str, deadline_ms: int = DEADLINE_MS):
+        headers = request_headers(
+            request_id, KEY, tokens=TOKENS, deadline_ms=deadline_ms
+        )
+        address = self.fleet.daemons[0].callers_address
+        try:
+            async with (
+                aiohttp.ClientSession() as session,
+                session.post(
+                    f"http://{address}/chat/1", headers=headers
+                ) as response,
+            ):
+                self.statuses[request_id] = response.status
+                body = await response.read()
+        except aiohttp.ClientError:
+            return
+        if body.count(b"id: ") == STREAM_EVENTS:
+            self.whole.add(request_id)
+
+    def passed_on(self) -> set[str]:
+        return {
+            request.request_id
+            for endpoint in self.fleet.endpoints.values()
+            for request in endpoint.received_requests
+            if request.ran
+        }
+
+
+class PlannedStopTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.fleet = await self.enterAsyncContext(
+            open_fleet(Path(folder), daemon_count=1)
+        )
+        for endpoint in self.fleet.endpoints.values():
+            endpoint.event_interval_s = STREAM_S / STREAM_EVENTS
+        write_slow_routes(self.fleet)
+        await wait_until_ready(self.fleet)
+        self.daemon = self.fleet.daemons[0]
+        self.caller = Caller(self.fleet)
+        settings = Path(folder) / f"{self.daemon.name}.ini"
+        text = settings.read_text().replace("= 6", f"= {GRACE_S}")
+        settings.write_text(text)
+        self.daemon.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.3)
+
+    async def stop(self) -> int:
+        """Stops the daemon as the platform does, and returns its status."""
+        self.daemon.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S):
+                return await self.daemon.process.wait()
+        except TimeoutError:
+            self.daemon.send_signal(signal.SIGKILL)
+            return await self.daemon.process.wait()
+
+    # Answers were cut off by the kill that ends a stop's grace time: the
+    # stopping daemon had passed on requests that took longer.
+    async def test_no_answer_passed_on_late_in_a_stop_is_cut_off(self):
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.caller.stream("early"))
+            await asyncio.sleep(0.5)
+            tasks.create_task(self.stop())
+            await asyncio.sleep(3.0)
+            for number in range(6):
+                tasks.create_task(self.caller.stream(f"late-{number}"))
+                await asyncio.sleep(0.1)
+        cut_off = self.caller.passed_on() - self.caller.whole
+        self.assertEqual(cut_off, set())
+
+    # The process waited without a limit for a request in flight, and was
+    # killed.
+    async def test_process_ends_within_the_grace_time(self):
+        async with asyncio.TaskGroup() as tasks:
+            for endpoint in self.fleet.endpoints.values():
+                endpoint.event_interval_s = 1.0
+            request = tasks.create_task(self.caller.stream("long"))
+            await asyncio.sleep(0.5)
+            stopped_at = time.monotonic()
+            status = await self.stop()
+            await request
+        self.assertEqual(status, 0)
+        # An answer under way is not given up early either.
+        self.assertGreater(time.monotonic() - stopped_at, GRACE_S * 5 / 6)
+
+
+if __name__ == "__main__":
+    unittest.main()
