Don't pass on requests that may outlast a planned stop

What callers saw: around a SIGTERM, streams that the daemon had taken and passed on to an endpoint ended without a whole answer.

Cause: a stopping daemon accepted work without regard for whether it could be finished. For half of the time until its end (3.65 s of 8) it passed on every request; whatever still ran at the end of the grace time was cut off by the kill. Class of fault: work is accepted under a hard end without being compared with that end.

Ruled out: without an earlier request in flight the daemon has left at 2.6 s, so nothing is accepted late.

Why it works: StopDeadline knows the end of the stop. While new connections may still arrive (2.6 s), a request is sent if its predicted duration, corrected by the longest recent attempts of its service, ends before it; after that, only if the request's own deadline does, so a late request can't be cut off by the end, whatever the endpoint does. The same answer is asked for before each further attempt. A refused request is told to come back at once, to another daemon, and a stopping daemon's requests don't yield to others.

--- a/src/auburnswitch/callers/entry_app.py
+++ b/src/auburnswitch/callers/entry_app.py
@@ -30,6 +30,7 @@
     from auburnswitch.observe.statistics import EntryStatistics
     from auburnswitch.platform.requests import CallerRequest, Headers
     from auburnswitch.routing.delivery import DeliveryRunner
+    from auburnswitch.routing.stop_deadline import StopDeadline
     from auburnswitch.schema.installation import IngressLimits
 
 BAD_REQUEST: Final = 400
@@ -62,11 +63,8 @@
     """An ASGI application that routes requests to the installation's services.
 
     Attributes:
-        stopping_at: Loop time of the stop signal, in seconds; None before it.
-            After it each response requests that the caller closes its
-            connection.
-        refuses_requests: Whether new requests are refused, because they might
-            not complete before the daemon stops.
+        stop: The end of a planned stop. Each response of a stopping daemon
+            requests that the caller closes its connection.
         started_at: Loop time of the daemon's start, in seconds.
         open_requests: Requests whose response is not complete.
     """
@@ -78,13 +76,13 @@
         delivery_runner: DeliveryRunner,
         rng: random.Random,
         statistics: EntryStatistics,
+        stop: StopDeadline,
     ) -> None:
+        self.stop = stop
         self.statistics = statistics
         self.installation = installation
         self.delivery_runner = delivery_runner
         self.rng = rng
-        self.stopping_at: float | None = None
-        self.refuses_requests = False
         self.started_at = monotonic_s()
         self.open_requests: set[OpenRequest] = set()
 
@@ -110,7 +108,7 @@
             headers=headers,
         )
         writer = CallerWriter(
-            send=send, should_close=lambda: self.stopping_at is not None
+            send=send, should_close=lambda: self.stop.stopping
         )
         open_request = OpenRequest(
             id=request.id, arrived_at=monotonic_s(), writer=writer
@@ -146,10 +144,6 @@
         await self._deliver(job, receive, writer)
 
     def _require_route_table(self) -> RouteTable:
-        if self.refuses_requests:
-            raise EntryRefusalError(
-                UNAVAILABLE, "stopping", RETRY_AFTER_DRAIN_S
-            )
         table = self.installation.table
         if table is None or not self.installation.complete:
             is_starting = monotonic_s() - self.started_at < EXPECTED_STARTUP_S
@@ -263,6 +257,8 @@
 
     def _choose_retry_after_s(self, advice: RetryAdvice) -> float | None:
         match advice:
+            case RetryAdvice.AT_ONCE:
+                return RETRY_AFTER_DRAIN_S
             case RetryAdvice.SOON:
                 return self.rng.uniform(*RETRY_AFTER_OVERLOAD_RANGE_S)
             case RetryAdvice.LATER:
@@ -289,7 +285,7 @@
             config=self.installation.config_version,
             took_ms=round(took_s * 1000, 1),
             time_left_ms=round(job.time_left_s() * 1000, 1) if job else 0.0,
-            since_stop_ms=since_stop_ms(arrived_at, self.stopping_at),
+            since_stop_ms=since_stop_ms(arrived_at, self.stop.stopping_at),
             outcome=outcome,
         )
 
--- a/src/auburnswitch/entry/entry_daemon.py
+++ b/src/auburnswitch/entry/entry_daemon.py
@@ -31,6 +31,7 @@
 from auburnswitch.routing.load_observer import LoadObserver
 from auburnswitch.routing.memory_reservations import MemoryReservations
 from auburnswitch.routing.send_rate_limiter import SendRateLimiter
+from auburnswitch.routing.stop_deadline import StopDeadline
 from auburnswitch.routing.windowed_retry_budget import WindowedRetryBudget
 from auburnswitch.schema.events import EventId
 from auburnswitch.schema.gossip import DaemonRecord
@@ -60,7 +61,7 @@
         installation: Known configuration and endpoints of the installation.
         app: ASGI application that serves callers.
         gossip: Exchanges datagrams with the other daemons.
-        stopping: Whether the daemon is shutting down.
+        stop: The end of a planned stop.
         reader_election: Decides whether this daemon reads the store.
         member_check_interval_s: Interval between checks for terminated
             daemons, in seconds.
@@ -77,7 +78,7 @@
         self.tasks = tasks
         self.installation = Installation()
         self.fleet_load = FleetLoad()
-        self.stopping = False
+        self.stop = StopDeadline()
         self.member_check_interval_s = MEMBER_CHECK_INTERVAL_S
         self._cells_by_work_id: dict[int, list[int]] = {}
         self.store = PlatformStoreClient(settings=settings.store)
@@ -149,6 +150,7 @@
             selector=self.endpoint_selector,
             endpoint_client=endpoint_client,
             memory=self.memory_reservations,
+            stop=self.stop,
             budget=WindowedRetryBudget(
                 bounds=settings.bounds, count_daemons=self._count_daemons
             ),
@@ -167,13 +169,14 @@
             delivery_runner=delivery_runner,
             rng=rng,
             statistics=self.statistics,
+            stop=self.stop,
         )
         self.installation.listeners.append(self.gossip.send_state)
 
     @property
     def ready(self) -> bool:
         """Whether the daemon accepts new connections."""
-        return self.installation.complete and not self.stopping
+        return self.installation.complete and not self.stop.stopping
 
     def start(self) -> None:
         """Starts the background tasks."""
@@ -193,7 +196,7 @@
         """Returns the gauges of the metrics and how to read them."""
         return {
             "requests_in_flight": lambda: self.app.in_flight,
-            "stopping": lambda: self.stopping,
+            "stopping": lambda: self.stop.stopping,
             "live_peers": lambda: len(self.gossip.peers.live_peers()),
             "store_calls": lambda: self.store.call_count,
             "config_version": lambda: self.installation.config_version,
@@ -202,8 +205,7 @@
 
     def begin_drain(self) -> None:
         """Becomes unready but continues to serve open connections."""
-        self.stopping = True
-        self.app.stopping_at = monotonic_s()
+        self.stop.begin(self.settings.bounds.stop_grace_s)
         self.gossip.stopping = True
         self.gossip.send_state()
 
--- a/src/auburnswitch/entry/run.py
+++ b/src/auburnswitch/entry/run.py
@@ -13,6 +13,7 @@
 
 from expression import Result
 
+from auburnswitch.clock import monotonic_s
 from auburnswitch.entry.entry_daemon import EntryDaemon
 from auburnswitch.entry.monitoring_apps import MetricsApp, ReadinessApp
 from auburnswitch.http_server import ListenError, open_http_server
@@ -30,8 +31,6 @@
     from auburnswitch.http_server import HttpServer
     from auburnswitch.schema.entry import EntrySettings
 
-DEREGISTRATION_DELAY_S: Final = 2.6  # until no new connections arrive
-STOP_MARGIN_S: Final = 0.7  # left for the shutdown after draining
 DRAIN_POLL_INTERVAL_S: Final = 0.05
 EXIT_OK: Final = 0
 EXIT_BAD_SETTINGS: Final = 2
@@ -102,29 +101,25 @@
 
 
 async def drain(daemon: EntryDaemon) -> None:
-    """Keeps serving until no request is in flight or the grace period ends.
-
-    New requests are refused in the second half of the grace period.
-    """
-    loop = asyncio.get_running_loop()
-    stopped_at = loop.time()
-    grace_s = daemon.settings.bounds.stop_grace_s - STOP_MARGIN_S
+    """Keeps serving until no request is in flight or the stop must end."""
+    stopping_at = monotonic_s()
     daemon.begin_drain()
     log_event(
         EventId.ENTRY_STOPPING,
         in_flight=daemon.app.in_flight,
-        grace_s=grace_s,
+        grace_s=daemon.settings.bounds.stop_grace_s,
     )
-    await asyncio.sleep(DEREGISTRATION_DELAY_S)
-    while daemon.app.in_flight and loop.time() < stopped_at + grace_s:
-        daemon.app.refuses_requests = loop.time() > stopped_at + grace_s / 2
+    stop = daemon.stop
+    await asyncio.sleep(stop.deregistered_at - stopping_at)
+    while daemon.app.in_flight and monotonic_s() < stop.ends_at:
         await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+    stop.end()
     for open_request in daemon.app.open_requests:
-        open_request.log_unfinished(stopped_at, loop.time())
+        open_request.log_unfinished(stopping_at, monotonic_s())
     log_event(
         EventId.ENTRY_DRAINED,
         in_flight=daemon.app.in_flight,
-        after_s=round(loop.time() - stopped_at, 3),
+        after_s=round(monotonic_s() - stopping_at, 3),
     )
 
 
--- a/src/auburnswitch/routing/delivery.py
+++ b/src/auburnswitch/routing/delivery.py
@@ -5,9 +5,11 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
+from auburnswitch.clock import monotonic_s
 from auburnswitch.observe.logs import log_event
 from auburnswitch.platform.endpoint_client import ResponseHead
 from auburnswitch.routing.attempt import AttemptRunner
+from auburnswitch.routing.duration_estimator import DurationEstimator
 from auburnswitch.routing.endpoint_health import (
     HARD_FAILURE_WEIGHT,
     SOFT_FAILURE_WEIGHT,
@@ -34,6 +36,7 @@
     )
     from auburnswitch.routing.memory_reservations import MemoryReservations
     from auburnswitch.routing.outcomes import AnswerWriter
+    from auburnswitch.routing.stop_deadline import StopDeadline
     from auburnswitch.routing.windowed_retry_budget import WindowedRetryBudget
 
 MIN_RETRY_TIME_LEFT_S: Final = 0.03
@@ -41,15 +44,28 @@
 
 
 class DeliveryRunner:
-    """Sends requests to endpoints and relays their answers."""
+    """Sends requests to endpoints and relays their answers.
+
+    Attributes:
+        selector: Chooses endpoints.
+        endpoint_client: Sends requests to endpoints.
+        budget: Limits retries.
+        memory: Reserves memory for long prompts.
+        crash_registry: Requests that crash endpoints.
+        statistics: Counts retries and records latencies.
+        stop: Bounds the requests of a stopping daemon.
+        durations: Estimates how long attempts take.
+    """
 
     __slots__ = (
         "budget",
         "crash_registry",
+        "durations",
         "endpoint_client",
         "memory",
         "selector",
         "statistics",
+        "stop",
     )
 
     def __init__(
@@ -61,7 +77,10 @@
         memory: MemoryReservations,
         crash_registry: CrashRegistry,
         statistics: EntryStatistics,
+        stop: StopDeadline,
     ) -> None:
+        self.stop = stop
+        self.durations = DurationEstimator()
         self.statistics = statistics
         self.crash_registry = crash_registry
         self.memory = memory
@@ -80,6 +99,8 @@
                 may_have_run=False,
                 retry=RetryAdvice.NEVER,
             )
+        if not self.stop.may_begin(job.deadline_at):
+            return _stop_failure()
         progress = DeliveryProgress(last_event_id=job.request.last_event_id)
         try:
             async with asyncio.timeout_at(job.deadline_at):
@@ -98,9 +119,15 @@
                 job, last_failure
             ):
                 return await self._final_outcome(last_failure, writer, progress)
-            placement = await wait_for_placement(self.selector, job)
+            placement = await wait_for_placement(self.selector, job, self.stop)
             if job.time_left_s() < MIN_SEND_TIME_LEFT_S:
                 placement = None  # for example after a pause of this process
+            if placement is not None and not self._ends_before_stop(
+                job, placement
+            ):
+                if not progress.may_have_run:
+                    return _stop_failure()
+                placement = None
             if placement is None:
                 if last_failure is not None:
                     return await self._final_outcome(
@@ -134,6 +161,15 @@
                 attempts=job.attempts,
             )
 
+    def _ends_before_stop(self, job: DeliveryJob, placement: Placement) -> bool:
+        """Returns whether an attempt is expected to end before the stop."""
+        if not self.stop.stopping:
+            return True
+        duration_s = self.durations.estimate_s(
+            job.service.name, placement.duration_s
+        )
+        return self.stop.may_send(job.deadline_at, duration_s)
+
     def _placement_failure(self, job: DeliveryJob) -> DeliveryFailed:
         if self.selector.is_feasible(job):
             return DeliveryFailed(reason="no room", may_have_run=False)
@@ -179,6 +215,7 @@
         progress: DeliveryProgress,
     ) -> Delivered | AttemptFailed:
         self.selector.start(job, placement)
+        started_at = monotonic_s()
         endpoint = placement.endpoint.entry
         try:
             async with self.memory.reserve(
@@ -204,6 +241,12 @@
             self.selector.end(placement)
         if isinstance(outcome, AttemptFailed) and outcome.connection_broken:
             self.crash_registry.record_crash(job.fingerprint, endpoint.id)
+        if isinstance(outcome, Delivered):
+            self.durations.record(
+                job.service.name,
+                placement.duration_s,
+                monotonic_s() - started_at,
+            )
         self._record_health(endpoint.id, outcome, job)
         return outcome
 
@@ -236,4 +279,10 @@
                 health.record_failure(endpoint, reason, HARD_FAILURE_WEIGHT)
 
 
+def _stop_failure() -> DeliveryFailed:
+    return DeliveryFailed(
+        reason="stopping", may_have_run=False, retry=RetryAdvice.AT_ONCE
+    )
+
+
 __all__ = ["DeliveryRunner"]
--- a/src/auburnswitch/routing/endpoint_selector.py
+++ b/src/auburnswitch/routing/endpoint_selector.py
@@ -53,6 +53,7 @@
         helpers: Endpoints that prefill parts of the prompt.
         item: The work as published to peers.
         first_token_s: Predicted time to the first token, in seconds.
+        duration_s: Predicted time to the end of the answer, in seconds.
         late: Whether the first token is predicted to miss its target latency.
         delays_others: Whether the request would make other answers late.
     """
@@ -61,6 +62,7 @@
     helpers: list[TrackedEndpoint]
     item: WorkItem
     first_token_s: float
+    duration_s: float
     late: bool = False
     delays_others: bool = False
 
@@ -253,7 +255,13 @@
         item = self._make_item(
             endpoint=best.entry.id, remaining_ms=PLAIN_REQUEST_MS
         )
-        return Placement(endpoint=best, helpers=[], item=item, first_token_s=0)
+        return Placement(
+            endpoint=best,
+            helpers=[],
+            item=item,
+            first_token_s=0,
+            duration_s=PLAIN_REQUEST_MS / _MS_PER_S,
+        )
 
     def _choose_engines(
         self,
@@ -301,6 +309,7 @@
             model, prompt.answer_tokens, decode_count, prompt.tokens
         )
         remaining_ms = plan.first_token_ms + answer_ms
+        remaining_ms *= REMAINING_TIME_FACTOR
         item = self._make_item(
             endpoint=plan.decode_engine.entry.id,
             helpers=[helper.entry.id for helper in plan.helpers],
@@ -310,13 +319,14 @@
             holders=plan.holders,
             target_gap_ms=prompt.target_gap_ms,
             due_ms=prompt.target_ms,
-            remaining_ms=remaining_ms * REMAINING_TIME_FACTOR,
+            remaining_ms=remaining_ms,
         )
         return Placement(
             endpoint=plan.decode_engine,
             helpers=plan.helpers,
             item=item,
             first_token_s=plan.first_token_ms / _MS_PER_S,
+            duration_s=remaining_ms / _MS_PER_S,
             late=plan.first_token_ms > prompt.target_ms,
             delays_others=plan.interference_cost > 0,
         )
--- a/src/auburnswitch/routing/outcomes.py
+++ b/src/auburnswitch/routing/outcomes.py
@@ -44,6 +44,7 @@
 class RetryAdvice(enum.Enum):
     """Whether and when a caller should send a failed request again."""
 
+    AT_ONCE = "at once"  # another daemon can serve it
     SOON = "soon"  # capacity may become available
     LATER = "later"  # too few endpoints that can run it are in service
     NEVER = "never"  # the request would fail again
--- a/src/auburnswitch/routing/placement_wait.py
+++ b/src/auburnswitch/routing/placement_wait.py
@@ -13,6 +13,7 @@
         EndpointSelector,
         Placement,
     )
+    from auburnswitch.routing.stop_deadline import StopDeadline
 
 PLACEMENT_POLL_INTERVAL_S: Final = 0.02
 MAX_PLACEMENT_WAIT_SHARE: Final = 0.12  # of the target latency
@@ -27,7 +28,7 @@
 
 
 async def wait_for_placement(
-    selector: EndpointSelector, job: DeliveryJob
+    selector: EndpointSelector, job: DeliveryJob, stop: StopDeadline
 ) -> Placement | None:
     """Waits a limited time for a placement.
 
@@ -35,7 +36,8 @@
     others for a limited time, so that it does not make them late as well, as
     long as it can still meet its deadline. A request that would delay others
     also yields, as long as it can still meet its target latency. A request
-    that even idle endpoints could not serve does not wait.
+    that even idle endpoints could not serve does not wait, and a request of a
+    stopping daemon does not yield.
 
     Returns:
         The placement, None if there is none within the wait.
@@ -54,7 +56,9 @@
         if placement is None and now >= give_up_at:
             return None
         if placement is not None and (
-            now >= yield_until or not _should_yield(job, placement)
+            stop.stopping
+            or now >= yield_until
+            or not _should_yield(job, placement)
         ):
             return placement
         await asyncio.sleep(PLACEMENT_POLL_INTERVAL_S)
--- a/tests/entry/test_planned_stop.py
+++ b/tests/entry/test_planned_stop.py
@@ -128,6 +128,22 @@
                 await asyncio.sleep(0.1)
         cut_off = self.caller.passed_on() - self.caller.whole
         self.assertEqual(cut_off, set())
+        self.assertIn("early", self.caller.whole)
+        late = {self.caller.statuses[f"late-{n}"] for n in range(6)}
+        self.assertEqual(late, {503})
+
+    async def test_request_that_must_end_in_time_is_served_late_in_a_stop(self):
+        for endpoint in self.fleet.endpoints.values():
+            endpoint.event_interval_s = 0.2
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.caller.stream("early"))
+            await asyncio.sleep(0.5)
+            tasks.create_task(self.stop())
+            await asyncio.sleep(1.0)
+            tasks.create_task(self.caller.stream("second"))
+            await asyncio.sleep(2.0)
+            await self.caller.stream("late", deadline_ms=3000)
+        self.assertIn("late", self.caller.whole)
 
     # The process waited without a limit for a request in flight, and was
     # killed.
--- a/tests/routing/test_joint_prefills.py
+++ b/tests/routing/test_joint_prefills.py
@@ -17,6 +17,7 @@
 from auburnswitch.clock import monotonic_s
 from auburnswitch.routing.fleet_load import EndpointLoad
 from auburnswitch.routing.placement_wait import wait_for_placement
+from auburnswitch.routing.stop_deadline import StopDeadline
 from tests.routing.test_placement_wait import (
     TARGET_S,
     make_job,
@@ -68,7 +69,7 @@
     """Returns the time to first token of one prompt, in seconds."""
     job = make_job(tokens)
     started_at = monotonic_s()
-    placement = await wait_for_placement(selector, job)
+    placement = await wait_for_placement(selector, job, StopDeadline())
     if placement is None:
         return TIMEOUT_S
     selector.start(job, placement)
--- a/tests/routing/test_placement_wait.py
+++ b/tests/routing/test_placement_wait.py
@@ -14,6 +14,7 @@
 from auburnswitch.routing.endpoint_selector import EndpointSelector
 from auburnswitch.routing.fleet_load import FleetLoad
 from auburnswitch.routing.placement_wait import wait_for_placement
+from auburnswitch.routing.stop_deadline import StopDeadline
 from auburnswitch.schema.gossip import EngineReport
 from auburnswitch.schema.installation import EndpointEntry, Route, Service
 from tests.routing.test_prefill_planner import MODEL
@@ -129,7 +130,7 @@
             job.excluded.update(excluded)
             job.deadline_at = monotonic_s() + time_left_s
             started_at = monotonic_s()
-            placement = await wait_for_placement(selector, job)
+            placement = await wait_for_placement(selector, job, StopDeadline())
             return placement, monotonic_s() - started_at
 
         return run_virtual(run)
