End a planned stop within the grace time

What callers and operators saw: a daemon with a request in flight did not end at SIGTERM and was killed. All its answers were cut off in the middle of an event, memory that it had reserved at engines stayed set aside until the lease was over, and nothing in its log named the requests.

Cause: after the wait for requests in flight, the callers' listener waited for the same requests again, without a limit. Class of fault: a bounded wait followed by an unbounded one for the same thing.

Why it works: at the end of the stop the deadline of each request in progress is moved to now, so each takes the path of a deadline that has passed: endpoints see the closed connection, reservations are released, the log names the request (215) and its outcome (210), and the caller gets 503 if nothing was sent, 502 if it may have run, a broken connection in the middle of an answer. Then the listeners close within a limit: 0.2 s for callers, at once for readiness and metrics.

--- a/src/auburnswitch/entry/entry_daemon.py
+++ b/src/auburnswitch/entry/entry_daemon.py
@@ -209,6 +209,18 @@
         self.gossip.stopping = True
         self.gossip.send_state()
 
+    def end_drain(self) -> None:
+        """Refuses all requests and cuts off those still in flight."""
+        self.stop.end()
+        self.app.delivery_runner.timers.expire_all()
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is in flight and no memory is to be released."""
+        return not (
+            self.app.in_flight or self.memory_reservations.release_tasks
+        )
+
     async def _join(self) -> None:
         key, known_records = await self.directory.join()
         for record in known_records:
--- a/src/auburnswitch/entry/run.py
+++ b/src/auburnswitch/entry/run.py
@@ -32,6 +32,9 @@
     from auburnswitch.schema.entry import EntrySettings
 
 DRAIN_POLL_INTERVAL_S: Final = 0.05
+CUT_OFF_WAIT_S: Final = 0.2
+CUT_OFF_POLL_INTERVAL_S: Final = 0.01
+CALLERS_CLOSE_TIMEOUT_S: Final = 0.2
 EXIT_OK: Final = 0
 EXIT_BAD_SETTINGS: Final = 2
 EXIT_CANNOT_LISTEN: Final = 3
@@ -67,7 +70,12 @@
                 ReadinessApp(is_ready=lambda: daemon.ready),
                 listen.readiness,
             ),
-            _open_listener("callers", daemon.app, listen.callers),
+            _open_listener(
+                "callers",
+                daemon.app,
+                listen.callers,
+                close_timeout_s=CALLERS_CLOSE_TIMEOUT_S,
+            ),
         ):
             daemon.start()
             log_event(
@@ -91,11 +99,13 @@
 
 @contextlib.asynccontextmanager
 async def _open_listener(
-    name: str, app: ASGIApp, address: str
+    name: str, app: ASGIApp, address: str, *, close_timeout_s: float = 0.0
 ) -> AsyncIterator[HttpServer]:
     """Serves an application and logs when its listener has closed."""
     host, port = _split_address(address)
-    async with open_http_server(app, host=host, port=port) as server:
+    async with open_http_server(
+        app, host=host, port=port, close_timeout_s=close_timeout_s
+    ) as server:
         yield server
     log_event(EventId.ENTRY_LISTENER_CLOSED, listener=name)
 
@@ -113,7 +123,6 @@
     await asyncio.sleep(stop.deregistered_at - stopping_at)
     while daemon.app.in_flight and monotonic_s() < stop.ends_at:
         await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-    stop.end()
     for open_request in daemon.app.open_requests:
         open_request.log_unfinished(stopping_at, monotonic_s())
     log_event(
@@ -121,6 +130,11 @@
         in_flight=daemon.app.in_flight,
         after_s=round(monotonic_s() - stopping_at, 3),
     )
+    daemon.end_drain()
+    with contextlib.suppress(TimeoutError):  # the rest ends with the process
+        async with asyncio.timeout(CUT_OFF_WAIT_S):
+            while not daemon.idle:
+                await asyncio.sleep(CUT_OFF_POLL_INTERVAL_S)
 
 
 async def serve(settings: EntrySettings, path: Path) -> int:
--- a/src/auburnswitch/http_server.py
+++ b/src/auburnswitch/http_server.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     import socket
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Iterator
 
     from starlette.types import ASGIApp
 
@@ -60,16 +60,20 @@
     host: str,
     port: int,
     max_header_bytes: int = DEFAULT_MAX_HEADER_BYTES,
+    close_timeout_s: float | None = None,
 ) -> AsyncIterator[HttpServer]:
     """Serves an application until the context ends.
 
-    Requests that are in progress at the end are completed.
+    Requests that are in progress at the end are completed within
+    ``close_timeout_s``.
 
     Args:
         app: The application.
         host: IP address to listen on.
         port: TCP port to listen on; 0 selects a free port.
         max_header_bytes: Maximum size of a request's headers, in bytes.
+        close_timeout_s: Time after the end of the context at which connections
+            that are still open are aborted, in seconds; None for no limit.
 
     Yields:
         The listening server.
@@ -100,13 +104,31 @@
     except SystemExit as error:  # uvicorn exits when it cannot bind
         raise ListenError(f"cannot listen on {host}:{port}") from error
     ticker = asyncio.create_task(_tick(server))
+    http_server = HttpServer(
+        server=server, host=host, port=_bound_port(server, port)
+    )
     try:
-        yield HttpServer(
-            server=server, host=host, port=_bound_port(server, port)
-        )
+        yield http_server
     finally:
         ticker.cancel()
-        await server.shutdown()
+        with _abort_after(http_server, close_timeout_s):
+            await server.shutdown()
+
+
+@contextlib.contextmanager
+def _abort_after(
+    http_server: HttpServer, timeout_s: float | None
+) -> Iterator[None]:
+    """Aborts all connections if the context lasts longer than a timeout."""
+    if timeout_s is None:
+        yield
+        return
+    loop = asyncio.get_running_loop()
+    timer = loop.call_later(timeout_s, http_server.abort)
+    try:
+        yield
+    finally:
+        timer.cancel()
 
 
 def _bound_port(server: uvicorn.Server, port: int) -> int:
--- a/src/auburnswitch/routing/delivery.py
+++ b/src/auburnswitch/routing/delivery.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Final
 
 from auburnswitch.clock import monotonic_s
@@ -23,6 +22,7 @@
     RetryAdvice,
 )
 from auburnswitch.routing.placement_wait import wait_for_placement
+from auburnswitch.routing.request_timers import RequestTimers
 from auburnswitch.schema.events import EventId
 
 if TYPE_CHECKING:
@@ -55,6 +55,7 @@
         statistics: Counts retries and records latencies.
         stop: Bounds the requests of a stopping daemon.
         durations: Estimates how long attempts take.
+        timers: Deadlines of the requests in progress.
     """
 
     __slots__ = (
@@ -66,6 +67,7 @@
         "selector",
         "statistics",
         "stop",
+        "timers",
     )
 
     def __init__(
@@ -81,6 +83,7 @@
     ) -> None:
         self.stop = stop
         self.durations = DurationEstimator()
+        self.timers = RequestTimers()
         self.statistics = statistics
         self.crash_registry = crash_registry
         self.memory = memory
@@ -103,12 +106,21 @@
             return _stop_failure()
         progress = DeliveryProgress(last_event_id=job.request.last_event_id)
         try:
-            async with asyncio.timeout_at(job.deadline_at):
+            async with self.timers.limit(job.deadline_at):
                 return await self._run_attempts(job, writer, progress)
         except TimeoutError:
+            return self._timeout_failure(progress)
+
+    def _timeout_failure(self, progress: DeliveryProgress) -> DeliveryFailed:
+        if not self.stop.ended:
             return DeliveryFailed(
                 reason="deadline", may_have_run=progress.may_have_run
             )
+        return DeliveryFailed(
+            reason="stopping",
+            may_have_run=progress.may_have_run,
+            retry=RetryAdvice.AT_ONCE,
+        )
 
     async def _run_attempts(
         self, job: DeliveryJob, writer: AnswerWriter, progress: DeliveryProgress
--- a/src/auburnswitch/routing/stop_deadline.py
+++ b/src/auburnswitch/routing/stop_deadline.py
@@ -28,14 +28,17 @@
             in seconds; infinite before the signal.
         ends_at: Loop time at which the last response must be complete, in
             seconds; infinite before the signal.
+        ended: Whether no further request is sent and those in flight are cut
+            off.
     """
 
-    __slots__ = ("deregistered_at", "ends_at", "stopping_at")
+    __slots__ = ("deregistered_at", "ended", "ends_at", "stopping_at")
 
     def __init__(self) -> None:
         self.stopping_at: float | None = None
         self.deregistered_at = math.inf
         self.ends_at = math.inf
+        self.ended = False
 
     def begin(self, grace_s: float) -> None:
         """Begins the stop.
@@ -54,6 +57,7 @@
 
     def end(self) -> None:
         """Ends the stop now: no further request is sent."""
+        self.ended = True
         self.deregistered_at = self.ends_at = monotonic_s()
 
     @property
