Give up a silent endpoint only when another attempt is certain

What callers saw: a stream that could be resumed was cut off in the middle, or an idempotent request got 502, because its endpoint had been silent for longer than four target gaps (a stream) or 0.35 of the time left (a plain request), though the endpoint went on afterwards.

Cause: the timeout of the silence cancelled the attempt, which closes the connection to the endpoint, and only then was it asked whether another attempt may follow (retry budget, crashing request, time left) and has an endpoint. If not, nothing was left to deliver. Class of fault: work is given up before it is known that something better is allowed.

Change: after the silence, SilenceWatch asks RetryPermission for a successor: in one step without a wait in it, an endpoint with room is chosen, a retry is acquired and the work is added to the endpoint's load. Only then is the attempt ended; the next one uses this placement and this retry, so neither is acquired twice. Otherwise it is asked again each 0.1 s, until an event comes or the deadline. A successor that isn't used (the attempt ended in the same moment, the caller left, the deadline) gives retry and load back. The endpoint's silence counts against its health and for `excluded` when it is noticed, once for an attempt, so that new requests avoid it as before.

Ruled out: asking without reserving (another request can take the room or the last retry while the attempt unwinds).

--- a/src/auburnswitch/routing/attempt.py
+++ b/src/auburnswitch/routing/attempt.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Final
 
 from auburnswitch.clock import monotonic_s
@@ -15,6 +14,7 @@
 from auburnswitch.platform.requests import encode_request_headers
 from auburnswitch.routing.attempt_timeouts import AttemptTimeouts
 from auburnswitch.routing.outcomes import AttemptFailed, Delivered
+from auburnswitch.routing.silence_watch import SILENCE_REASON, SilenceWatch
 from auburnswitch.routing.stream_relay import StreamRelay
 
 if TYPE_CHECKING:
@@ -27,6 +27,7 @@
         Placement,
     )
     from auburnswitch.routing.outcomes import AnswerWriter, DeliveryProgress
+    from auburnswitch.routing.retry_permission import RetryPermission
 
 _HTTP_SERVER_ERROR: Final = 500
 
@@ -36,6 +37,7 @@
 
     Attributes:
         selector: Tracks the load of endpoints.
+        retries: Grants the attempt that replaces this one.
         statistics: Records latencies.
         job: The request to send.
         placement: The endpoint chosen for the request.
@@ -47,6 +49,7 @@
         "job",
         "placement",
         "progress",
+        "retries",
         "selector",
         "statistics",
         "writer",
@@ -56,6 +59,7 @@
         self,
         *,
         selector: EndpointSelector,
+        retries: RetryPermission,
         statistics: EntryStatistics,
         job: DeliveryJob,
         placement: Placement,
@@ -63,6 +67,7 @@
         progress: DeliveryProgress,
     ) -> None:
         self.selector = selector
+        self.retries = retries
         self.statistics = statistics
         self.job = job
         self.placement = placement
@@ -86,59 +91,66 @@
             last_event_id=progress.last_event_id,
         )
         timeouts = AttemptTimeouts(job=job, placement=placement)
+        watch = SilenceWatch(retries=self.retries, job=job, placement=placement)
         may_have_run_before = progress.may_have_run
         progress.may_have_run = True  # reset below if it certainly did not run
-        try:
-            async with (
-                asyncio.timeout(timeouts.start_timeout_s()) as timer,
-                endpoint_client.send(
-                    job.request,
-                    endpoint=placement.endpoint.entry,
-                    headers=headers,
-                    body=job.body,
-                ) as answer,
-            ):
-                match answer:
-                    case RequestNotSent(reason=reason):
-                        progress.may_have_run = may_have_run_before
-                        return AttemptFailed(
-                            reason=reason,
-                            may_have_run=False,
-                            sent=False,
-                            failed_to_connect=True,
-                        )
-                    case RequestNotExecuted(
-                        status=status, failed_address=address
-                    ):
-                        progress.may_have_run = may_have_run_before
-                        return AttemptFailed(
-                            reason=f"not run, {status}",
-                            may_have_run=False,
-                            failed_endpoint=self.selector.find_by_address(
-                                address
-                            ),
-                        )
-                    case BrokenResponse(reason=reason):
-                        return AttemptFailed(
-                            reason=reason,
-                            may_have_run=True,
-                            connection_broken=True,
-                        )
-                if job.is_stream and answer.is_success:
-                    relay = StreamRelay(
-                        selector=self.selector,
-                        statistics=self.statistics,
-                        job=job,
-                        placement=placement,
-                        writer=self.writer,
-                        progress=progress,
-                        timer=timer,
-                        timeouts=timeouts,
+        async with (
+            watch.open(timeouts.start_timeout_s()),
+            endpoint_client.send(
+                job.request,
+                endpoint=placement.endpoint.entry,
+                headers=headers,
+                body=job.body,
+            ) as answer,
+        ):
+            match answer:
+                case RequestNotSent(reason=reason):
+                    progress.may_have_run = may_have_run_before
+                    return AttemptFailed(
+                        reason=reason,
+                        may_have_run=False,
+                        sent=False,
+                        failed_to_connect=True,
                     )
-                    return await relay.run(answer)
-                return await self._relay_whole(answer)
-        except TimeoutError:
-            return AttemptFailed(reason="silent endpoint", may_have_run=True)
+                case RequestNotExecuted(status=status, failed_address=address):
+                    progress.may_have_run = may_have_run_before
+                    return AttemptFailed(
+                        reason=f"not run, {status}",
+                        may_have_run=False,
+                        failed_endpoint=self.selector.find_by_address(address),
+                    )
+                case BrokenResponse(reason=reason):
+                    return AttemptFailed(
+                        reason=reason,
+                        may_have_run=True,
+                        connection_broken=True,
+                    )
+            if job.is_stream and answer.is_success:
+                return await self._relay_stream(answer, watch, timeouts)
+            return await self._relay_whole(answer)
+        return AttemptFailed(
+            reason=SILENCE_REASON,
+            may_have_run=True,
+            successor=watch.successor,
+        )
+
+    async def _relay_stream(
+        self,
+        answer: ResponseHead,
+        watch: SilenceWatch,
+        timeouts: AttemptTimeouts,
+    ) -> Delivered | AttemptFailed:
+        relay = StreamRelay(
+            selector=self.selector,
+            statistics=self.statistics,
+            job=self.job,
+            placement=self.placement,
+            writer=self.writer,
+            progress=self.progress,
+            watch=watch,
+            timeouts=timeouts,
+        )
+        return await relay.run(answer)
 
     async def _relay_whole(
         self, answer: ResponseHead
--- a/src/auburnswitch/routing/attempt_timeouts.py
+++ b/src/auburnswitch/routing/attempt_timeouts.py
@@ -1,4 +1,4 @@
-"""Computes when an attempt at a silent endpoint is abandoned."""
+"""Computes how long an endpoint may be silent before another is sought."""
 
 from __future__ import annotations
 
@@ -19,8 +19,8 @@
 class AttemptTimeouts:
     """Computes how long an endpoint may be silent during one attempt.
 
-    The last allowed attempt of a request has no such timeout: silence alone is
-    no reason to end its answer.
+    After that the attempt goes on until another one can follow. The last
+    allowed attempt of a request has no such timeout.
 
     Attributes:
         job: The request.
--- a/src/auburnswitch/routing/delivery.py
+++ b/src/auburnswitch/routing/delivery.py
@@ -23,6 +23,7 @@
 )
 from auburnswitch.routing.placement_wait import wait_for_placement
 from auburnswitch.routing.request_timers import RequestTimers
+from auburnswitch.routing.retry_permission import RetryPermission
 from auburnswitch.schema.events import EventId
 
 if TYPE_CHECKING:
@@ -39,7 +40,6 @@
     from auburnswitch.routing.stop_deadline import StopDeadline
     from auburnswitch.routing.windowed_retry_budget import WindowedRetryBudget
 
-MIN_RETRY_TIME_LEFT_S: Final = 0.03
 MIN_SEND_TIME_LEFT_S: Final = 0.02
 
 
@@ -64,6 +64,7 @@
         "durations",
         "endpoint_client",
         "memory",
+        "retries",
         "selector",
         "statistics",
         "stop",
@@ -90,6 +91,13 @@
         self.selector = selector
         self.endpoint_client = endpoint_client
         self.budget = budget
+        self.retries = RetryPermission(
+            selector=selector,
+            budget=budget,
+            crash_registry=crash_registry,
+            stop=stop,
+            may_send=self._ends_before_stop,
+        )
 
     async def deliver(
         self, job: DeliveryJob, writer: AnswerWriter
@@ -131,9 +139,7 @@
                 job, last_failure
             ):
                 return await self._final_outcome(last_failure, writer, progress)
-            placement = await wait_for_placement(self.selector, job, self.stop)
-            if job.time_left_s() < MIN_SEND_TIME_LEFT_S:
-                placement = None  # for example after a pause of this process
+            placement = await self._find_placement(job, last_failure)
             if placement is not None and not self._ends_before_stop(
                 job, placement
             ):
@@ -173,9 +179,23 @@
                 attempts=job.attempts,
             )
 
+    async def _find_placement(
+        self, job: DeliveryJob, last_failure: AttemptFailed | None
+    ) -> Placement | None:
+        """Returns the reserved placement of the next attempt, or a new one."""
+        successor = None if last_failure is None else last_failure.successor
+        placement = successor or await wait_for_placement(
+            self.selector, job, self.stop
+        )
+        if job.time_left_s() >= MIN_SEND_TIME_LEFT_S:
+            return placement
+        if successor is not None:  # for example after a pause of this process
+            self.retries.give_back(job, successor)
+        return None
+
     def _ends_before_stop(self, job: DeliveryJob, placement: Placement) -> bool:
         """Returns whether an attempt is expected to end before the stop."""
-        if not self.stop.stopping:
+        if placement.started or not self.stop.stopping:
             return True
         duration_s = self.durations.estimate_s(
             job.service.name, placement.duration_s
@@ -192,13 +212,11 @@
         )
 
     def _may_retry(self, job: DeliveryJob, last_failure: AttemptFailed) -> bool:
+        if last_failure.successor is not None:
+            return True  # its retry has been acquired
         if last_failure.may_have_run and not job.retryable:
             return False
-        if self.crash_registry.is_retry_forbidden(job.fingerprint):
-            return False
-        if job.attempts >= job.route.max_attempts:
-            return False
-        if job.time_left_s() < MIN_RETRY_TIME_LEFT_S:
+        if not self.retries.allows_another(job, job.attempts):
             return False
         return not last_failure.sent or self.budget.try_acquire(
             job.service.name
@@ -242,6 +260,7 @@
                     )
                 attempt = AttemptRunner(
                     selector=self.selector,
+                    retries=self.retries,
                     statistics=self.statistics,
                     job=job,
                     placement=placement,
@@ -270,6 +289,8 @@
     ) -> None:
         health = self.selector.health
         match outcome:
+            case AttemptFailed(successor=successor) if successor is not None:
+                pass  # recorded when the endpoint fell silent
             case AttemptFailed(failed_endpoint=str(other), reason=reason) if (
                 other != endpoint
             ):
--- a/src/auburnswitch/routing/endpoint_selector.py
+++ b/src/auburnswitch/routing/endpoint_selector.py
@@ -56,6 +56,7 @@
         duration_s: Predicted time to the end of the answer, in seconds.
         late: Whether the first token is predicted to miss its target latency.
         delays_others: Whether the request would make other answers late.
+        started: Whether its work has been added to the load.
     """
 
     endpoint: TrackedEndpoint
@@ -65,6 +66,7 @@
     duration_s: float
     late: bool = False
     delays_others: bool = False
+    started: bool = False
 
     def holders(self) -> list[TrackedEndpoint]:
         """Returns the helpers that hold a part of the prompt's KV cache."""
@@ -203,7 +205,13 @@
         return None
 
     def start(self, job: DeliveryJob, placement: Placement) -> None:
-        """Adds the work of a placement and publishes it to peers."""
+        """Adds the work of a placement and publishes it to peers.
+
+        Does nothing if the placement has been started before.
+        """
+        if placement.started:
+            return
+        placement.started = True
         load = self.load.by_endpoint[placement.endpoint.entry.id]
         log_event(
             EventId.REQUEST_PLACED,
--- a/src/auburnswitch/routing/outcomes.py
+++ b/src/auburnswitch/routing/outcomes.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from auburnswitch.platform.endpoint_client import ResponseHead
     from auburnswitch.platform.requests import Headers
+    from auburnswitch.routing.endpoint_selector import Placement
 
 
 class AnswerWriter(Protocol):
@@ -82,6 +83,8 @@
         head: Head of the complete answer to deliver if no other attempt
             follows.
         body: Body of that answer.
+        successor: Started placement of the next attempt, whose retry has been
+            acquired; None if the next attempt is not certain.
     """
 
     reason: str
@@ -92,6 +95,7 @@
     failed_endpoint: str | None = None
     head: ResponseHead | None = None
     body: bytes = b""
+    successor: Placement | None = None
 
     @property
     def cause(self) -> str:
--- /dev/null
+++ b/src/auburnswitch/routing/retry_permission.py
@@ -0,0 +1,106 @@
+"""Decides whether a request may be sent to another endpoint."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from auburnswitch.observe.tasks import TaskSet
+from auburnswitch.routing.placement_wait import wait_for_placement
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from auburnswitch.routing.crash_registry import CrashRegistry
+    from auburnswitch.routing.delivery_job import DeliveryJob
+    from auburnswitch.routing.endpoint_selector import (
+        EndpointSelector,
+        Placement,
+    )
+    from auburnswitch.routing.stop_deadline import StopDeadline
+    from auburnswitch.routing.windowed_retry_budget import WindowedRetryBudget
+
+MIN_RETRY_TIME_LEFT_S: Final = 0.03
+
+
+class RetryPermission:
+    """Grants further attempts of requests.
+
+    Attributes:
+        selector: Chooses endpoints.
+        budget: Limits the retries.
+        crash_registry: Knows the requests that crash endpoints.
+        stop: Bounds the requests of a stopping daemon.
+        may_send: Returns whether a placement may be used before the stop.
+        searches: Running searches for the successors of silent endpoints.
+    """
+
+    __slots__ = (
+        "budget",
+        "crash_registry",
+        "may_send",
+        "searches",
+        "selector",
+        "stop",
+    )
+
+    def __init__(
+        self,
+        *,
+        selector: EndpointSelector,
+        budget: WindowedRetryBudget,
+        crash_registry: CrashRegistry,
+        stop: StopDeadline,
+        may_send: Callable[[DeliveryJob, Placement], bool],
+    ) -> None:
+        self.stop = stop
+        self.may_send = may_send
+        self.selector = selector
+        self.budget = budget
+        self.crash_registry = crash_registry
+        self.searches = TaskSet()
+
+    def allows_another(self, job: DeliveryJob, attempts: int) -> bool:
+        """Returns whether an attempt may follow, apart from the retry budget.
+
+        Args:
+            job: The request.
+            attempts: Number of attempts that count as sent before it.
+        """
+        if self.crash_registry.is_retry_forbidden(job.fingerprint):
+            return False
+        if attempts >= job.route.max_attempts:
+            return False
+        return job.time_left_s() >= MIN_RETRY_TIME_LEFT_S
+
+    async def reserve_successor(self, job: DeliveryJob) -> Placement | None:
+        """Starts the placement of the attempt that follows the running one.
+
+        Its retry is acquired as well.
+
+        Returns:
+            The placement, None if no attempt may follow now or no endpoint has
+            the capacity.
+        """
+        service = job.service.name
+        if not self._may_follow(job) or not self.budget.has_retry(service):
+            return None
+        placement = await wait_for_placement(self.selector, job, self.stop)
+        if placement is None or not self._may_follow(job):
+            return None
+        if not self.may_send(job, placement):
+            return None
+        if not self.budget.try_acquire(service):
+            return None
+        self.selector.start(job, placement)
+        return placement
+
+    def give_back(self, job: DeliveryJob, successor: Placement) -> None:
+        """Ends the placement of an attempt that is not made."""
+        self.selector.end(successor)
+        self.budget.release(job.service.name)
+
+    def _may_follow(self, job: DeliveryJob) -> bool:
+        return job.retryable and self.allows_another(job, job.attempts + 1)
+
+
+__all__ = ["RetryPermission"]
--- /dev/null
+++ b/src/auburnswitch/routing/silence_watch.py
@@ -0,0 +1,128 @@
+"""Watches an endpoint that runs a request for silence."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING, Final
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.routing.endpoint_health import HARD_FAILURE_WEIGHT
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from auburnswitch.routing.delivery_job import DeliveryJob
+    from auburnswitch.routing.endpoint_selector import Placement
+    from auburnswitch.routing.retry_permission import RetryPermission
+
+SUCCESSOR_POLL_INTERVAL_S: Final = 0.1
+SILENCE_REASON: Final = "silent endpoint"
+
+
+class SilenceWatch:
+    """Gives up an attempt at a silent endpoint once another one can follow.
+
+    Silence alone is no reason to end an answer: as long as no other attempt may
+    follow, or no endpoint has the capacity for it, the answer can still come.
+
+    Attributes:
+        retries: Reserves the placement of the next attempt.
+        job: The request.
+        placement: The endpoint that runs it.
+        successor: Started placement of the next attempt if this one has been
+            given up, None otherwise.
+    """
+
+    __slots__ = (
+        "_recorded",
+        "_search",
+        "_timer",
+        "_wait",
+        "job",
+        "placement",
+        "retries",
+        "successor",
+    )
+
+    def __init__(
+        self,
+        *,
+        retries: RetryPermission,
+        job: DeliveryJob,
+        placement: Placement,
+    ) -> None:
+        self.retries = retries
+        self.job = job
+        self.placement = placement
+        self.successor: Placement | None = None
+        self._timer = asyncio.timeout(None)
+        self._wait: asyncio.TimerHandle | None = None
+        self._search: asyncio.Task[None] | None = None
+        self._recorded = False
+
+    @contextlib.asynccontextmanager
+    async def open(self, silence_s: float | None) -> AsyncIterator[None]:
+        """Ends the context's block early when the attempt is given up.
+
+        Args:
+            silence_s: As for `expect_within`.
+        """
+        given_up = False
+        try:
+            async with self._timer:
+                self.expect_within(silence_s)
+                yield
+        except TimeoutError:
+            given_up = self._timer.expired()
+            if not given_up:
+                raise
+        finally:
+            self._stop()
+            if self.successor is not None and not given_up:
+                self.retries.give_back(self.job, self.successor)
+                self.successor = None
+
+    def expect_within(self, silence_s: float | None) -> None:
+        """Sets how long the endpoint may be silent from now on, in seconds.
+
+        None means that it may be silent without limit.
+        """
+        self._stop()
+        if silence_s is not None:
+            self._wait = asyncio.get_running_loop().call_later(
+                silence_s, self._start_search
+            )
+
+    def _stop(self) -> None:
+        if self._wait is not None:
+            self._wait.cancel()
+        if self._search is not None:
+            self._search.cancel()
+            self._search = None
+
+    def _start_search(self) -> None:
+        self._record_silence()
+        self._search = self.retries.searches.start(
+            self._find_successor(), "find a successor"
+        )
+
+    async def _find_successor(self) -> None:
+        while self.successor is None:
+            self.successor = await self.retries.reserve_successor(self.job)
+            if self.successor is None:
+                await asyncio.sleep(SUCCESSOR_POLL_INTERVAL_S)
+        self._timer.reschedule(monotonic_s())
+
+    def _record_silence(self) -> None:
+        if self._recorded:
+            return
+        self._recorded = True
+        endpoint = self.placement.endpoint.entry.id
+        self.job.excluded.add(endpoint)
+        self.retries.selector.health.record_failure(
+            endpoint, SILENCE_REASON, HARD_FAILURE_WEIGHT
+        )
+
+
+__all__ = ["SILENCE_REASON", "SilenceWatch"]
--- a/src/auburnswitch/routing/stream_relay.py
+++ b/src/auburnswitch/routing/stream_relay.py
@@ -16,8 +16,6 @@
 from auburnswitch.schema.events import EventId
 
 if TYPE_CHECKING:
-    import asyncio
-
     from auburnswitch.observe.statistics import EntryStatistics
     from auburnswitch.platform.endpoint_client import ResponseHead
     from auburnswitch.routing.attempt_timeouts import AttemptTimeouts
@@ -27,6 +25,7 @@
         Placement,
     )
     from auburnswitch.routing.outcomes import AnswerWriter, DeliveryProgress
+    from auburnswitch.routing.silence_watch import SilenceWatch
 
 
 class StreamRelay:
@@ -39,7 +38,7 @@
         placement: The endpoint chosen for the request.
         writer: Writes the answer to the caller.
         progress: State of the request over all attempts.
-        timer: Aborts the attempt when the endpoint is silent for too long.
+        watch: Watches the endpoint for silence.
         timeouts: Maximum silence of the endpoint.
         splitter: Splits the response into events.
     """
@@ -52,7 +51,7 @@
         "splitter",
         "statistics",
         "timeouts",
-        "timer",
+        "watch",
         "writer",
     )
 
@@ -65,7 +64,7 @@
         placement: Placement,
         writer: AnswerWriter,
         progress: DeliveryProgress,
-        timer: asyncio.Timeout,
+        watch: SilenceWatch,
         timeouts: AttemptTimeouts,
     ) -> None:
         self.selector = selector
@@ -74,7 +73,7 @@
         self.placement = placement
         self.writer = writer
         self.progress = progress
-        self.timer = timer
+        self.watch = watch
         self.timeouts = timeouts
         self.splitter = SseEventSplitter()
 
@@ -102,9 +101,7 @@
     async def _forward_events(
         self, answer: ResponseHead, events: list[bytes]
     ) -> None:
-        gap_s = self.timeouts.gap_timeout_s()
-        event_due_at = None if gap_s is None else monotonic_s() + gap_s
-        self.timer.reschedule(event_due_at)
+        self.watch.expect_within(self.timeouts.gap_timeout_s())
         if not self.placement.item.writing:
             self._record_first_event()
         last_event_id = self.progress.last_event_id
--- a/src/auburnswitch/routing/windowed_retry_budget.py
+++ b/src/auburnswitch/routing/windowed_retry_budget.py
@@ -57,16 +57,26 @@
         """Records a request of a caller."""
         self._window(service).requests.append(monotonic_s())
 
-    def try_acquire(self, service: str) -> bool:
-        """Consumes one retry and returns True, or False if none is left."""
+    def has_retry(self, service: str) -> bool:
+        """Returns whether a retry is left."""
         window = self._window(service)
         extra = self.bounds.retry_extra / max(1, self.count_daemons())
         ratio = self.bounds.retry_ratio * len(window.requests)
-        if len(window.retries) + 1 > SAFETY_FACTOR * (ratio + extra):
+        return len(window.retries) + 1 <= SAFETY_FACTOR * (ratio + extra)
+
+    def try_acquire(self, service: str) -> bool:
+        """Consumes one retry and returns True, or False if none is left."""
+        if not self.has_retry(service):
             return False
-        window.retries.append(monotonic_s())
+        self._window(service).retries.append(monotonic_s())
         return True
 
+    def release(self, service: str) -> None:
+        """Gives back a retry that was consumed but not made."""
+        retries = self._window(service).retries
+        if retries:  # otherwise the window has passed
+            retries.pop()
+
     def _window(self, service: str) -> _Window:
         window = self._windows[service]
         window.discard_before(monotonic_s() - self.bounds.retry_window_s)
--- a/src/auburnswitch/standins/endpoint.py
+++ b/src/auburnswitch/standins/endpoint.py
@@ -62,6 +62,10 @@
         id: The endpoint's id.
         event_count: Number of events in a streamed answer.
         event_interval_s: Time between two events.
+        pauses_s: Time to wait before an event, by its number, in addition to
+            the interval; number 0 is the start of the response.
+        plain_body: Body of a plain response, None for one with the id of the
+            request.
         faults: Faults of the next requests, in order of arrival.
         received_requests: All requests received, misdirected ones included.
         reservations: Reserved tokens by reservation key.
@@ -78,6 +82,8 @@
         self.id = endpoint_id
         self.event_count = event_count
         self.event_interval_s = 0.01
+        self.pauses_s: dict[int, float] = {}
+        self.plain_body: bytes | None = None
         self.faults: deque[Fault] = deque()
         self.received_requests: list[ReceivedRequest] = []
         self.reservations: dict[str, int] = {}
@@ -131,6 +137,7 @@
         receive: Receive,
         send: Send,
     ) -> None:
+        await asyncio.sleep(self.pauses_s.get(0, 0))
         request_id = headers.get("x-attempt-id", "").encode()
         signed_headers = [
             (b"x-attempt-id", request_id),
@@ -162,9 +169,8 @@
                     first, fault, signed_headers, receive, send
                 )
             case _:
-                await _send_response(
-                    send, 200, signed_headers, b"answer of " + request_id
-                )
+                body = self.plain_body or b"answer of " + request_id
+                await _send_response(send, 200, signed_headers, body)
 
     async def _send_stream(
         self,
@@ -179,6 +185,7 @@
         await send({**start, "headers": [*headers, content_type]})
         disconnected = asyncio.ensure_future(receive())
         for number in range(first, self.event_count + 1):
+            await asyncio.sleep(self.pauses_s.get(number, 0))
             if disconnected.done():
                 self.client_disconnects += 1
                 return
--- /dev/null
+++ b/tests/routing/test_silence_watch.py
@@ -0,0 +1,193 @@
+"""Tests of attempts that are given up because an endpoint is silent."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.platform.endpoint_client import PlatformEndpointClient
+from auburnswitch.routing.crash_registry import CrashRegistry
+from auburnswitch.routing.delivery import DeliveryRunner
+from auburnswitch.routing.outcomes import AttemptFailed
+from auburnswitch.routing.retry_permission import RetryPermission
+from auburnswitch.routing.silence_watch import SilenceWatch
+from auburnswitch.routing.stop_deadline import StopDeadline
+from auburnswitch.routing.windowed_retry_budget import WindowedRetryBudget
+from auburnswitch.schema.entry import BoundSettings
+from auburnswitch.schema.installation import RequestKind
+from tests.routing.test_placement_wait import make_job, make_selector
+from tests.virtual_time import in_virtual_loop
+
+TOKENS = 1_000
+SILENCE_S = 0.5
+ATTEMPT_S = 6.0
+
+
+class NotifyingPermission(RetryPermission):
+    """Sets an event right after a successor has been reserved."""
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        self.reserved = asyncio.Event()
+
+    async def reserve_successor(self, job):
+        successor = await super().reserve_successor(job)
+        if successor is not None:
+            self.reserved.set()
+        return successor
+
+
+class SilenceWatchTest(unittest.TestCase):
+    def prepare(self, *, engines=2, retries=1.0):
+        """Starts an attempt whose endpoint is being watched."""
+        self.bounds = BoundSettings(retry_ratio=0, retry_extra=retries / 0.7)
+        self.budget = WindowedRetryBudget(
+            bounds=self.bounds, count_daemons=lambda: 1
+        )
+        self.selector = make_selector(engines)
+        self.registry = CrashRegistry()
+        self.stop = StopDeadline()
+        self.may_send = True
+        self.retries = NotifyingPermission(
+            selector=self.selector,
+            budget=self.budget,
+            crash_registry=self.registry,
+            stop=self.stop,
+            may_send=lambda job, placement: self.may_send,
+        )
+        self.job = make_job(TOKENS)
+        self.job.route.kind = RequestKind.STREAM
+        self.job.route.resumable = True
+        self.job.route.max_attempts = 2
+        self.placement = self.selector.select(self.job)
+        self.selector.start(self.job, self.placement)
+        self.watch = SilenceWatch(
+            retries=self.retries, job=self.job, placement=self.placement
+        )
+
+    def work_count(self):
+        loads = self.selector.load.by_endpoint.values()
+        return sum(len(load.work_by_request) for load in loads)
+
+    async def attempt(self):
+        """Returns whether the attempt ended by itself, and how long it took."""
+        started_at = monotonic_s()
+        ended = False
+        async with self.watch.open(SILENCE_S):
+            await asyncio.sleep(ATTEMPT_S)
+            ended = True
+        return ended, monotonic_s() - started_at
+
+    @in_virtual_loop
+    async def test_attempt_is_given_up_for_another_endpoint(self):
+        self.prepare()
+        ended, took_s = await self.attempt()
+        self.assertFalse(ended)
+        self.assertGreaterEqual(took_s, SILENCE_S)
+        self.assertLess(took_s, 2 * SILENCE_S)
+        first, second = self.placement, self.watch.successor
+        self.assertIsNot(first.endpoint, second.endpoint)
+        self.assertEqual(self.work_count(), 2)
+        self.assertFalse(self.budget.has_retry("engines"))
+
+    @in_virtual_loop
+    async def test_attempt_goes_on_while_none_may_follow(self):
+        for name in (
+            "no retry",
+            "no endpoint",
+            "crashes",
+            "not repeatable",
+            "stopping",
+        ):
+            with self.subTest(name):
+                self.prepare(
+                    retries=0 if name == "no retry" else 1,
+                    engines=1 if name == "no endpoint" else 2,
+                )
+                if name == "crashes":
+                    for endpoint in ("engine-8", "engine-9"):
+                        self.registry.record_crash("", endpoint)
+                self.may_send = name != "stopping"
+                self.job.route.resumable = name != "not repeatable"
+                ended, _ = await self.attempt()
+                self.assertTrue(ended)
+                self.assertIsNone(self.watch.successor)
+                self.assertEqual(self.work_count(), 1)
+                self.assertEqual(
+                    self.budget.has_retry("engines"), name != "no retry"
+                )
+
+    @in_virtual_loop
+    async def test_successor_is_sought_until_there_is_one(self):
+        self.prepare(retries=0)
+        loop = asyncio.get_running_loop()
+        loop.call_later(3, setattr, self.bounds, "retry_extra", 2.0)
+        ended, took_s = await self.attempt()
+        self.assertFalse(ended)
+        self.assertGreaterEqual(took_s, 3)
+        self.assertLess(took_s, 3.5)
+
+    @in_virtual_loop
+    async def test_search_ends_when_the_endpoint_goes_on(self):
+        self.prepare(retries=0)
+        loop = asyncio.get_running_loop()
+        loop.call_later(1, self.watch.expect_within, None)
+        loop.call_later(2, setattr, self.bounds, "retry_extra", 2.0)
+        ended, _ = await self.attempt()
+        self.assertTrue(ended)
+
+    @in_virtual_loop
+    async def test_unused_retry_is_given_back(self):
+        for error in (None, asyncio.CancelledError):
+            with self.subTest(error=error):
+                self.prepare()
+                try:
+                    async with self.watch.open(SILENCE_S):
+                        await self.retries.reserved.wait()
+                        if error is not None:
+                            raise error
+                except asyncio.CancelledError:
+                    self.assertIsNotNone(error)
+                self.assertIsNone(self.watch.successor)
+                self.assertEqual(self.work_count(), 1)
+                self.assertTrue(self.budget.has_retry("engines"))
+
+    # For example after a pause of the process.
+    @in_virtual_loop
+    async def test_retry_is_given_back_when_it_is_too_late_to_send(self):
+        self.prepare()
+        await self.attempt()
+        runner = DeliveryRunner(
+            selector=self.selector,
+            endpoint_client=PlatformEndpointClient(),
+            budget=self.budget,
+            memory=None,
+            crash_registry=self.registry,
+            statistics=None,
+            stop=self.stop,
+        )
+        failure = AttemptFailed(
+            reason="", may_have_run=True, successor=self.watch.successor
+        )
+        self.job.deadline_at = monotonic_s() + 0.01
+        placement = await runner._find_placement(self.job, failure)
+        self.assertIsNone(placement)
+        self.assertEqual(self.work_count(), 1)
+        self.assertTrue(self.budget.has_retry("engines"))
+
+    @in_virtual_loop
+    async def test_silence_counts_once_against_an_endpoint(self):
+        self.prepare(retries=0)
+        endpoint = self.placement.endpoint.entry.id
+        async with self.watch.open(SILENCE_S):
+            for _ in range(3):
+                await asyncio.sleep(2 * SILENCE_S)
+                self.watch.expect_within(SILENCE_S)
+        score = self.selector.health.scores[endpoint]
+        self.assertLessEqual(score.value, 1)
+        self.assertGreater(score.value, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
