Don't take a slow caller for a silent endpoint

What callers saw: a caller that read a large answer late had its request run a second time and its connection closed after the answer; the log said `failed, status 200`. A stream whose caller paused moved to another endpoint.

Cause: the timer of an endpoint's silence also ran while the daemon wrote to the caller, who may stop reading for a while. For a plain request it then ended an attempt whose whole answer had arrived; the next attempt's answer could not be sent any more, as the first had been started. Class of fault: work is given up for a reason that isn't its own.

Change: the watch is off while events are written and once a plain answer has been read.

Evidence: tests.entry.test_silent_endpoints.SlowCallerTest (a caller that reads 16 MB after 1.05 s, timeout 0.7 s): on red, outcome `failed, status 200`, 2 requests received by endpoints; now `delivered, 200` and 1. In tests.routing.test_silence_watch a stream with a slow writer: red, then green.

--- a/src/auburnswitch/routing/attempt.py
+++ b/src/auburnswitch/routing/attempt.py
@@ -127,7 +127,7 @@
                     )
             if job.is_stream and answer.is_success:
                 return await self._relay_stream(answer, watch, timeouts)
-            return await self._relay_whole(answer)
+            return await self._relay_whole(answer, watch)
         return AttemptFailed(
             reason=SILENCE_REASON,
             may_have_run=True,
@@ -153,9 +153,10 @@
         return await relay.run(answer)
 
     async def _relay_whole(
-        self, answer: ResponseHead
+        self, answer: ResponseHead, watch: SilenceWatch
     ) -> Delivered | AttemptFailed:
         body = await answer.read_all()
+        watch.expect_within(None)  # a slow caller may delay the rest
         if isinstance(body, BrokenResponse):
             return AttemptFailed(reason=body.reason, may_have_run=True)
         failed = answer.status >= _HTTP_SERVER_ERROR
--- a/src/auburnswitch/routing/stream_relay.py
+++ b/src/auburnswitch/routing/stream_relay.py
@@ -91,7 +91,10 @@
                 break
             events = self.splitter.feed(data)
             if events:
+                self.watch.expect_within(None)  # a slow caller may delay them
                 await self._forward_events(answer, events)
+                self.watch.expect_within(self.timeouts.gap_timeout_s())
+        self.watch.expect_within(None)
         await self._start(answer)
         if self.splitter.buffer:
             await self.writer.write(self.splitter.buffer)
@@ -101,7 +104,6 @@
     async def _forward_events(
         self, answer: ResponseHead, events: list[bytes]
     ) -> None:
-        self.watch.expect_within(self.timeouts.gap_timeout_s())
         if not self.placement.item.writing:
             self._record_first_event()
         last_event_id = self.progress.last_event_id
--- a/tests/entry/test_silent_endpoints.py
+++ b/tests/entry/test_silent_endpoints.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import unittest
 
 from auburnswitch.experiments.installation import (
+    CALLER_KEYS,
     make_config,
     open_installation,
     wait_until,
@@ -13,6 +15,7 @@
 from auburnswitch.observe.logs import LOGGER
 from auburnswitch.platform.endpoint_client import PlatformEndpointClient
 from auburnswitch.schema.gossip import EngineReport
+from auburnswitch.standins.caller_headers import request_headers
 from auburnswitch.standins.installation_objects import ENGINE
 
 SHORT = "1000,50"
@@ -20,6 +23,7 @@
 PAUSE_S = 3 * GAP_TIMEOUT_S
 TIMEOUT_S = 2.0
 START_TIMEOUT_S = 0.35 * TIMEOUT_S
+LARGE_BODY_BYTES = 16 * 2**20  # more than the buffers of two sockets
 ALL_EVENTS = [1, 2, 3, 4, 5]
 
 
@@ -121,6 +125,21 @@
         self.assertEqual(len(fleet.received_requests), 1)
 
 
+class SlowCallerTest(SilentEndpointTest):
+    # The request of a caller that read slowly was run again, as if its endpoint
+    # were silent, and ended as failed.
+    async def test_request_of_a_slow_caller_is_not_run_again(self):
+        body = b"x" * LARGE_BODY_BYTES
+        async with self.open() as fleet:
+            for endpoint in fleet.endpoints.values():
+                endpoint.plain_body = body
+            received = await read_late(fleet, 1.5 * START_TIMEOUT_S)
+        self.assertTrue(received.endswith(b"\r\n\r\n" + body))
+        (ended,) = self.events("entry_request_ended")
+        self.assertEqual(ended.outcome, "delivered, 200")
+        self.assertEqual(len(fleet.received_requests), 1)
+
+
 class SwitchTest(SilentEndpointTest):
     """Another attempt is possible."""
 
@@ -217,6 +236,28 @@
             daemon.fleet_load.by_endpoint[name].apply_report(report)
 
 
+async def read_late(fleet, delay_s: float) -> bytes:
+    """Sends a request and reads the response only after a delay."""
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 * 1024)
+    caller.setblocking(False)
+    host, port = fleet.daemons[0].settings.listen.callers.split(":")
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(caller, (host, int(port)))
+    reader, writer = await asyncio.open_connection(sock=caller)
+    headers = {
+        **request_headers("request-slow", CALLER_KEYS[0], tokens=""),
+        "Connection": "close",
+    }
+    lines = [f"{name}: {value}\r\n" for name, value in headers.items()]
+    writer.write(f"GET /read/1 HTTP/1.1\r\n{''.join(lines)}\r\n".encode())
+    await asyncio.sleep(delay_s)
+    try:
+        return await reader.read()
+    finally:
+        writer.close()
+
+
 def event_ids(body: bytes) -> list[int]:
     lines = body.decode().splitlines()
     return [int(line[4:]) for line in lines if line.startswith("id: ")]
--- a/tests/routing/test_silence_watch.py
+++ b/tests/routing/test_silence_watch.py
@@ -6,13 +6,20 @@
 import unittest
 
 from auburnswitch.clock import monotonic_s
+from auburnswitch.observe.statistics import EntryStatistics
 from auburnswitch.platform.endpoint_client import PlatformEndpointClient
+from auburnswitch.routing.attempt_timeouts import AttemptTimeouts
 from auburnswitch.routing.crash_registry import CrashRegistry
 from auburnswitch.routing.delivery import DeliveryRunner
-from auburnswitch.routing.outcomes import AttemptFailed
+from auburnswitch.routing.outcomes import (
+    AttemptFailed,
+    Delivered,
+    DeliveryProgress,
+)
 from auburnswitch.routing.retry_permission import RetryPermission
 from auburnswitch.routing.silence_watch import SilenceWatch
 from auburnswitch.routing.stop_deadline import StopDeadline
+from auburnswitch.routing.stream_relay import StreamRelay
 from auburnswitch.routing.windowed_retry_budget import WindowedRetryBudget
 from auburnswitch.schema.entry import BoundSettings
 from auburnswitch.schema.installation import RequestKind
@@ -188,6 +195,59 @@
         self.assertLessEqual(score.value, 1)
         self.assertGreater(score.value, 0)
 
+    # A slow caller was taken for a silent endpoint, which lost its request.
+    @in_virtual_loop
+    async def test_slow_caller_is_no_silence_of_the_endpoint(self):
+        self.prepare()
+        self.job.route.target_gap_s = SILENCE_S / 4
+        relay = StreamRelay(
+            selector=self.selector,
+            statistics=EntryStatistics(),
+            job=self.job,
+            placement=self.placement,
+            writer=SlowWriter(),
+            progress=DeliveryProgress(last_event_id=None),
+            watch=self.watch,
+            timeouts=AttemptTimeouts(job=self.job, placement=self.placement),
+        )
+        outcome = None
+        async with self.watch.open(SILENCE_S):
+            outcome = await relay.run(Answer(event_count=3))
+        self.assertIsInstance(outcome, Delivered)
+        self.assertEqual(self.selector.health.scores, {})
+
+
+class Answer:
+    """An answer whose events are available at once."""
+
+    status = 200
+    headers = ()
+
+    def __init__(self, *, event_count):
+        self.events = [
+            f"id: {number}\ndata: x\n\n".encode()
+            for number in range(1, event_count + 1)
+        ]
+
+    async def read_chunk(self):
+        return self.events.pop(0) if self.events else b""
+
+
+class SlowWriter:
+    """Writes to a caller that reads slowly."""
+
+    def __init__(self):
+        self.started = False
+
+    async def start(self, status, headers):
+        self.started = True
+
+    async def write(self, data):
+        await asyncio.sleep(2 * SILENCE_S)
+
+    async def finish(self):
+        await asyncio.sleep(2 * SILENCE_S)
+
 
 if __name__ == "__main__":
     unittest.main()
