Keep an answer that goes on in the moment it is given up

An event that arrived between the reservation of the successor and the end of the attempt was passed on, and the attempt was given up all the same; a plain answer that became complete then could not be delivered by the next attempt any more, as its status had been written.

Change: the watch takes the end of the attempt back if it has not begun, and gives the successor's retry and load back.

Evidence: tests.routing.test_silence_watch, the endpoint goes on right after the reservation: given up before (red), kept now. 9 passed; tests.entry.test_silent_endpoints 11 passed.

--- a/src/auburnswitch/routing/silence_watch.py
+++ b/src/auburnswitch/routing/silence_watch.py
@@ -79,16 +79,19 @@
                 raise
         finally:
             self._stop()
-            if self.successor is not None and not given_up:
-                self.retries.give_back(self.job, self.successor)
-                self.successor = None
+            if not given_up:
+                self._give_back_successor()
 
     def expect_within(self, silence_s: float | None) -> None:
         """Sets how long the endpoint may be silent from now on, in seconds.
 
-        None means that it may be silent without limit.
+        None means that it may be silent without limit. An attempt that is about
+        to be given up goes on.
         """
         self._stop()
+        if not self._timer.expired():
+            self._timer.reschedule(None)
+            self._give_back_successor()
         if silence_s is not None:
             self._wait = asyncio.get_running_loop().call_later(
                 silence_s, self._start_search
@@ -101,6 +104,11 @@
             self._search.cancel()
             self._search = None
 
+    def _give_back_successor(self) -> None:
+        if self.successor is not None:
+            self.retries.give_back(self.job, self.successor)
+            self.successor = None
+
     def _start_search(self) -> None:
         self._record_silence()
         self._search = self.retries.searches.start(
--- a/tests/routing/test_silence_watch.py
+++ b/tests/routing/test_silence_watch.py
@@ -160,6 +160,21 @@
                 self.assertEqual(self.work_count(), 1)
                 self.assertTrue(self.budget.has_retry("engines"))
 
+    # An event that came in the moment of the switch was given up with the rest.
+    @in_virtual_loop
+    async def test_endpoint_that_goes_on_in_the_same_moment_is_kept(self):
+        self.prepare()
+        ended = False
+        async with self.watch.open(SILENCE_S):
+            await self.retries.reserved.wait()
+            self.watch.expect_within(None)
+            await asyncio.sleep(ATTEMPT_S)
+            ended = True
+        self.assertTrue(ended)
+        self.assertIsNone(self.watch.successor)
+        self.assertEqual(self.work_count(), 1)
+        self.assertTrue(self.budget.has_retry("engines"))
+
     # For example after a pause of the process.
     @in_virtual_loop
     async def test_retry_is_given_back_when_it_is_too_late_to_send(self):
