Give back the retry of an attempt for which there is no endpoint

What callers saw: retries refused for lack of budget although fewer had been made than allowed: each failed request without another endpoint used one up.

Cause: the retry is acquired before an endpoint is sought, and was kept when there was none.

Evidence: tests.entry.test_requests.RequestTest. test_retry_that_is_not_made_is_not_counted, one endpoint that breaks off, budget of one: none left before (red), one now. tests.entry.test_requests 20, test_silent_endpoints 11, tests.routing.test_silence_watch 9 passed. Left: a deadline that comes while the endpoint is sought still costs the retry.

--- a/src/auburnswitch/routing/delivery.py
+++ b/src/auburnswitch/routing/delivery.py
@@ -148,6 +148,7 @@
                 placement = None
             if placement is None:
                 if last_failure is not None:
+                    self._release_retry(job, last_failure)
                     return await self._final_outcome(
                         last_failure, writer, progress
                     )
@@ -222,6 +223,13 @@
             job.service.name
         )
 
+    def _release_retry(
+        self, job: DeliveryJob, last_failure: AttemptFailed
+    ) -> None:
+        """Gives back the retry of an attempt for which there is no endpoint."""
+        if last_failure.sent and last_failure.successor is None:
+            self.budget.release(job.service.name)
+
     async def _final_outcome(
         self,
         last_failure: AttemptFailed,
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -92,6 +92,19 @@
                     await asyncio.sleep(0.05)
                     await self._check_retry_elsewhere(fleet)
 
+    # Retries were used up by requests for which there was no other endpoint.
+    async def test_retry_that_is_not_made_is_not_counted(self):
+        async with open_installation(plain_services=1) as fleet:
+            daemon = fleet.daemons[0]
+            daemon.settings.bounds.retry_ratio = 0.0
+            daemon.settings.bounds.retry_extra = 2.0  # one in fact
+            budget = daemon.app.delivery_runner.budget
+            self.assertTrue(budget.has_retry("desk"))
+            fleet.endpoints["desk-0"].faults.append(Fault.DISCONNECT)
+            status, _, _ = await fleet.call("/read/1", method="GET")
+            self.assertEqual(status, 502)
+            self.assertTrue(budget.has_retry("desk"))
+
     async def _check_retry_elsewhere(self, fleet):
         call = asyncio.create_task(fleet.call("/read/1", method="GET"))
         await wait_until(lambda: fleet.received_requests)
