Deliver an endpoint's error answer when the retry breaks off

What callers saw: 502 of the daemon for an idempotent request although an endpoint had answered it completely, with an error; the retry after it had broken off.

Cause: only the last failure was kept, so a retry that ended without an answer replaced one that could be delivered.

Evidence: tests.entry.test_requests.RequestTest. test_endpoint_error_outlives_a_broken_retry: 502 before (red), now the signed 500. tests.entry.test_requests 21 passed, test_request_logs 3 passed. Left: at the deadline the answer is still 504.

--- a/src/auburnswitch/routing/delivery.py
+++ b/src/auburnswitch/routing/delivery.py
@@ -168,6 +168,8 @@
                     last_failure = outcome
             self.statistics.retries[last_failure.cause] += 1
             progress.may_have_run |= last_failure.may_have_run
+            if last_failure.head is not None:
+                progress.error_answer = last_failure
             job.attempts += last_failure.sent
             if last_failure.sent or last_failure.failed_to_connect:
                 job.excluded.add(placement.endpoint.entry.id)
@@ -236,14 +238,15 @@
         writer: AnswerWriter,
         progress: DeliveryProgress,
     ) -> Delivered | DeliveryFailed:
-        if last_failure.head is None or writer.started:
+        answer = progress.error_answer
+        if answer is None or answer.head is None or writer.started:
             return DeliveryFailed(
                 reason=last_failure.reason, may_have_run=progress.may_have_run
             )
-        await writer.start(last_failure.head.status, last_failure.head.headers)
-        await writer.write(last_failure.body)
+        await writer.start(answer.head.status, answer.head.headers)
+        await writer.write(answer.body)
         await writer.finish()
-        return Delivered(status=last_failure.head.status)
+        return Delivered(status=answer.head.status)
 
     async def _attempt(
         self,
--- a/src/auburnswitch/routing/outcomes.py
+++ b/src/auburnswitch/routing/outcomes.py
@@ -116,13 +116,16 @@
         last_event_id: Id of the last event the caller has received, None if
             there is none.
         may_have_run: Whether some endpoint may have run the request.
+        error_answer: The last failure with a complete answer, None if there is
+            none; delivered if no attempt succeeds.
     """
 
-    __slots__ = ("last_event_id", "may_have_run")
+    __slots__ = ("error_answer", "last_event_id", "may_have_run")
 
     def __init__(self, *, last_event_id: str | None) -> None:
         self.last_event_id = last_event_id
         self.may_have_run = False
+        self.error_answer: AttemptFailed | None = None
 
 
 __all__ = [
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import unittest
+from collections import deque
 
 import aiohttp
 
@@ -92,6 +93,17 @@
                     await asyncio.sleep(0.05)
                     await self._check_retry_elsewhere(fleet)
 
+    # An endpoint's answer was replaced by a 502 when a later attempt failed.
+    async def test_endpoint_error_outlives_a_broken_retry(self):
+        async with open_installation() as fleet:
+            faults = deque([Fault.SERVER_ERROR, Fault.DISCONNECT])
+            for endpoint in fleet.endpoints.values():
+                endpoint.faults = faults
+            status, body, headers = await fleet.call("/read/1", method="GET")
+        self.assertEqual((status, body), (500, b"failed"))
+        self.assertIn("x-response-seal", headers)
+        self.assertEqual(len(fleet.received_requests), 2)
+
     # Retries were used up by requests for which there was no other endpoint.
     async def test_retry_that_is_not_made_is_not_counted(self):
         async with open_installation(plain_services=1) as fleet:
