End the entry daemon's tasks before it closes what they use

Class of fault: a resource is closed before its last user has ended.

No caller is cut off by it, since it comes after the callers' listener has closed; the daemon ends with an error in its log.

Cause: the task set was the outermost context. The gossip socket, the state exchange and the listeners closed first, each HTTP listener in at least 0.1 s, and the metrics listener after the socket. A heartbeat that falls due in this time is sent on the closed socket.

Fix: the tasks end after the callers' listener, which needs them, and before everything that they use. Three users remained that no task set holds:

- the timers of the gossip node: on closing, what they hold is sent and they are cancelled, so that peers hear of ended work without waiting for its expiry;
- senders after the close: the node forgets its transport and sends nothing;
- datagrams received between the end of the tasks and the close of the socket may start a fetch: a cancelled task set starts nothing more.

Green now; tests.entry (requests, request_logs, state_propagation, listen_errors, metrics), tests.members.test_gossip: 50 passed, 0 failed.

--- a/src/auburnswitch/entry/run.py
+++ b/src/auburnswitch/entry/run.py
@@ -19,7 +19,7 @@
 from auburnswitch.http_server import ListenError, open_http_server
 from auburnswitch.observe.logs import log_event
 from auburnswitch.observe.nonblocking_logs import configure_nonblocking_logs
-from auburnswitch.observe.tasks import open_task_set
+from auburnswitch.observe.tasks import TaskSet, open_task_set
 from auburnswitch.schema.events import EventId
 from auburnswitch.settings.loader import load_entry_settings
 
@@ -54,37 +54,38 @@
     Raises:
         ListenError: A listener's address cannot be bound.
     """
-    async with open_task_set() as tasks:
-        daemon = EntryDaemon(
-            settings=settings,
-            tasks=tasks,
-            rng=random.Random(),
+    tasks = TaskSet()
+    daemon = EntryDaemon(
+        settings=settings,
+        tasks=tasks,
+        rng=random.Random(),
+    )
+    listen = settings.listen
+    async with (
+        _open_metrics_server(daemon),
+        daemon.gossip.open(),
+        daemon.state_exchange.open(listen.peer_host, listen.peer_port),
+        _open_listener(
+            "readiness",
+            ReadinessApp(is_ready=lambda: daemon.ready),
+            listen.readiness,
+        ),
+        open_task_set(tasks),  # the tasks end before what they use closes
+        _open_listener(
+            "callers",
+            daemon.app,
+            listen.callers,
+            close_timeout_s=CALLERS_CLOSE_TIMEOUT_S,
+        ),
+    ):
+        daemon.start()
+        log_event(
+            EventId.ENTRY_STARTED,
+            instance=settings.instance.name,
+            zone=settings.instance.zone,
+            callers=listen.callers,
         )
-        listen = settings.listen
-        async with (
-            _open_metrics_server(daemon),
-            daemon.gossip.open(),
-            daemon.state_exchange.open(listen.peer_host, listen.peer_port),
-            _open_listener(
-                "readiness",
-                ReadinessApp(is_ready=lambda: daemon.ready),
-                listen.readiness,
-            ),
-            _open_listener(
-                "callers",
-                daemon.app,
-                listen.callers,
-                close_timeout_s=CALLERS_CLOSE_TIMEOUT_S,
-            ),
-        ):
-            daemon.start()
-            log_event(
-                EventId.ENTRY_STARTED,
-                instance=settings.instance.name,
-                zone=settings.instance.zone,
-                callers=listen.callers,
-            )
-            yield daemon
+        yield daemon
 
 
 @contextlib.asynccontextmanager
--- a/src/auburnswitch/members/gossip.py
+++ b/src/auburnswitch/members/gossip.py
@@ -86,6 +86,7 @@
         self._sequence = 0
         self._ended_work: dict[int, list[int]] = {}
         self._flush_timer: asyncio.TimerHandle | None = None
+        self._relay_timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._relays = RelaySelector(
             local_record=local_record, live_peers=self.peers.live_peers
@@ -94,7 +95,7 @@
 
     @contextlib.asynccontextmanager
     async def open(self) -> AsyncIterator[None]:
-        """Listens until the context ends.
+        """Listens until the context ends, then sends what is queued.
 
         Raises:
             ListenError: The address cannot be bound.
@@ -110,8 +111,19 @@
         try:
             yield
         finally:
+            self._flush_queues()
+            self._transport = None
             transport.close()
 
+    def _flush_queues(self) -> None:
+        """Sends what waits for a timer and stops the timers."""
+        if self._flush_timer is not None:
+            self._flush_timer.cancel()
+            self._flush_ended_work()
+        if self._relay_timer is not None:
+            self._relay_timer.cancel()
+            self._flush_relayed()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
         self._transport = transport  # type: ignore[assignment]
@@ -248,13 +260,14 @@
         if not self._relayed:
             delay_s = len(self.peers) * RELAY_BATCH_DELAY_PER_PEER_S
             loop = asyncio.get_running_loop()
-            loop.call_later(
+            self._relay_timer = loop.call_later(
                 min(delay_s, MAX_RELAY_BATCH_DELAY_S), self._flush_relayed
             )
         self._relayed.append(message)
 
     def _flush_relayed(self) -> None:
         """Forwards the queued messages to the daemons of this zone, by cell."""
+        self._relay_timer = None
         messages, self._relayed = self._relayed, []
         zone = self.local_record.zone
         for cell, peers in self.peers.by_cell().items():
--- a/src/auburnswitch/observe/tasks.py
+++ b/src/auburnswitch/observe/tasks.py
@@ -19,13 +19,16 @@
     Attributes:
         tasks: Running tasks.
         errors: Unexpected errors that ended tasks.
+        cancelled: Whether the set has been cancelled; a task that is started
+            later is cancelled before it runs.
     """
 
-    __slots__ = ("errors", "tasks")
+    __slots__ = ("cancelled", "errors", "tasks")
 
     def __init__(self) -> None:
         self.tasks: set[asyncio.Task[Any]] = set()
         self.errors: list[BaseException] = []
+        self.cancelled = False
 
     def start(
         self, coroutine: Coroutine[Any, Any, Any], name: str
@@ -34,6 +37,8 @@
         task = asyncio.create_task(coroutine, name=name)
         self.tasks.add(task)
         task.add_done_callback(self._on_task_done)
+        if self.cancelled:
+            task.cancel()
         return task
 
     def _on_task_done(self, task: asyncio.Task[Any]) -> None:
@@ -48,16 +53,23 @@
 
     async def cancel(self) -> None:
         """Cancels all tasks and waits until they have ended."""
-        tasks = list(self.tasks)
-        for task in tasks:
+        self.cancelled = True
+        for task in list(self.tasks):
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        while self.tasks:  # a task may start others while it ends
+            await asyncio.gather(*self.tasks, return_exceptions=True)
 
 
 @contextlib.asynccontextmanager
-async def open_task_set() -> AsyncIterator[TaskSet]:
-    """Yields a task set and cancels its tasks on exit."""
-    tasks = TaskSet()
+async def open_task_set(
+    tasks: TaskSet | None = None,
+) -> AsyncIterator[TaskSet]:
+    """Yields a task set and cancels its tasks on exit.
+
+    Args:
+        tasks: The task set; None for a new one.
+    """
+    tasks = TaskSet() if tasks is None else tasks
     try:
         yield tasks
     finally:
--- a/tests/members/test_gossip.py
+++ b/tests/members/test_gossip.py
@@ -193,6 +193,30 @@
             )  # heartbeats without work still show that it is live
             self.assertFalse(any(m.complete for m in heartbeats))
 
+    # Incident of 2026-12-04: timers and tasks sent on a closed socket.
+    async def test_closed_node_has_sent_its_queue_and_sends_no_more(self):
+        loop_errors = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, context: loop_errors.append(context)
+        )
+        async with open_nodes({"a": 18}) as nodes:
+            await asyncio.sleep(RELAY_REFRESH_INTERVAL_S)
+            relay = next(
+                n.gossip_node for n in nodes if n.gossip_node._relays.is_relay()
+            )
+            name = relay.local_record.instance
+            relay.local_record.port = free_port()
+            async with relay.open():
+                relay.schedule_ended_work([7])
+            relay.schedule_ended_work([8])
+            await asyncio.sleep(3 * gossip.MAX_RELAY_BATCH_DELAY_S)
+            relay.send_state()
+            self.assertEqual(loop_errors, [])
+            others = [n for n in nodes if n.gossip_node is not relay]
+            await wait_until(
+                lambda: all(n.received_ended(name) == [7] for n in others)
+            )
+
     async def test_old_and_repeated_datagrams_are_dropped(self):
         node = RecordingNode("me", "a", free_port())
         for incarnation, sequence in (
