Close the daemon's metrics and clean-ups after its listeners

What operators and engines saw: a scrape of the product's own daemon while it stops was answered with 200 and an empty body. The clean-up (cancel the attempt, release the reservation) of a request that ended while the callers' listener was closing was started after the clean-ups had been cancelled: it outlived the daemon and called engines through a closed session.

Cause: open_daemon cancelled the clean-ups and closed the metrics on leaving the body of its contexts, before the listeners that use both.

Fix: the clean-ups end after the listeners whose requests start them and before the tasks (peer links) and the session that they use; the metrics close last.

Ruled out: the task set outside of the peer server. No task uses the server, while handlers of the server start tasks, so the server has to end first, as it does. The stand-ins end their listeners before their batches.

--- a/src/auburnswitch/daemon/run.py
+++ b/src/auburnswitch/daemon/run.py
@@ -67,36 +67,34 @@
             invariants=Invariants(strict=strict_invariants),
             dial=dial,
         )
-        async with (
-            daemon.peer_server.open(),
-            open_http_server(
-                daemon.operator_app.build(),
-                host=settings.operators.host,
-                port=settings.operators.port,
-            ) as daemon.operator_server,
-            open_http_server(
-                daemon.in_flight,
-                host=settings.callers.host,
-                port=settings.callers.port,
-                max_header_bytes=(
-                    settings.callers.max_header_bytes + HEADER_MARGIN_BYTES
-                ),
-            ) as daemon.caller_server,
-        ):
-            daemon.member.port = daemon.peer_server.port
-            daemon.start()
-            log_event(
-                EventId.DAEMON_STARTED,
-                member=daemon.member.id,
-                callers=daemon.caller_server.url,
-                operators=daemon.operator_server.url,
-                peers=f"{daemon.member.host}:{daemon.member.port}",
-            )
-            try:
+        with contextlib.closing(daemon.metrics):
+            async with (
+                daemon.peer_server.open(),
+                open_task_set(daemon.cleanup_tasks),  # requests start clean-ups
+                open_http_server(
+                    daemon.operator_app.build(),
+                    host=settings.operators.host,
+                    port=settings.operators.port,
+                ) as daemon.operator_server,
+                open_http_server(
+                    daemon.in_flight,
+                    host=settings.callers.host,
+                    port=settings.callers.port,
+                    max_header_bytes=(
+                        settings.callers.max_header_bytes + HEADER_MARGIN_BYTES
+                    ),
+                ) as daemon.caller_server,
+            ):
+                daemon.member.port = daemon.peer_server.port
+                daemon.start()
+                log_event(
+                    EventId.DAEMON_STARTED,
+                    member=daemon.member.id,
+                    callers=daemon.caller_server.url,
+                    operators=daemon.operator_server.url,
+                    peers=f"{daemon.member.host}:{daemon.member.port}",
+                )
                 yield daemon
-            finally:
-                await daemon.cleanup_tasks.cancel()
-                daemon.metrics.close()
 
 
 async def serve(settings: Settings) -> int:
