End exchanges with peers when their listener closes

Seen: nobody was harmed that we know of. A peer that had connected to the state exchange and had not sent its request kept a task running for up to 0.8 s after the listener had closed, while the rest of the daemon was torn down; whoever closed something that it uses would have met the incident's error again.

Cause: asyncio's server on Python 3.11 closes its listening sockets and knows nothing of the connections it has accepted.

Fix: the exchanges run in a task set that ends with the listener. A peer whose fetch is cut fetches from another daemon, as it does after a failed one.

Red before: tests.entry.test_teardown, test_exchanges_with_peers_end_with_their_listener (a pending StateExchange._serve). The peer server already waits for the connections that it aborts.

--- a/src/auburnswitch/members/state_exchange.py
+++ b/src/auburnswitch/members/state_exchange.py
@@ -14,6 +14,7 @@
     encode_signed,
 )
 from auburnswitch.observe.logs import log_event
+from auburnswitch.observe.tasks import open_task_set
 from auburnswitch.schema.events import EventId
 from auburnswitch.schema.gossip import StateFetch, StateUpdate
 from auburnswitch.schema.installation import ClosedZones
@@ -78,19 +79,26 @@
 
     @contextlib.asynccontextmanager
     async def open(self, host: str, port: int) -> AsyncIterator[None]:
-        """Listens for peers until the context ends.
+        """Listens for peers until the context ends, then ends all exchanges.
 
         Raises:
             ListenError: The address cannot be bound.
         """
-        try:
-            server = await asyncio.start_server(self._serve, host, port)
-        except OSError as error:
-            raise ListenError(f"cannot listen on {host}:{port}") from error
-        try:
-            yield
-        finally:
-            server.close()
+        async with open_task_set() as exchanges:
+
+            def serve(
+                reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+            ) -> None:
+                exchanges.start(self._serve(reader, writer), "serve state")
+
+            try:
+                server = await asyncio.start_server(serve, host, port)
+            except OSError as error:
+                raise ListenError(f"cannot listen on {host}:{port}") from error
+            try:
+                yield
+            finally:
+                server.close()
 
     def is_behind(self, message: Gossip) -> bool:
         """Returns whether a peer's message reports newer state."""
--- a/tests/entry/test_teardown.py
+++ b/tests/entry/test_teardown.py
@@ -13,6 +13,7 @@
     wait_until,
 )
 from auburnswitch.members import gossip
+from auburnswitch.members.state_exchange import StateExchange
 from auburnswitch.standins.ports import free_port
 
 HEARTBEAT_INTERVAL_S = 0.01  # several fall into the close of each listener
@@ -35,6 +36,18 @@
                 writer.close()
         self.assertEqual(daemon.tasks.errors, [])
 
+    # A peer's unfinished exchange outlived the listener that had accepted it.
+    async def test_exchanges_with_peers_end_with_their_listener(self):
+        settings = entry_settings("entry", "127.0.0.1:9")
+        async with open_entry_daemon(settings):
+            reader, writer = await asyncio.open_connection(
+                settings.listen.peer_host, settings.listen.peer_port
+            )
+            await wait_until(_list_exchanges)
+        self.assertEqual(_list_exchanges(), [])
+        self.assertEqual(await reader.read(), b"")
+        writer.close()
+
     async def _scrape(self, address: str) -> asyncio.StreamWriter:
         """Reads the metrics and keeps the connection, as a scraper does."""
         host, _, port = address.rpartition(":")
@@ -44,5 +57,14 @@
         return writer
 
 
+def _list_exchanges() -> list[asyncio.Task]:
+    name = StateExchange._serve.__qualname__
+    return [
+        task
+        for task in asyncio.all_tasks()
+        if task.get_coro().__qualname__ == name
+    ]
+
+
 if __name__ == "__main__":
     unittest.main()
