Let the soak find answers that planned stops cut off

The soak could not see the incident: streams of 12 events in 0.12 s, one signal per daemon at a time, no metrics address, and an answer that did not arrive whole was not looked at.

A second scenario, `stops`, on the same fleet and callers: overlapping SIGTERMs (one daemon stays ready), further SIGTERMs and SIGHUPs while stopping, SIGHUP with a changed file, new configurations, SIGTERM soon after a start, the metrics scraped once a second; streams and plain requests of up to 1.4 times the grace time, time limits from 0.3 to 3 times it; callers that keep their connections, insistent ones that open new ones to stopping daemons, retries at another daemon after 503. A process still there at the grace time (6 or 8 s, by the seed) is killed, as the platform does.

Checks, with the bounds of the users' rules: no whole answer (excused only up to 3 s after SIGTERM with the endpoint at work in the last sixth of the grace time, or at the request's own time limit), exit by itself with status 0, no `task_failed` line, refusals while stopping within 0.5 s and with Retry-After; besides the existing checks of runs, bodies and reservations.

--- a/src/auburnswitch/soak/fault_injector.py
+++ b/src/auburnswitch/soak/fault_injector.py
@@ -14,7 +14,8 @@
     import random
     from collections.abc import Awaitable, Callable
 
-    from auburnswitch.soak.fleet import DaemonProcess, SoakFleet
+    from auburnswitch.soak.daemon_process import DaemonProcess
+    from auburnswitch.soak.fleet import SoakFleet
 
 FAULT_INTERVAL_RANGE_S: Final = (0.2, 1.0)
 FAULT_DURATION_RANGE_S: Final = (0.3, 2.5)
--- a/src/auburnswitch/soak/fleet.py
+++ b/src/auburnswitch/soak/fleet.py
@@ -2,115 +2,52 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
-import os
 import signal
-import sys
-from pathlib import Path
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 from auburnswitch.http_server import open_http_server
+from auburnswitch.soak.daemon_process import DaemonProcess
 from auburnswitch.soak.fault_proxy import FaultProxy
 from auburnswitch.standins import installation_objects
 from auburnswitch.standins.endpoint import EndpointStandIn
 from auburnswitch.standins.installation_store import InstallationStore
-from auburnswitch.standins.ports import free_port
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from pathlib import Path
 
 STREAM_EVENTS: Final = 12
-EXIT_TIMEOUT_S: Final = 12.0
+ROUTE_TIMEOUT_MS: Final = 3000
 
 
-class DaemonProcess:
-    """One entry daemon process, restarted with the same settings.
+@dataclass(slots=True, kw_only=True)
+class FleetOptions:
+    """What differs between the scenarios of the soak.
 
     Attributes:
-        name: Name of the daemon's instance.
-        folder: Folder of the settings file and the log.
-        store_proxy: Proxy between the daemon and the store.
-        callers_address: Address for callers, as host:port.
-        readiness_address: Address of the readiness check, as host:port.
-        peer_port: Port for peers.
-        process: The running process, None before the first start.
+        daemon_count: Number of daemons.
+        stop_grace_s: Time in which a daemon must exit after SIGTERM.
+        has_metrics: Whether each daemon has an address for metrics.
+        route_timeout_ms: Timeout of each route.
+        slots: Requests that an endpoint serves concurrently.
+        engine: Replaced fields of the engines' speed and memory.
     """
 
-    def __init__(
-        self, *, name: str, folder: Path, store_proxy: FaultProxy
-    ) -> None:
-        self.name = name
-        self.folder = folder
-        self.store_proxy = store_proxy
-        self.callers_address = f"127.0.0.1:{free_port()}"
-        self.readiness_address = f"127.0.0.1:{free_port()}"
-        self.peer_port = free_port()
-        self.process: asyncio.subprocess.Process | None = None
-
-    async def start(self) -> None:
-        """Starts the process and appends its log to a file."""
-        settings = self.folder / f"{self.name}.ini"
-        settings.write_text(
-            f"[instance]\nname = {self.name}\nzone = zone-1\n"
-            f"[listen]\ncallers = {self.callers_address}\n"
-            f"readiness = {self.readiness_address}\npeer_host = 127.0.0.1\n"
-            f"peer_port = {self.peer_port}\n"
-            f"[store]\naddress = 127.0.0.1:{self.store_proxy.port}\n"
-            "[bounds]\nstop_grace_s = 6\n"
-        )
-        source = Path(__file__).parents[2]
-        with (self.folder / f"{self.name}.log").open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "auburnswitch.entry",
-                str(settings),
-                stdout=log,
-                stderr=log,
-                env={**os.environ, "PYTHONPATH": str(source)},
-            )
-
-    def send_signal(self, number: signal.Signals) -> None:
-        """Sends a signal to the process if it is running."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
-
-    def check_running(self) -> None:
-        """Checks that the process has not exited.
-
-        Raises:
-            RuntimeError: The process has exited; the message has the exit
-                status and the end of the log.
-        """
-        if self.process is None or self.process.returncode is None:
-            return
-        log = (self.folder / f"{self.name}.log").read_text("utf-8", "replace")
-        raise RuntimeError(
-            f"{self.name} exited with status {self.process.returncode}:"
-            f" {log[-500:]}"
-        )
-
-    async def wait_for_exit(self) -> int | None:
-        """Waits for the process to exit; kills it after a timeout.
-
-        Returns:
-            The exit status, None if the process was never started.
-        """
-        if self.process is None:
-            return None
-        try:
-            async with asyncio.timeout(EXIT_TIMEOUT_S):
-                return await self.process.wait()
-        except TimeoutError:
-            self.send_signal(signal.SIGKILL)
-            return await self.process.wait()
+    daemon_count: int = 3
+    stop_grace_s: float = 6.0
+    has_metrics: bool = False
+    route_timeout_ms: int = ROUTE_TIMEOUT_MS
+    slots: int = installation_objects.SLOTS
+    engine: dict[str, float] = field(default_factory=dict)
 
 
 class SoakFleet:
     """Processes and stand-ins of one soak run.
 
     Attributes:
+        options: What is particular to the scenario.
         store: Stand-in of the platform's store.
         endpoints: Stand-ins of the endpoints by id.
         endpoint_proxies: Proxy in front of each endpoint, by endpoint id.
@@ -119,7 +56,8 @@
         caller_keys: Valid caller keys in that configuration.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, options: FleetOptions | None = None) -> None:
+        self.options = options or FleetOptions()
         self.store = InstallationStore()
         self.endpoints: dict[str, EndpointStandIn] = {}
         self.endpoint_proxies: dict[str, FaultProxy] = {}
@@ -133,6 +71,10 @@
         config = installation_objects.make_config(
             self.config_version, list(self.caller_keys)
         )
+        for route in config["Routes"]:
+            route["TimeoutMs"] = self.options.route_timeout_ms
+        engine = {**installation_objects.ENGINE, **self.options.engine}
+        config["Services"][0]["Engine"] = engine
         installation_objects.put_config(self.store, config)
 
     def put_endpoint(self, name: str, state: str = "ready") -> None:
@@ -140,16 +82,21 @@
         address = f"127.0.0.1:{self.endpoint_proxies[name].port}"
         service = name.split("-")[0]
         installation_objects.put_endpoint(
-            self.store, name, service, address, State=state
+            self.store,
+            name,
+            service,
+            address,
+            State=state,
+            Slots=self.options.slots,
         )
 
 
 @contextlib.asynccontextmanager
 async def open_fleet(
-    folder: Path, daemon_count: int = 3
+    folder: Path, options: FleetOptions | None = None
 ) -> AsyncIterator[SoakFleet]:
     """Starts the stand-ins and the daemons; stops all of them on exit."""
-    fleet = SoakFleet()
+    fleet = SoakFleet(options)
     async with contextlib.AsyncExitStack() as stack:
         store_server = await stack.enter_async_context(
             open_http_server(fleet.store.make_app(), host="127.0.0.1", port=0)
@@ -168,11 +115,15 @@
             )
             fleet.put_endpoint(name)
         fleet.write_config()
-        for number in range(daemon_count):
+        for number in range(fleet.options.daemon_count):
             store_proxy = FaultProxy(target=("127.0.0.1", store_server.port))
             await stack.enter_async_context(store_proxy.open())
             daemon = DaemonProcess(
-                name=f"entry-{number}", folder=folder, store_proxy=store_proxy
+                name=f"entry-{number}",
+                folder=folder,
+                store_proxy=store_proxy,
+                stop_grace_s=fleet.options.stop_grace_s,
+                has_metrics=fleet.options.has_metrics,
             )
             fleet.daemons.append(daemon)
             await daemon.start()
@@ -184,4 +135,9 @@
                 await daemon.wait_for_exit()
 
 
-__all__ = ["STREAM_EVENTS", "DaemonProcess", "SoakFleet", "open_fleet"]
+__all__ = [
+    "STREAM_EVENTS",
+    "FleetOptions",
+    "SoakFleet",
+    "open_fleet",
+]
--- a/src/auburnswitch/soak/run.py
+++ b/src/auburnswitch/soak/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import shutil
 import sys
@@ -13,9 +14,16 @@
 
 import aiohttp
 
-from auburnswitch.platform.protocol import READINESS_PATH
+from auburnswitch.entry.monitoring_apps import METRICS_PATH
 from auburnswitch.soak.fault_injector import FaultInjector
-from auburnswitch.soak.fleet import SoakFleet, open_fleet
+from auburnswitch.soak.fleet import FleetOptions, SoakFleet, open_fleet
+from auburnswitch.soak.stop_checks import (
+    check_stops,
+    find_failed_tasks,
+    summarise_stops,
+)
+from auburnswitch.soak.stop_injector import StopInjector
+from auburnswitch.soak.stop_workload import STEP_S, StopWorkload
 from auburnswitch.soak.workload_generator import (
     HTTP_OK,
     NOT_EXECUTED_STATUSES,
@@ -30,7 +38,13 @@
 CONCURRENT_CALLERS: Final = 4
 RECOVERY_WAIT_S: Final = 6.0  # after it every request must succeed
 RECOVERY_REQUESTS: Final = 30
-READY_TIMEOUT_S: Final = 10.0
+STOP_CALLERS: Final = (8, 16, 32)  # few of them leave a daemon idle
+STOP_GRACES_S: Final = (6.0, 8.0)
+STOP_ROUTE_TIMEOUT_MS: Final = 20_000
+STOP_SLOTS: Final = 16
+METRICS_INTERVAL_S: Final = 1.0
+MAX_RELEASE_S: Final = 4.0  # then no memory may be reserved
+_MS_PER_S: Final = 1000.0
 
 
 async def run_soak(seed: int, seconds: float, folder: Path) -> list[str]:
@@ -46,7 +60,8 @@
     """
     rng = random.Random(seed)
     async with open_fleet(folder) as fleet:
-        await _wait_until_ready(fleet)
+        for daemon in fleet.daemons:
+            await daemon.wait_until_ready()
         workload = WorkloadGenerator(fleet=fleet, rng=rng)
         caller_tasks = [
             asyncio.create_task(workload.run())
@@ -69,22 +84,62 @@
     return problems
 
 
-async def _wait_until_ready(fleet: SoakFleet) -> None:
-    async with (
-        aiohttp.ClientSession() as session,
-        asyncio.timeout(READY_TIMEOUT_S),
-    ):
+async def run_stop_soak(seed: int, seconds: float, folder: Path) -> list[str]:
+    """Runs one soak test of planned stops; see `run_soak`."""
+    rng = random.Random(seed)
+    options = FleetOptions(
+        daemon_count=4,
+        stop_grace_s=rng.choice(STOP_GRACES_S),
+        has_metrics=True,
+        route_timeout_ms=STOP_ROUTE_TIMEOUT_MS,
+        slots=STOP_SLOTS,
+        engine={
+            "Slots": STOP_SLOTS,
+            "Stride": 1,
+            "step_ms": STEP_S * _MS_PER_S,
+        },
+    )
+    async with open_fleet(folder, options) as fleet:
         for daemon in fleet.daemons:
-            url = f"http://{daemon.readiness_address}{READINESS_PATH}"
-            while True:
-                daemon.check_running()
-                try:
-                    async with session.get(url) as response:
-                        if response.status == HTTP_OK:
-                            break
-                except aiohttp.ClientError:
-                    await asyncio.sleep(0.05)  # port not open yet
-                await asyncio.sleep(0.05)
+            await daemon.wait_until_ready()
+        workload = StopWorkload(fleet=fleet, rng=rng)
+        caller_count = rng.choice(STOP_CALLERS)
+        tasks = [
+            asyncio.create_task(workload.run()) for _ in range(caller_count)
+        ]
+        tasks.append(asyncio.create_task(_scrape_metrics(fleet)))
+        await StopInjector(fleet=fleet, rng=rng).run(seconds)
+        for task in tasks:
+            task.cancel()
+        results = await asyncio.gather(*tasks, return_exceptions=True)
+        problems = [
+            repr(error) for error in results if isinstance(error, Exception)
+        ]
+        await asyncio.sleep(MAX_RELEASE_S)
+        problems += await _check_recovery(workload, fleet)
+        problems += check_history(workload.records, fleet)
+        stop_problems, endings = check_stops(workload.records, fleet)
+        problems += stop_problems + find_failed_tasks(folder)
+        print(
+            f"seed {seed} stops: {caller_count} callers,"
+            f" {summarise_stops(workload.records, fleet, endings)},"
+            f" {len(problems)} problems"
+        )
+    return problems
+
+
+async def _scrape_metrics(fleet: SoakFleet) -> None:
+    async with aiohttp.ClientSession() as session:
+        while True:
+            await asyncio.sleep(METRICS_INTERVAL_S)
+            for daemon in fleet.daemons:
+                url = f"http://{daemon.metrics_address}{METRICS_PATH}"
+                with contextlib.suppress(TimeoutError, aiohttp.ClientError):
+                    async with (
+                        asyncio.timeout(METRICS_INTERVAL_S),
+                        session.get(url) as response,
+                    ):
+                        await response.read()
 
 
 async def _check_recovery(
@@ -145,20 +200,25 @@
     return problems
 
 
+SCENARIOS: Final = {"faults": run_soak, "stops": run_stop_soak}
+
+
 def main(arguments: list[str]) -> int:
     """Runs a soak test per seed; keeps the logs of seeds that fail.
 
     Args:
-        arguments: First seed, number of seeds, and seconds of faults per seed.
+        arguments: First seed, number of seeds, seconds of faults per seed,
+            and the scenario, `faults` if there is none.
 
     Returns:
         Exit code, 1 if a seed failed.
     """
-    first_seed, seed_count, seconds = (int(text) for text in arguments)
+    first_seed, seed_count, seconds = (int(text) for text in arguments[:3])
+    run_scenario = SCENARIOS[arguments[3] if arguments[3:] else "faults"]
     failed_count = 0
     for seed in range(first_seed, first_seed + seed_count):
         folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
-        problems = asyncio.run(run_soak(seed, seconds, Path(folder)))
+        problems = asyncio.run(run_scenario(seed, seconds, Path(folder)))
         for problem in problems:
             print(f"  {problem}")
         if problems:
@@ -174,4 +234,4 @@
     sys.exit(main(sys.argv[1:]))
 
 
-__all__ = ["check_history", "main", "run_soak"]
+__all__ = ["check_history", "main", "run_soak", "run_stop_soak"]
--- a/src/auburnswitch/soak/workload_generator.py
+++ b/src/auburnswitch/soak/workload_generator.py
@@ -12,20 +12,24 @@
 from auburnswitch.http_client import send_at_most_once
 from auburnswitch.soak.fleet import STREAM_EVENTS
 from auburnswitch.standins.caller_headers import is_signed, request_headers
+from auburnswitch.standins.endpoint import WORK_MS_HEADER
 
 if TYPE_CHECKING:
     import random
 
+    from auburnswitch.soak.daemon_process import DaemonProcess, ProcessRun
     from auburnswitch.soak.fleet import SoakFleet
 
 REQUEST_PATHS: Final = ("/chat/1", "/read/1", "/book/1")
 REQUEST_INTERVAL_RANGE_S: Final = (0.02, 0.15)
 RESPONSE_TIMEOUT_S: Final = 6.0
+DEADLINE_S: Final = 3.0
 LONG_PROMPT_SHARE: Final = 0.1
 LONG_TOKEN_COUNTS: Final = "80000,50"  # exceeds one engine's memory
 SHORT_TOKEN_COUNTS: Final = "900,50"
 HTTP_OK: Final = 200
 NOT_EXECUTED_STATUSES: Final = (408, 421, 429, 503)
+_MS_PER_S: Final = 1000.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -37,18 +41,40 @@
         path: Path of the request.
         key: Key of the caller.
         sent_at: Loop time at which the request was sent, in seconds.
+        tokens: Prompt and answer tokens, empty for a plain request.
+        work_s: Time for which an endpoint works on it, in seconds; 0 for the
+            endpoint's own time.
+        deadline_s: Time limit that the request states, in seconds.
+        timeout_s: Time after which the caller gives up, in seconds.
+        run: The process that the request was sent to.
+        connected: Whether the connection was established.
         status: HTTP status of the response, 0 without a response.
         body: Body of the response, empty if it is incomplete.
         signed: Whether the response was signed by an endpoint.
+        retry_after_s: Value of Retry-After, None without.
+        closes: Whether the response asks for the connection's close.
+        complete: Whether the whole response has arrived.
+        ended_at: Loop time at which the response or the connection ended, in
+            seconds; None while it is open.
     """
 
     id: str
     path: str
     key: str
     sent_at: float
+    tokens: str = ""
+    work_s: float = 0.0
+    deadline_s: float = DEADLINE_S
+    timeout_s: float = RESPONSE_TIMEOUT_S
+    run: ProcessRun | None = None
+    connected: bool = True
     status: int = 0
     body: bytes = b""
     signed: bool = False
+    retry_after_s: float | None = None
+    closes: bool = False
+    complete: bool = False
+    ended_at: float | None = None
 
 
 class WorkloadGenerator:
@@ -78,23 +104,40 @@
     ) -> RequestRecord:
         """Sends one request and records the response."""
         record = RequestRecord(
-            id=f"request-{next(self._request_numbers)}",
+            id=self.next_id(),
             path=self.rng.choice(REQUEST_PATHS),
             key=self.rng.choice(("key-1", "key-2")),
             sent_at=asyncio.get_running_loop().time(),
         )
-        self.records.append(record)
         daemon = self.rng.choice(self.fleet.daemons)
-        tokens = ""
         if record.path.startswith("/chat"):
             is_long = self.rng.random() < LONG_PROMPT_SHARE
-            tokens = LONG_TOKEN_COUNTS if is_long else SHORT_TOKEN_COUNTS
-        headers = request_headers(record.id, record.key, tokens=tokens)
+            record.tokens = LONG_TOKEN_COUNTS if is_long else SHORT_TOKEN_COUNTS
+        await self.exchange(session, daemon, record)
+        return record
+
+    async def exchange(
+        self,
+        session: aiohttp.ClientSession,
+        daemon: DaemonProcess,
+        record: RequestRecord,
+    ) -> None:
+        """Sends a request to a daemon and records the response."""
+        self.records.append(record)
+        record.run = daemon.runs[-1]
+        headers = request_headers(
+            record.id,
+            record.key,
+            deadline_ms=round(record.deadline_s * _MS_PER_S),
+            tokens=record.tokens,
+        )
+        if record.work_s:
+            headers[WORK_MS_HEADER] = str(round(record.work_s * _MS_PER_S))
         url = f"http://{daemon.callers_address}{record.path}"
         method = "GET" if record.path.startswith("/read") else "POST"
         try:
             async with (
-                asyncio.timeout(RESPONSE_TIMEOUT_S),
+                asyncio.timeout(record.timeout_s),
                 session.request(
                     method,
                     url,
@@ -104,10 +147,22 @@
             ):
                 record.status = response.status
                 record.signed = is_signed(response.headers)
+                record.closes = response.headers.get("Connection") == "close"
+                if "Retry-After" in response.headers:
+                    record.retry_after_s = float(
+                        response.headers["Retry-After"]
+                    )
                 record.body = await response.read()
+                record.complete = True
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            record.connected = False
         except (TimeoutError, aiohttp.ClientError, OSError):
             record.body = b""  # incomplete, so not checked
-        return record
+        record.ended_at = asyncio.get_running_loop().time()
+
+    def next_id(self) -> str:
+        """Returns the id of a new request."""
+        return f"request-{next(self._request_numbers)}"
 
 
 def find_response_problem(record: RequestRecord) -> str:
--- a/src/auburnswitch/standins/endpoint.py
+++ b/src/auburnswitch/standins/endpoint.py
@@ -5,6 +5,7 @@
 import asyncio
 import enum
 import json
+import math
 from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
@@ -13,6 +14,7 @@
     from starlette.types import Receive, Scope, Send
 
 SIGNATURE: Final = b"stand-in"
+WORK_MS_HEADER: Final = "x-work-ms"  # sets the time of one request's work
 _MS_PER_S: Final = 1000.0
 
 
@@ -42,12 +44,15 @@
         target: Path and query.
         body: Request body.
         ran: Whether the endpoint executed the request.
+        ended_at: Loop time at which the endpoint stopped working on it, in
+            seconds; infinite while it works.
     """
 
     headers: dict[str, str]
     target: str
     body: bytes
     ran: bool
+    ended_at: float = math.inf
 
     @property
     def request_id(self) -> str:
@@ -129,6 +134,7 @@
             await self._respond(headers, fault, receive, send)
         finally:
             self.running -= 1
+            received.ended_at = asyncio.get_running_loop().time()
 
     async def _respond(
         self,
@@ -165,10 +171,15 @@
                 await _send_response(send, 200, signed_headers[:1], b"unsigned")
             case _ if "x-token-counts" in headers:
                 first = int(headers.get("last-event-id", "0")) + 1
+                interval_s = self.event_interval_s
+                if WORK_MS_HEADER in headers:
+                    interval_s = _work_s(headers) / self.event_count
                 await self._send_stream(
-                    first, fault, signed_headers, receive, send
+                    first, fault, signed_headers, receive, send, interval_s
                 )
             case _:
+                if await _wait_for_disconnect(receive, _work_s(headers)):
+                    return
                 body = self.plain_body or b"answer of " + request_id
                 await _send_response(send, 200, signed_headers, body)
 
@@ -179,6 +190,7 @@
         headers: list[tuple[bytes, bytes]],
         receive: Receive,
         send: Send,
+        interval_s: float,
     ) -> None:
         content_type = (b"content-type", b"text/event-stream")
         start = {"type": "http.response.start", "status": 200}
@@ -196,7 +208,7 @@
                 disconnected.cancel()
                 raise AbortConnectionError
             await _send_chunk(send, event)
-            await asyncio.sleep(self.event_interval_s)
+            await asyncio.wait((disconnected,), timeout=interval_s)
         disconnected.cancel()
         await send({"type": "http.response.body", "body": b""})
 
@@ -244,6 +256,23 @@
             return body
 
 
+def _work_s(headers: dict[str, str]) -> float:
+    return float(headers.get(WORK_MS_HEADER, "0")) / _MS_PER_S
+
+
+async def _wait_for_disconnect(receive: Receive, timeout_s: float) -> bool:
+    """Returns whether the client has disconnected before the timeout."""
+    if timeout_s <= 0:
+        return False
+    try:
+        async with asyncio.timeout(timeout_s):
+            while (await receive())["type"] != "http.disconnect":
+                pass
+    except TimeoutError:
+        return False
+    return True
+
+
 async def _send_chunk(send: Send, data: bytes) -> None:
     await send({"type": "http.response.body", "body": data, "more_body": True})
 
@@ -260,4 +289,4 @@
     await send({"type": "http.response.body", "body": body})
 
 
-__all__ = ["ReceivedRequest", "Fault", "EndpointStandIn"]
+__all__ = ["WORK_MS_HEADER", "EndpointStandIn", "Fault", "ReceivedRequest"]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,7 +7,7 @@
 import unittest
 from pathlib import Path
 
-from auburnswitch.soak.fleet import STREAM_EVENTS, SoakFleet
+from auburnswitch.soak.fleet import STREAM_EVENTS, FleetOptions, SoakFleet
 from auburnswitch.soak.run import check_history, run_soak
 from auburnswitch.soak.workload_generator import (
     RequestRecord,
@@ -36,16 +36,20 @@
     )
 
 
+def make_fleet(options: FleetOptions | None = None) -> SoakFleet:
+    async def make() -> SoakFleet:
+        return SoakFleet(options)
+
+    return asyncio.run(make())
+
+
 def make_stream_body(*ids: int) -> bytes:
     return b"".join(f"id: {n}\ndata: x\n\n".encode() for n in ids)
 
 
 class HistoryCheckTest(unittest.TestCase):
     def setUp(self):
-        async def make_fleet():
-            return SoakFleet()
-
-        self.fleet = asyncio.run(make_fleet())
+        self.fleet = make_fleet()
         self.endpoint = EndpointStandIn(endpoint_id="desk-1")
         self.fleet.endpoints["desk-1"] = self.endpoint
 
--- a/tests/standins/test_endpoint.py
+++ b/tests/standins/test_endpoint.py
@@ -5,7 +5,7 @@
 import asyncio
 import unittest
 
-from auburnswitch.standins.endpoint import EndpointStandIn
+from auburnswitch.standins.endpoint import WORK_MS_HEADER, EndpointStandIn
 from tests.virtual_time import run_virtual
 
 
@@ -19,6 +19,36 @@
     return messages[0]["status"]
 
 
+async def serve_slow_request(client_leaves_after_s: float) -> float:
+    """Serves a request of 3 s of work and returns when the work ended."""
+    endpoint = EndpointStandIn(endpoint_id="desk")
+    scope = {"type": "http", "path": "/read/1", "raw_path": b"/read/1"}
+    scope["headers"] = [(WORK_MS_HEADER.encode(), b"3000")]
+    messages = [{"type": "http.request"}]
+
+    async def receive():
+        if messages:
+            return messages.pop()
+        await asyncio.sleep(client_leaves_after_s)
+        return {"type": "http.disconnect"}
+
+    async def send(_):
+        pass
+
+    started_at = asyncio.get_running_loop().time()
+    await endpoint(scope, receive, send)
+    return endpoint.received_requests[0].ended_at - started_at
+
+
+class WorkTest(unittest.TestCase):
+    def test_works_until_the_end_or_until_the_client_leaves(self):
+        for leaves_after_s, expected_s in ((9.0, 3.0), (1.0, 1.0)):
+            ended_s = run_virtual(
+                lambda s=leaves_after_s: serve_slow_request(s)
+            )
+            self.assertAlmostEqual(ended_s, expected_s)
+
+
 class ReservationTest(unittest.TestCase):
     def test_reservation_expires_unless_renewed(self):
         async def run():
