Tell callers to wait when the last daemon stops

What callers saw: a stopping daemon refuses with Retry-After 0.05, also when no other daemon is there to serve them. They came back at once, were refused again and gave up after their few tries.

Cause: the delay supposed that another daemon accepts the request.

tests.entry.test_stop_end.StopEndTest. test_request_after_the_end_of_the_last_daemon_waits: 0.05 before (this was what the test of the refusal asserted with one daemon), above 1 now. test_stop_end 7, tests.entry.test_requests 21 passed.

--- a/src/auburnswitch/callers/entry_app.py
+++ b/src/auburnswitch/callers/entry_app.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from starlette.types import Receive, Scope, Send
 
@@ -63,6 +64,7 @@
     """An ASGI application that routes requests to the installation's services.
 
     Attributes:
+        has_live_peers: Returns whether another daemon accepts requests.
         stop: The end of a planned stop. Each response of a stopping daemon
             requests that the caller closes its connection.
         started_at: Loop time of the daemon's start, in seconds.
@@ -77,7 +79,9 @@
         rng: random.Random,
         statistics: EntryStatistics,
         stop: StopDeadline,
+        has_live_peers: Callable[[], bool],
     ) -> None:
+        self.has_live_peers = has_live_peers
         self.stop = stop
         self.statistics = statistics
         self.installation = installation
@@ -257,11 +261,11 @@
 
     def _choose_retry_after_s(self, advice: RetryAdvice) -> float | None:
         match advice:
-            case RetryAdvice.AT_ONCE:
+            case RetryAdvice.AT_ONCE if self.has_live_peers():
                 return RETRY_AFTER_DRAIN_S
             case RetryAdvice.SOON:
                 return self.rng.uniform(*RETRY_AFTER_OVERLOAD_RANGE_S)
-            case RetryAdvice.LATER:
+            case RetryAdvice.LATER | RetryAdvice.AT_ONCE:
                 return self.rng.uniform(*RETRY_AFTER_UNAVAILABLE_RANGE_S)
             case RetryAdvice.NEVER:
                 return None
--- a/src/auburnswitch/entry/entry_daemon.py
+++ b/src/auburnswitch/entry/entry_daemon.py
@@ -170,6 +170,7 @@
             rng=rng,
             statistics=self.statistics,
             stop=self.stop,
+            has_live_peers=lambda: bool(self.gossip.peers.live_peers()),
         )
         self.installation.listeners.append(self.gossip.send_state)
 
--- a/tests/entry/test_stop_end.py
+++ b/tests/entry/test_stop_end.py
@@ -66,15 +66,26 @@
         with self.assertRaises(aiohttp.ClientError):
             await call
 
-    async def test_request_after_the_end_is_refused(self):
-        async with open_installation() as fleet:
+    async def refuse_after_the_end(self, daemons: int) -> float:
+        """Returns the retry delay of a refusal, in seconds."""
+        async with open_installation(daemons=daemons) as fleet:
             daemon = fleet.daemons[0]
+            await wait_until(
+                lambda: len(daemon.gossip.peers.live_peers()) == daemons - 1
+            )
             daemon.settings.bounds.stop_grace_s = GRACE_S
             await drain(daemon)
             status, _, headers = await fleet.call("/book/1")
             self.assertEqual(fleet.received_requests, [])
         self.assertEqual(status, 503)
-        self.assertEqual(headers["retry-after"], "0.05")
+        return float(headers["retry-after"])
+
+    async def test_request_after_the_end_is_sent_to_another_daemon(self):
+        self.assertLess(await self.refuse_after_the_end(2), 0.1)
+
+    # A caller was told to come back at once although no daemon was left.
+    async def test_request_after_the_end_of_the_last_daemon_waits(self):
+        self.assertGreater(await self.refuse_after_the_end(1), 1.0)
 
 
 class CloseTimeoutTest(unittest.IsolatedAsyncioTestCase):
