Split the permission of retries and the record of outcomes from delivery

What decides on a further attempt is in one place, RetryPermission, for attempts that follow a failure and for those that replace a silent endpoint. No decision changes.

Runs: tests.routing.test_silence_watch, tests.entry.test_silent_endpoints (11), tests.routing.test_stop_deadline, tests.entry.test_requests (21) passed. tests.entry.test_request_logs failed once, in test_request_in_flight_at_the_end_of_a_stop, and passed three times after.

--- a/src/auburnswitch/routing/delivery.py
+++ b/src/auburnswitch/routing/delivery.py
@@ -6,13 +6,9 @@
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.observe.logs import log_event
-from auburnswitch.platform.endpoint_client import ResponseHead
 from auburnswitch.routing.attempt import AttemptRunner
 from auburnswitch.routing.duration_estimator import DurationEstimator
-from auburnswitch.routing.endpoint_health import (
-    HARD_FAILURE_WEIGHT,
-    SOFT_FAILURE_WEIGHT,
-)
+from auburnswitch.routing.endpoint_outcomes import record_outcome
 from auburnswitch.routing.memory_reservations import MemoryRefusal
 from auburnswitch.routing.outcomes import (
     AttemptFailed,
@@ -135,7 +131,7 @@
     ) -> Delivered | DeliveryFailed:
         last_failure: AttemptFailed | None = None
         while True:
-            if last_failure is not None and not self._may_retry(
+            if last_failure is not None and not self.retries.try_acquire(
                 job, last_failure
             ):
                 return await self._final_outcome(last_failure, writer, progress)
@@ -148,7 +144,7 @@
                 placement = None
             if placement is None:
                 if last_failure is not None:
-                    self._release_retry(job, last_failure)
+                    self.retries.release(job, last_failure)
                     return await self._final_outcome(
                         last_failure, writer, progress
                     )
@@ -214,24 +210,6 @@
             retry=RetryAdvice.LATER,
         )
 
-    def _may_retry(self, job: DeliveryJob, last_failure: AttemptFailed) -> bool:
-        if last_failure.successor is not None:
-            return True  # its retry has been acquired
-        if last_failure.may_have_run and not job.retryable:
-            return False
-        if not self.retries.allows_another(job, job.attempts):
-            return False
-        return not last_failure.sent or self.budget.try_acquire(
-            job.service.name
-        )
-
-    def _release_retry(
-        self, job: DeliveryJob, last_failure: AttemptFailed
-    ) -> None:
-        """Gives back the retry of an attempt for which there is no endpoint."""
-        if last_failure.sent and last_failure.successor is None:
-            self.budget.release(job.service.name)
-
     async def _final_outcome(
         self,
         last_failure: AttemptFailed,
@@ -289,39 +267,9 @@
                 placement.duration_s,
                 monotonic_s() - started_at,
             )
-        self._record_health(endpoint.id, outcome, job)
+        record_outcome(self.selector, job, endpoint.id, outcome)
         return outcome
 
-    def _record_health(
-        self,
-        endpoint: str,
-        outcome: Delivered | AttemptFailed,
-        job: DeliveryJob,
-    ) -> None:
-        health = self.selector.health
-        match outcome:
-            case AttemptFailed(successor=successor) if successor is not None:
-                pass  # recorded when the endpoint fell silent
-            case AttemptFailed(failed_endpoint=str(other), reason=reason) if (
-                other != endpoint
-            ):
-                job.excluded.add(other)
-                health.record_failure(other, reason, HARD_FAILURE_WEIGHT)
-            case Delivered():
-                health.record_success(endpoint)
-            case AttemptFailed(sent=True, may_have_run=False, reason=reason):
-                self.selector.load.by_endpoint[endpoint].record_full()
-                health.record_failure(endpoint, reason, SOFT_FAILURE_WEIGHT)
-            case AttemptFailed(head=ResponseHead()):
-                health.record_failure(
-                    endpoint, outcome.reason, SOFT_FAILURE_WEIGHT
-                )
-            case (
-                AttemptFailed(sent=True, reason=reason)
-                | AttemptFailed(failed_to_connect=True, reason=reason)
-            ):
-                health.record_failure(endpoint, reason, HARD_FAILURE_WEIGHT)
-
 
 def _stop_failure() -> DeliveryFailed:
     return DeliveryFailed(
--- a/src/auburnswitch/routing/retry_permission.py
+++ b/src/auburnswitch/routing/retry_permission.py
@@ -16,6 +16,7 @@
         EndpointSelector,
         Placement,
     )
+    from auburnswitch.routing.outcomes import AttemptFailed
     from auburnswitch.routing.stop_deadline import StopDeadline
     from auburnswitch.routing.windowed_retry_budget import WindowedRetryBudget
 
@@ -59,18 +60,27 @@
         self.crash_registry = crash_registry
         self.searches = TaskSet()
 
-    def allows_another(self, job: DeliveryJob, attempts: int) -> bool:
-        """Returns whether an attempt may follow, apart from the retry budget.
+    def try_acquire(
+        self, job: DeliveryJob, last_failure: AttemptFailed
+    ) -> bool:
+        """Returns whether an attempt may follow a failed one.
 
-        Args:
-            job: The request.
-            attempts: Number of attempts that count as sent before it.
+        Takes a retry from the budget if the failed attempt was sent.
         """
-        if self.crash_registry.is_retry_forbidden(job.fingerprint):
+        if last_failure.successor is not None:
+            return True  # its retry has been acquired
+        if last_failure.may_have_run and not job.retryable:
             return False
-        if attempts >= job.route.max_attempts:
+        if not self._allows_another(job, job.attempts):
             return False
-        return job.time_left_s() >= MIN_RETRY_TIME_LEFT_S
+        return not last_failure.sent or self.budget.try_acquire(
+            job.service.name
+        )
+
+    def release(self, job: DeliveryJob, last_failure: AttemptFailed) -> None:
+        """Gives back the retry of an attempt for which there is no endpoint."""
+        if last_failure.sent and last_failure.successor is None:
+            self.budget.release(job.service.name)
 
     async def reserve_successor(self, job: DeliveryJob) -> Placement | None:
         """Starts the placement of the attempt that follows the running one.
@@ -100,7 +110,20 @@
         self.budget.release(job.service.name)
 
     def _may_follow(self, job: DeliveryJob) -> bool:
-        return job.retryable and self.allows_another(job, job.attempts + 1)
+        return job.retryable and self._allows_another(job, job.attempts + 1)
+
+    def _allows_another(self, job: DeliveryJob, attempts: int) -> bool:
+        """Returns whether an attempt may follow, apart from the retry budget.
+
+        Args:
+            job: The request.
+            attempts: Number of attempts that count as sent before it.
+        """
+        if self.crash_registry.is_retry_forbidden(job.fingerprint):
+            return False
+        if attempts >= job.route.max_attempts:
+            return False
+        return job.time_left_s() >= MIN_RETRY_TIME_LEFT_S
 
 
 __all__ = ["RetryPermission"]
