--- a/src/auburnswitch/soak/fleet.py
+++ b/src/auburnswitch/soak/fleet.py
@@ -101,6 +101,7 @@
         store_server = await stack.enter_async_context(
             open_http_server(fleet.store.make_app(), host="127.0.0.1", port=0)
         )
+        stack.callback(store_server.abort)  # ends the watches
         for name in ("engines-1", "engines-2", "engines-3", "desk-1", "desk-2"):
             endpoint = EndpointStandIn(
                 endpoint_id=name, event_count=STREAM_EVENTS
