Obey a reload signal that comes during the start; ignore it in a stop

Class of fault: a signal's handler stands for a part of the process's life only.

Seen: after a SIGHUP between the daemon's read of its settings and the opening of its listeners the new bounds (stop_grace_s, retry and cold limits) stayed unread until the next SIGHUP, without a line in the log. A SIGHUP in the last moments of a stop ended the process by that signal, exit status -1 instead of 0; one earlier in a stop was still obeyed, and many of them delay the stop.

Cause: SIGHUP was set to be ignored during the imports and given to the event loop only once all listeners were open. When a loop closes it gives its signals back to the default action, and the interpreter runs on for some milliseconds.

Fix: from the daemon's first line the signal is remembered; when the daemon runs, a handler of our own takes over and does the remembered reload; when the stop begins the signal is ignored up to the end of the process. The three steps follow each other without a gap, since none of them goes through the loop.

SIGTERM was looked at too, and is left as it is: before the loop runs it ends the process at once by the default action, with status -15, no traceback and nothing accepted, which is what happened; later it leads to an orderly stop with status 0. A second SIGTERM after the loop has closed ends the process with -15, after `entry_stopped`; not changed.

--- a/src/auburnswitch/entry/__main__.py
+++ b/src/auburnswitch/entry/__main__.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import gc
-import signal
+
+from auburnswitch.entry.early_reload import EARLY_RELOAD
 
 # A reload signal must not end the process during the slow imports.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+EARLY_RELOAD.listen()
 gc.disable()  # what the imports create stays in use
 
 from auburnswitch.entry.run import run  # noqa: E402
--- a/src/auburnswitch/entry/run.py
+++ b/src/auburnswitch/entry/run.py
@@ -14,6 +14,7 @@
 from expression import Result
 
 from auburnswitch.clock import monotonic_s
+from auburnswitch.entry.early_reload import EARLY_RELOAD
 from auburnswitch.entry.entry_daemon import EntryDaemon
 from auburnswitch.entry.monitoring_apps import MetricsApp, ReadinessApp
 from auburnswitch.http_server import ListenError, open_http_server
@@ -24,7 +25,7 @@
 from auburnswitch.settings.loader import load_entry_settings
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Iterator
 
     from starlette.types import ASGIApp
 
@@ -147,10 +148,8 @@
     try:
         async with open_entry_daemon(settings) as daemon:
             _resume_garbage_collection()
-            loop.add_signal_handler(
-                signal.SIGHUP, lambda: reload_settings(daemon, path)
-            )
-            await stop.wait()
+            with _reload_on_signal(daemon, path):
+                await stop.wait()
             await drain(daemon)
     except ListenError as error:
         print(f"auburnswitch entry: {error}", file=sys.stderr)
@@ -165,6 +164,27 @@
     gc.enable()
 
 
+@contextlib.contextmanager
+def _reload_on_signal(daemon: EntryDaemon, path: Path) -> Iterator[None]:
+    """Reloads settings at each SIGHUP, also an early one; ignores it later.
+
+    The loop's own handler would give way to the default one, which ends the
+    process, when the loop closes.
+    """
+    loop = asyncio.get_running_loop()
+
+    def schedule_reload(*_: object) -> None:
+        loop.call_soon_threadsafe(reload_settings, daemon, path)
+
+    signal.signal(signal.SIGHUP, schedule_reload)
+    if EARLY_RELOAD.requested:
+        schedule_reload()
+    try:
+        yield
+    finally:
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def reload_settings(daemon: EntryDaemon, path: Path) -> None:
     """Applies the bounds from the settings file if the file is valid."""
     match load_entry_settings(path):
