--- a/src/auburnswitch/soak/daemon_process.py
+++ b/src/auburnswitch/soak/daemon_process.py
@@ -22,6 +22,7 @@
 EXIT_TIMEOUT_S: Final = 12.0
 READY_TIMEOUT_S: Final = 10.0
 READY_STATUS: Final = 200
+HANDLER_POLL_INTERVAL_S: Final = 0.001
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -125,6 +126,16 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
 
+    async def wait_for_reload_handler(self) -> None:
+        """Waits until a reload signal no longer ends the process.
+
+        The interpreter needs some milliseconds to the daemon's first line.
+        """
+        while self.process is not None and self.process.returncode is None:
+            if _catches(self.process.pid, signal.SIGHUP):
+                return
+            await asyncio.sleep(HANDLER_POLL_INTERVAL_S)
+
     def check_running(self) -> None:
         """Checks that the process has not exited.
 
@@ -178,4 +189,18 @@
             return await self.process.wait()
 
 
+def _catches(pid: int, number: signal.Signals) -> bool:
+    """Returns whether a process has a handler for a signal."""
+    try:
+        status = Path(f"/proc/{pid}/status").read_text("ascii")
+    except (FileNotFoundError, ProcessLookupError):
+        return False  # it has exited
+    (caught,) = (
+        line.split()[1]
+        for line in status.splitlines()
+        if line.startswith("SigCgt:")
+    )
+    return bool(int(caught, 16) >> (number - 1) & 1)
+
+
 __all__ = ["DaemonProcess", "ProcessRun"]
--- a/src/auburnswitch/soak/fault_injector.py
+++ b/src/auburnswitch/soak/fault_injector.py
@@ -112,6 +112,7 @@
 
     async def _reload(self) -> None:
         if daemon := self._select_daemon():
+            await daemon.wait_for_reload_handler()
             daemon.send_signal(signal.SIGHUP)
             self._faulted_daemons.discard(daemon.name)
 
