Begin the stop in tests when an endpoint runs the request

tests.entry.test_request_logs.RequestLogTest. test_request_in_flight_at_the_end_of_a_stop failed once beside other runs. It and test_stop_end now wait until an endpoint runs the request; what they check is unchanged. test_planned_stop uses the soak's own options and stop instead of copies of them.

--- a/tests/entry/test_planned_stop.py
+++ b/tests/entry/test_planned_stop.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 import tempfile
 import time
 import unittest
@@ -11,9 +10,12 @@
 
 import aiohttp
 
-from auburnswitch.platform.protocol import READINESS_PATH
-from auburnswitch.soak.fleet import STREAM_EVENTS, SoakFleet, open_fleet
-from auburnswitch.standins import installation_objects
+from auburnswitch.soak.fleet import (
+    STREAM_EVENTS,
+    FleetOptions,
+    SoakFleet,
+    open_fleet,
+)
 from auburnswitch.standins.caller_headers import request_headers
 
 GRACE_S = 8.0
@@ -21,34 +23,9 @@
 DEADLINE_MS = 20_000
 KEY = "key-1"
 TOKENS = "900,50"
-
-
-def write_slow_routes(fleet: SoakFleet):
-    """Writes routes whose requests may outlast a stop."""
-    stream = {"GapAimMs": 2000, "StreamResume": True, "TimeoutMs": DEADLINE_MS}
-    fleet.config_version += 1
-    routes = [
-        installation_objects.make_route(
-            "/chat/", "streaming", "engines", **stream
-        )
-    ]
-    config = installation_objects.make_config(
-        fleet.config_version, list(fleet.caller_keys), Routes=routes
-    )
-    installation_objects.put_config(fleet.store, config)
-
-
-async def wait_until_ready(fleet: SoakFleet):
-    async with aiohttp.ClientSession() as session, asyncio.timeout(10):
-        url = f"http://{fleet.daemons[0].readiness_address}{READINESS_PATH}"
-        while True:
-            try:
-                async with session.get(url) as response:
-                    if response.status == 200:
-                        return
-            except aiohttp.ClientError:
-                pass  # port not open yet
-            await asyncio.sleep(0.05)
+FLEET = FleetOptions(
+    daemon_count=1, stop_grace_s=GRACE_S, route_timeout_ms=DEADLINE_MS
+)
 
 
 class Caller:
@@ -91,29 +68,13 @@
     async def asyncSetUp(self):
         folder = self.enterContext(tempfile.TemporaryDirectory())
         self.fleet = await self.enterAsyncContext(
-            open_fleet(Path(folder), daemon_count=1)
+            open_fleet(Path(folder), FLEET)
         )
         for endpoint in self.fleet.endpoints.values():
             endpoint.event_interval_s = STREAM_S / STREAM_EVENTS
-        write_slow_routes(self.fleet)
-        await wait_until_ready(self.fleet)
         self.daemon = self.fleet.daemons[0]
+        await self.daemon.wait_until_ready()
         self.caller = Caller(self.fleet)
-        settings = Path(folder) / f"{self.daemon.name}.ini"
-        text = settings.read_text().replace("= 6", f"= {GRACE_S}")
-        settings.write_text(text)
-        self.daemon.send_signal(signal.SIGHUP)
-        await asyncio.sleep(0.3)
-
-    async def stop(self) -> int:
-        """Stops the daemon as the platform does, and returns its status."""
-        self.daemon.send_signal(signal.SIGTERM)
-        try:
-            async with asyncio.timeout(GRACE_S):
-                return await self.daemon.process.wait()
-        except TimeoutError:
-            self.daemon.send_signal(signal.SIGKILL)
-            return await self.daemon.process.wait()
 
     # Answers were cut off by the kill that ends a stop's grace time: the
     # stopping daemon had passed on requests that took longer.
@@ -121,7 +82,7 @@
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self.caller.stream("early"))
             await asyncio.sleep(0.5)
-            tasks.create_task(self.stop())
+            tasks.create_task(self.daemon.stop())
             await asyncio.sleep(3.0)
             for number in range(6):
                 tasks.create_task(self.caller.stream(f"late-{number}"))
@@ -138,7 +99,7 @@
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self.caller.stream("early"))
             await asyncio.sleep(0.5)
-            tasks.create_task(self.stop())
+            tasks.create_task(self.daemon.stop())
             await asyncio.sleep(1.0)
             tasks.create_task(self.caller.stream("second"))
             await asyncio.sleep(2.0)
@@ -154,9 +115,9 @@
             request = tasks.create_task(self.caller.stream("long"))
             await asyncio.sleep(0.5)
             stopped_at = time.monotonic()
-            status = await self.stop()
+            await self.daemon.stop()
             await request
-        self.assertEqual(status, 0)
+        self.assertEqual(self.daemon.runs[-1].status, 0)
         # An answer under way is not given up early either.
         self.assertGreater(time.monotonic() - stopped_at, GRACE_S * 5 / 6)
 
--- a/tests/entry/test_request_logs.py
+++ b/tests/entry/test_request_logs.py
@@ -49,7 +49,8 @@
             for endpoint in fleet.endpoints.values():
                 endpoint.event_interval_s = 1.0
             call = asyncio.create_task(fleet.call("/chat/1", tokens=SHORT))
-            await wait_until(lambda: daemon.app.in_flight == 1)
+            engines = fleet.endpoints.values()
+            await wait_until(lambda: any(e.running for e in engines))
             await drain(daemon)
             call.cancel()
         (unfinished,) = self.events("request_unfinished")
--- a/tests/entry/test_stop_end.py
+++ b/tests/entry/test_stop_end.py
@@ -27,7 +27,6 @@
     async with open_installation(**options) as fleet:
         fleet.daemons[0].settings.bounds.stop_grace_s = GRACE_S
         yield fleet
-        await wait_until(lambda: fleet.daemons[0].app.in_flight == 1)
         await drain(fleet.daemons[0])
 
 
@@ -37,6 +36,9 @@
             for endpoint in fleet.endpoints.values():
                 endpoint.faults.append(Fault.NO_RESPONSE)
             call = asyncio.create_task(fleet.call("/book/1"))
+            await wait_until(
+                lambda: any(e.running for e in fleet.endpoints.values())
+            )
         status, _, headers = await call
         self.assertEqual(status, 502)
         self.assertNotIn("retry-after", headers)
