Don't break off a long request that its endpoint reads late

What callers saw: 502 for a long request that its endpoint had not read for about two seconds; it also counted as a request that crashes its endpoint, and three such strikes refuse it for ten minutes.

Cause: TCP_USER_TIMEOUT of 1.5 s, meant for a peer that is not reachable. Linux applies it as well when the peer acknowledges probes but leaves its receive buffer full.

Change: no such limit for a request that need not fit into a receive buffer (32 KiB). For these, a host that dies while the request is being sent is noticed by the silence watch or the deadline only, and after that by keepalive probes (idle 2 s, two probes a second apart). Shorter requests keep the limit, as for them missing acknowledgements mean that the peer is not reachable.

Not measured: a host that loses power while it is sent a long request.

--- a/src/auburnswitch/http_exchange.py
+++ b/src/auburnswitch/http_exchange.py
@@ -14,13 +14,17 @@
 
 import h11
 
-from auburnswitch.keepalive_socket import open_keepalive_socket
+from auburnswitch.keepalive_socket import (
+    allow_late_reads,
+    open_keepalive_socket,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
 MAX_UNREAD_BYTES: Final = 256 * 1024
 MAX_HEAD_BYTES: Final = 64 * 1024
+MIN_RECEIVE_BUFFER_BYTES: Final = 32 * 1024  # that a peer's kernel provides
 _CONTENT_LENGTH_HEADER: Final = "content-length"
 _METHODS_WITHOUT_BODY: Final = ("GET", "HEAD", "OPTIONS", "TRACE")
 
@@ -151,6 +155,8 @@
             data = self._encode(method, target, request_headers, body)
         except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             raise ExchangeError(repr(error)) from error
+        if len(data) > MIN_RECEIVE_BUFFER_BYTES:
+            allow_late_reads(self._transport.get_extra_info("socket"))
         self._transport.write(data)
 
     def _encode(
--- a/src/auburnswitch/keepalive_socket.py
+++ b/src/auburnswitch/keepalive_socket.py
@@ -34,4 +34,13 @@
     return tcp_socket
 
 
-__all__ = ["open_keepalive_socket"]
+def allow_late_reads(tcp_socket: socket.socket) -> None:
+    """Lets the peer leave sent data in its receive buffer without a limit.
+
+    The limit for unacknowledged data also ends connections to a peer that is
+    reachable but reads nothing while its receive buffer is full.
+    """
+    tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
+
+
+__all__ = ["allow_late_reads", "open_keepalive_socket"]
--- a/tests/platform/test_endpoint_client.py
+++ b/tests/platform/test_endpoint_client.py
@@ -20,6 +20,8 @@
 from auburnswitch.schema.installation import EndpointEntry
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Response-Seal: s\r\n"
+READ_DELAY_S = 2.5
+LONG_REQUEST_BYTES = 2**20  # more than a receive buffer
 REFUSED = b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -53,7 +55,19 @@
         self.ended.set()
 
 
-async def call(endpoint: RawEndpoint, *, read_after_end: bool = False):
+class LateReader(RawEndpoint):
+    """Endpoint that leaves the request in its receive buffer for a while."""
+
+    async def serve(self, reader, writer):
+        writer.transport.pause_reading()
+        await asyncio.sleep(READ_DELAY_S)
+        writer.transport.resume_reading()
+        await super().serve(reader, writer)
+
+
+async def call(
+    endpoint: RawEndpoint, *, read_after_end: bool = False, body: bytes = b""
+):
     """Returns the outcome of one call and its body."""
     server = await asyncio.start_server(endpoint.serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
@@ -67,17 +81,17 @@
     async with (
         server,
         PlatformEndpointClient().send(
-            request, endpoint=entry, headers=request.headers, body=b""
+            request, endpoint=entry, headers=request.headers, body=body
         ) as outcome,
     ):
-        body = None
+        response_body = None
         if read_after_end:
             await endpoint.ended.wait()
             await asyncio.sleep(0.02)  # lets the close arrive
         if isinstance(outcome, ResponseHead):
-            body = await outcome.read_all()
+            response_body = await outcome.read_all()
         await endpoint.ended.wait()
-        return outcome, body
+        return outcome, response_body
 
 
 class ResponseTest(unittest.IsolatedAsyncioTestCase):
@@ -130,6 +144,13 @@
         _, read = await call(RawEndpoint(head + body))
         self.assertEqual(read, body)
 
+    # The connection was given up after 1.8 s, and the request counted as one
+    # that crashes its endpoint.
+    async def test_long_request_that_is_read_late_is_answered(self):
+        endpoint = LateReader(HEAD + b"Content-Length: 2\r\n\r\nok")
+        _, body = await call(endpoint, body=b"x" * LONG_REQUEST_BYTES)
+        self.assertEqual(body, b"ok")
+
     async def test_missing_or_invalid_response_is_broken(self):
         for response in (b"", b"HTTP/1.1 200", b"\x00\x01 no answer\r\n\r\n"):
             endpoint = RawEndpoint(response)
