--- a/src/auburnswitch/soak/run.py
+++ b/src/auburnswitch/soak/run.py
@@ -38,10 +38,10 @@
 CONCURRENT_CALLERS: Final = 4
 RECOVERY_WAIT_S: Final = 6.0  # after it every request must succeed
 RECOVERY_REQUESTS: Final = 30
-STOP_CALLERS: Final = (8, 16, 32)  # few of them leave a daemon idle
+STOP_CALLERS: Final = (8, 24, 64)  # few of them leave a daemon idle
 STOP_GRACES_S: Final = (6.0, 8.0)
 STOP_ROUTE_TIMEOUT_MS: Final = 20_000
-STOP_SLOTS: Final = 16
+STOP_SLOTS: Final = 32
 METRICS_INTERVAL_S: Final = 1.0
 MAX_RELEASE_S: Final = 4.0  # then no memory may be reserved
 _MS_PER_S: Final = 1000.0
