Exit with status 0 at a stop signal at any time after the first line

Seen: a SIGTERM during the imports, or a second one in the last milliseconds of a stop, ended the process by the default action, status -15, although a planned stop had done all that it should.

Cause: the same as for SIGHUP: the handlers stood only while the event loop ran. Now the daemon's first line takes SIGTERM as an exit with status 0, as no request has been accepted; later handlers are set without the loop and stay to the end of the process. What handles signals is in a module of its own.

--- a/src/auburnswitch/entry/__main__.py
+++ b/src/auburnswitch/entry/__main__.py
@@ -4,10 +4,9 @@
 
 import gc
 
-from auburnswitch.entry.early_reload import EARLY_RELOAD
+from auburnswitch.entry.early_signals import EARLY_SIGNALS
 
-# A reload signal must not end the process during the slow imports.
-EARLY_RELOAD.listen()
+EARLY_SIGNALS.listen()  # before the slow imports
 gc.disable()  # what the imports create stays in use
 
 from auburnswitch.entry.run import run  # noqa: E402
--- a/src/auburnswitch/entry/run.py
+++ b/src/auburnswitch/entry/run.py
@@ -6,7 +6,6 @@
 import contextlib
 import gc
 import random
-import signal
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING, Final
@@ -14,9 +13,9 @@
 from expression import Result
 
 from auburnswitch.clock import monotonic_s
-from auburnswitch.entry.early_reload import EARLY_RELOAD
 from auburnswitch.entry.entry_daemon import EntryDaemon
 from auburnswitch.entry.monitoring_apps import MetricsApp, ReadinessApp
+from auburnswitch.entry.signals import reload_on_signal, stop_on_signal
 from auburnswitch.http_server import ListenError, open_http_server
 from auburnswitch.observe.logs import log_event
 from auburnswitch.observe.nonblocking_logs import configure_nonblocking_logs
@@ -25,7 +24,7 @@
 from auburnswitch.settings.loader import load_entry_settings
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Iterator
+    from collections.abc import AsyncIterator
 
     from starlette.types import ASGIApp
 
@@ -141,19 +140,16 @@
 
 async def serve(settings: EntrySettings, path: Path) -> int:
     """Runs a daemon until SIGTERM or SIGINT; SIGHUP reloads its settings."""
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop.set)
-    try:
-        async with open_entry_daemon(settings) as daemon:
-            _resume_garbage_collection()
-            with _reload_on_signal(daemon, path):
-                await stop.wait()
-            await drain(daemon)
-    except ListenError as error:
-        print(f"auburnswitch entry: {error}", file=sys.stderr)
-        return EXIT_CANNOT_LISTEN
+    with stop_on_signal() as stop:
+        try:
+            async with open_entry_daemon(settings) as daemon:
+                _resume_garbage_collection()
+                with reload_on_signal(lambda: reload_settings(daemon, path)):
+                    await stop.wait()
+                await drain(daemon)
+        except ListenError as error:
+            print(f"auburnswitch entry: {error}", file=sys.stderr)
+            return EXIT_CANNOT_LISTEN
     log_event(EventId.ENTRY_STOPPED)
     return EXIT_OK
 
@@ -164,27 +160,6 @@
     gc.enable()
 
 
-@contextlib.contextmanager
-def _reload_on_signal(daemon: EntryDaemon, path: Path) -> Iterator[None]:
-    """Reloads settings at each SIGHUP, also an early one; ignores it later.
-
-    The loop's own handler would give way to the default one, which ends the
-    process, when the loop closes.
-    """
-    loop = asyncio.get_running_loop()
-
-    def schedule_reload(*_: object) -> None:
-        loop.call_soon_threadsafe(reload_settings, daemon, path)
-
-    signal.signal(signal.SIGHUP, schedule_reload)
-    if EARLY_RELOAD.requested:
-        schedule_reload()
-    try:
-        yield
-    finally:
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
-
-
 def reload_settings(daemon: EntryDaemon, path: Path) -> None:
     """Applies the bounds from the settings file if the file is valid."""
     match load_entry_settings(path):
