Leave a second for the exit of a stopping daemon

The listeners of readiness and metrics have nothing to complete: they are closed at once, without the library's pauses of 0.1 s each.

--- a/src/auburnswitch/http_server.py
+++ b/src/auburnswitch/http_server.py
@@ -46,6 +46,12 @@
         """Base URL of the server."""
         return f"http://{self.host}:{self.port}"
 
+    def close_at_once(self) -> None:
+        """Closes the listener and aborts every connection."""
+        for listener in self.server.servers:
+            listener.close()
+        self.abort()
+
     def abort(self) -> None:
         """Aborts every connection, so that shutdown does not wait for them."""
         self.server.force_exit = True
@@ -73,7 +79,8 @@
         port: TCP port to listen on; 0 selects a free port.
         max_header_bytes: Maximum size of a request's headers, in bytes.
         close_timeout_s: Time after the end of the context at which connections
-            that are still open are aborted, in seconds; None for no limit.
+            that are still open are aborted, in seconds; None for no limit, 0
+            closes at once.
 
     Yields:
         The listening server.
@@ -111,8 +118,11 @@
         yield http_server
     finally:
         ticker.cancel()
-        with _abort_after(http_server, close_timeout_s):
-            await server.shutdown()
+        if close_timeout_s == 0:
+            http_server.close_at_once()
+        else:
+            with _abort_after(http_server, close_timeout_s):
+                await server.shutdown()
 
 
 @contextlib.contextmanager
--- a/src/auburnswitch/routing/stop_deadline.py
+++ b/src/auburnswitch/routing/stop_deadline.py
@@ -7,7 +7,7 @@
 
 from auburnswitch.clock import monotonic_s
 
-EXIT_MARGIN_S: Final = 0.8  # for closing the listeners after the last answer
+EXIT_MARGIN_S: Final = 1.0  # for the exit after the last answer
 MAX_EXIT_MARGIN_SHARE: Final = 1 / 7  # of the grace time
 DEREGISTRATION_DELAY_S: Final = 2.6  # until no new connections arrive
 MAX_DEREGISTRATION_SHARE: Final = 1 / 3  # of the grace time
