Don't count a request as lost that the process never read

A request that was not passed on counts as lost if its connection ends more than 0.2 s after it was sent, as the rule says, but only if the process had read it. The kernel tells: a connection that is closed with unread bytes is reset, one whose bytes were read ends. The test sends to both (0.3 s until the close).

--- a/src/auburnswitch/soak/stop_checks.py
+++ b/src/auburnswitch/soak/stop_checks.py
@@ -48,7 +48,8 @@
     if took_s >= min(record.deadline_s, route_timeout_s):
         return Ending.OVER_TIME
     if not work:
-        return Ending.LOST if took_s > LOSS_SLACK_S else Ending.ANSWERED
+        was_read_before_close = took_s > LOSS_SLACK_S and not record.reset
+        return Ending.LOST if was_read_before_close else Ending.ANSWERED
     stopped_at = record.run.terminated_at if record.run else None
     if stopped_at is None:
         return Ending.LOST
--- a/src/auburnswitch/soak/workload_generator.py
+++ b/src/auburnswitch/soak/workload_generator.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import itertools
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 import aiohttp
 
-from auburnswitch.http_client import send_at_most_once
+from auburnswitch.http_client import ConnectionLostError, send_at_most_once
 from auburnswitch.soak.fleet import STREAM_EVENTS
 from auburnswitch.standins.caller_headers import is_signed, request_headers
 from auburnswitch.standins.endpoint import WORK_MS_HEADER
@@ -48,6 +49,8 @@
         timeout_s: Time after which the caller gives up, in seconds.
         run: The process that the request was sent to.
         connected: Whether the connection was established.
+        reset: Whether the connection was reset; the kernel resets one that is
+            closed before its process has read everything.
         status: HTTP status of the response, 0 without a response.
         body: Body of the response, empty if it is incomplete.
         signed: Whether the response was signed by an endpoint.
@@ -68,6 +71,7 @@
     timeout_s: float = RESPONSE_TIMEOUT_S
     run: ProcessRun | None = None
     connected: bool = True
+    reset: bool = False
     status: int = 0
     body: bytes = b""
     signed: bool = False
@@ -156,6 +160,9 @@
                 record.complete = True
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             record.connected = False
+        except ConnectionLostError as error:
+            cause = error.__cause__
+            record.reset = getattr(cause, "errno", None) == errno.ECONNRESET
         except (TimeoutError, aiohttp.ClientError, OSError):
             record.body = b""  # incomplete, so not checked
         record.ended_at = asyncio.get_running_loop().time()
--- a/tests/soak/test_stop_checks.py
+++ b/tests/soak/test_stop_checks.py
@@ -4,15 +4,20 @@
 
 import asyncio
 import dataclasses
+import random
 import signal
+import socket
 import sys
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
+
+import aiohttp
 
 from auburnswitch.soak.daemon_process import DaemonProcess, ProcessRun
 from auburnswitch.soak.fault_proxy import FaultProxy
-from auburnswitch.soak.fleet import FleetOptions
+from auburnswitch.soak.fleet import FleetOptions, SoakFleet
 from auburnswitch.soak.run import check_history
 from auburnswitch.soak.stop_checks import (
     Ending,
@@ -25,6 +30,7 @@
 from auburnswitch.soak.workload_generator import (
     NOT_EXECUTED_STATUSES,
     RequestRecord,
+    WorkloadGenerator,
 )
 from auburnswitch.standins.endpoint import EndpointStandIn, ReceivedRequest
 from tests.soak.test_soak import make_fleet
@@ -57,6 +63,31 @@
     )
 
 
+async def send_to_closing_process(*, is_read: bool) -> RequestRecord:
+    """Sends a request on a connection that is closed 0.3 s later."""
+    loop = asyncio.get_running_loop()
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.setblocking(False)
+        daemon = mock.Mock(callers_address=f"127.0.0.1:{port_of(listener)}")
+        daemon.runs = [ProcessRun(daemon="entry-0")]
+        workload = WorkloadGenerator(fleet=SoakFleet(), rng=random.Random(1))
+        record = make_lost_record(loop.time() - STOPPED_AT, 0.0)
+        async with aiohttp.ClientSession() as session:
+            sending = workload.exchange(session, daemon, record)
+            task = asyncio.create_task(sending)
+            connection, _ = await loop.sock_accept(listener)
+            with connection:
+                if is_read:
+                    await loop.sock_recv(connection, 65536)
+                await asyncio.sleep(0.3)
+            await task
+    return record
+
+
+def port_of(listener: socket.socket) -> int:
+    return listener.getsockname()[1]
+
+
 class EndingTest(unittest.TestCase):
     def setUp(self):
         self.fleet = make_fleet(make_options())
@@ -101,6 +132,11 @@
         held = make_lost_record(1.0, 1.3)
         self.assertIs(self.classify(held), Ending.LOST)
 
+    def test_tells_whether_the_process_had_read_the_request(self):
+        for is_read, ending in ((True, Ending.LOST), (False, Ending.ANSWERED)):
+            record = asyncio.run(send_to_closing_process(is_read=is_read))
+            self.assertIs(self.classify(record), ending)
+
     def test_reports_lost_request_with_its_times(self):
         record = make_lost_record(3.5, 12.0)
         problems, endings = check_stops([record], self.fleet)
