Let half of the seeds of stops have streams within the route's aim

The longest pause of the streams is 0.93 s, and the daemon abandons an attempt after a pause of four times the route's aim (250 ms): every hiccup of the stand-ins counted as a silent endpoint. The aim is now 250 or 1000 ms by the seed: one tests the stops alone, the other also what a silent endpoint leads to. The check is the same for both.

--- a/src/auburnswitch/soak/fleet.py
+++ b/src/auburnswitch/soak/fleet.py
@@ -20,6 +20,7 @@
 
 STREAM_EVENTS: Final = 12
 ROUTE_TIMEOUT_MS: Final = 3000
+GAP_AIM_MS: Final = 250
 
 
 @dataclass(slots=True, kw_only=True)
@@ -31,6 +32,7 @@
         stop_grace_s: Time in which a daemon must exit after SIGTERM.
         has_metrics: Whether each daemon has an address for metrics.
         route_timeout_ms: Timeout of each route.
+        gap_aim_ms: Longest pause in a stream that is on time.
         slots: Requests that an endpoint serves concurrently.
         engine: Replaced fields of the engines' speed and memory.
     """
@@ -39,6 +41,7 @@
     stop_grace_s: float = 6.0
     has_metrics: bool = False
     route_timeout_ms: int = ROUTE_TIMEOUT_MS
+    gap_aim_ms: int = GAP_AIM_MS
     slots: int = installation_objects.SLOTS
     engine: dict[str, float] = field(default_factory=dict)
 
@@ -73,6 +76,8 @@
         )
         for route in config["Routes"]:
             route["TimeoutMs"] = self.options.route_timeout_ms
+            if route["Kind"] == "streaming":
+                route["GapAimMs"] = self.options.gap_aim_ms
         engine = {**installation_objects.ENGINE, **self.options.engine}
         config["Services"][0]["Engine"] = engine
         installation_objects.put_config(self.store, config)
--- a/src/auburnswitch/soak/run.py
+++ b/src/auburnswitch/soak/run.py
@@ -41,6 +41,7 @@
 STOP_CALLERS: Final = (8, 24, 64)  # few of them leave a daemon idle
 STOP_GRACES_S: Final = (6.0, 8.0)
 STOP_ROUTE_TIMEOUT_MS: Final = 20_000
+STOP_GAP_AIMS_MS: Final = (250, 1000)  # below and above the longest pause
 STOP_SLOTS: Final = 32
 METRICS_INTERVAL_S: Final = 1.0
 MAX_RELEASE_S: Final = 4.0  # then no memory may be reserved
@@ -87,9 +88,12 @@
 async def run_stop_soak(seed: int, seconds: float, folder: Path) -> list[str]:
     """Runs one soak test of planned stops; see `run_soak`."""
     rng = random.Random(seed)
+    grace_s = rng.choice(STOP_GRACES_S)
+    caller_count = rng.choice(STOP_CALLERS)
     options = FleetOptions(
         daemon_count=4,
-        stop_grace_s=rng.choice(STOP_GRACES_S),
+        stop_grace_s=grace_s,
+        gap_aim_ms=rng.choice(STOP_GAP_AIMS_MS),
         has_metrics=True,
         route_timeout_ms=STOP_ROUTE_TIMEOUT_MS,
         slots=STOP_SLOTS,
@@ -103,7 +107,6 @@
         for daemon in fleet.daemons:
             await daemon.wait_until_ready()
         workload = StopWorkload(fleet=fleet, rng=rng)
-        caller_count = rng.choice(STOP_CALLERS)
         tasks = [
             asyncio.create_task(workload.run()) for _ in range(caller_count)
         ]
@@ -121,7 +124,8 @@
         stop_problems, endings = check_stops(workload.records, fleet)
         problems += stop_problems + find_failed_tasks(folder)
         print(
-            f"seed {seed} stops: {caller_count} callers,"
+            f"seed {seed} stops: {caller_count} callers, aim of"
+            f" {options.gap_aim_ms} ms,"
             f" {summarise_stops(workload.records, fleet, endings)},"
             f" {len(problems)} problems"
         )
