Reload only ready daemons in the soak of stops

SIGHUP soon after a start is not part of this scenario. A daemon that does not become ready is a problem now and no longer ends the run.

--- a/src/auburnswitch/soak/run.py
+++ b/src/auburnswitch/soak/run.py
@@ -111,11 +111,15 @@
             asyncio.create_task(workload.run()) for _ in range(caller_count)
         ]
         tasks.append(asyncio.create_task(_scrape_metrics(fleet)))
-        await StopInjector(fleet=fleet, rng=rng).run(seconds)
+        problems = []
+        try:
+            await StopInjector(fleet=fleet, rng=rng).run(seconds)
+        except* (RuntimeError, TimeoutError) as errors:
+            problems += [f"start: {error!r}" for error in errors.exceptions]
         for task in tasks:
             task.cancel()
         results = await asyncio.gather(*tasks, return_exceptions=True)
-        problems = [
+        problems += [
             repr(error) for error in results if isinstance(error, Exception)
         ]
         await asyncio.sleep(MAX_RELEASE_S)
--- a/src/auburnswitch/soak/stop_injector.py
+++ b/src/auburnswitch/soak/stop_injector.py
@@ -74,7 +74,7 @@
         await daemon.start()
 
     async def _reload(self) -> None:
-        daemon = self.rng.choice(self.fleet.daemons)
+        daemon = self.rng.choice(self._ready_daemons)
         value = self.rng.choice(RELOADED_BOUNDS_S)
         daemon.bounds["lapsed_entry_grace_s"] = value
         daemon.write_settings()
