--- a/schema/gossip.thrift
+++ b/schema/gossip.thrift
@@ -88,7 +88,8 @@
   // Endpoints at which requests of the sender failed, as evidence for its peers.
   15: list<string> failed_endpoints = []
   // Crashes of endpoints, each as the fingerprint of a request in flight at the
-  // crash and the endpoint.
+  // crash and the endpoint; without an endpoint, a request that has succeeded
+  // since.
   16: list<string> crash_strikes = []
   // Changes of endpoints that the sender has just read from the store.
   17: optional EndpointChanges changes
--- a/src/auburnswitch/entry/entry_daemon.py
+++ b/src/auburnswitch/entry/entry_daemon.py
@@ -269,7 +269,7 @@
         message.config_version = self.installation.config_version
         message.endpoints_revision = self.installation.endpoints_revision
         message.closed_zones_revision = self.installation.closed_zones_revision
-        message.crash_strikes = self.crash_registry.recent_local_crashes()
+        message.crash_strikes = self.crash_registry.recent_announcements()
         read_at = self.installation_watcher.read_at
         if read_at is not None:
             message.store_read_age_ms = (monotonic_s() - read_at) * _MS_PER_S
@@ -340,7 +340,7 @@
             for item in message.items:
                 self.fleet_load.add(instance, item)
                 self.endpoint_selector.rates.record_fleet_send(item.endpoint)
-        self.crash_registry.merge_peer_crashes(message.crash_strikes)
+        self.crash_registry.merge_peer_announcements(message.crash_strikes)
         for report in message.reports:
             self.load_observer.apply_report(report)
         for work_id in message.ended:
--- a/src/auburnswitch/routing/crash_registry.py
+++ b/src/auburnswitch/routing/crash_registry.py
@@ -28,17 +28,21 @@
     """Counts the crashes during which each request was running.
 
     A crash is identified by the request's fingerprint and the endpoint, so that
-    reports of the same crash from several daemons count once.
+    reports of the same crash from several daemons count once. A request that
+    crashes endpoints never succeeds, so a success clears it.
     """
 
-    __slots__ = ("_crashes", "_recorded_at")
+    __slots__ = ("_cleared_at", "_crashes", "_recorded_at")
 
     def __init__(self) -> None:
         self._crashes: OrderedDict[str, dict[str, float]] = OrderedDict()
         self._recorded_at: dict[str, float] = {}
+        self._cleared_at: dict[str, float] = {}
 
     def record_crash(self, fingerprint: str, endpoint: str) -> None:
         """Records a crash that this daemon has observed."""
+        # Peers that heard of a clearance later would lose this crash.
+        self._cleared_at.pop(fingerprint, None)
         if self._add(fingerprint, endpoint):
             crash_id = f"{fingerprint}{_SEPARATOR}{endpoint}"
             self._recorded_at[crash_id] = monotonic_s()
@@ -49,24 +53,33 @@
                 crashes=self.count(fingerprint),
             )
 
-    def merge_peer_crashes(self, crash_ids: Iterable[str]) -> None:
-        """Records crashes that a peer has observed."""
-        for crash_id in crash_ids:
-            fingerprint, _, endpoint = crash_id.partition(_SEPARATOR)
+    def record_success(self, fingerprint: str) -> None:
+        """Clears a request that an endpoint has run to its end."""
+        if fingerprint in self._crashes:
+            self._clear(fingerprint)
+            self._cleared_at[fingerprint] = monotonic_s()
+
+    def merge_peer_announcements(self, announcements: Iterable[str]) -> None:
+        """Applies the crashes and clearances that a peer has observed."""
+        for announcement in announcements:
+            fingerprint, separator, endpoint = announcement.partition(
+                _SEPARATOR
+            )
             if endpoint:
                 self._add(fingerprint, endpoint)
+            elif separator:
+                self._clear(fingerprint)
+
+    def recent_announcements(self) -> list[str]:
+        """Returns this daemon's crashes and clearances for its peers.
 
-    def recent_local_crashes(self) -> list[str]:
-        """Returns the local crashes to announce to peers."""
-        now = monotonic_s()
-        expired = [
-            crash_id
-            for crash_id, at in self._recorded_at.items()
-            if at < now - ANNOUNCE_DURATION_S
-        ]
-        for crash_id in expired:
-            del self._recorded_at[crash_id]
-        return list(self._recorded_at)[:MAX_CRASHES_PER_DATAGRAM]
+        A crash is announced as its fingerprint and endpoint, a clearance as a
+        fingerprint without an endpoint.
+        """
+        _discard_before(self._recorded_at, monotonic_s() - ANNOUNCE_DURATION_S)
+        _discard_before(self._cleared_at, monotonic_s() - ANNOUNCE_DURATION_S)
+        clearances = [f"{name}{_SEPARATOR}" for name in self._cleared_at]
+        return [*self._recorded_at, *clearances][:MAX_CRASHES_PER_DATAGRAM]
 
     def count(self, fingerprint: str) -> int:
         """Returns how many endpoints crashed while running a request."""
@@ -82,6 +95,11 @@
         """Returns whether a request must not be sent to any endpoint."""
         return self.count(fingerprint) >= CRASHES_TO_REFUSE
 
+    def _clear(self, fingerprint: str) -> None:
+        for endpoint in self._crashes.pop(fingerprint, {}):
+            crash_id = f"{fingerprint}{_SEPARATOR}{endpoint}"
+            self._recorded_at.pop(crash_id, None)
+
     def _add(self, fingerprint: str, endpoint: str) -> bool:
         crashes = self._crashes.setdefault(fingerprint, {})
         if endpoint in crashes:
@@ -93,6 +111,11 @@
         return True
 
 
+def _discard_before(times: dict[str, float], time_s: float) -> None:
+    for name in [name for name, at in times.items() if at < time_s]:
+        del times[name]
+
+
 def compute_fingerprint(request: CallerRequest, body: bytes) -> str:
     """Returns a hash that identifies a request when it is sent again."""
     digest = hashlib.blake2b(digest_size=12)
--- a/src/auburnswitch/routing/delivery.py
+++ b/src/auburnswitch/routing/delivery.py
@@ -262,6 +262,8 @@
         if isinstance(outcome, AttemptFailed) and outcome.connection_broken:
             self.crash_registry.record_crash(job.fingerprint, endpoint.id)
         if isinstance(outcome, Delivered):
+            if outcome.is_success:
+                self.crash_registry.record_success(job.fingerprint)
             self.durations.record(
                 job.service.name,
                 placement.duration_s,
--- a/src/auburnswitch/routing/outcomes.py
+++ b/src/auburnswitch/routing/outcomes.py
@@ -4,13 +4,16 @@
 
 import enum
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Final, Protocol
 
 if TYPE_CHECKING:
     from auburnswitch.platform.endpoint_client import ResponseHead
     from auburnswitch.platform.requests import Headers
     from auburnswitch.routing.endpoint_selector import Placement
 
+_HTTP_OK: Final = 200
+_HTTP_MULTIPLE_CHOICES: Final = 300
+
 
 class AnswerWriter(Protocol):
     """Writes the answer to the caller.
@@ -41,6 +44,11 @@
 
     status: int
 
+    @property
+    def is_success(self) -> bool:
+        """Whether the status is 2xx."""
+        return _HTTP_OK <= self.status < _HTTP_MULTIPLE_CHOICES
+
 
 class RetryAdvice(enum.Enum):
     """Whether and when a caller should send a failed request again."""
--- a/src/auburnswitch/schema/gossip.py
+++ b/src/auburnswitch/schema/gossip.py
@@ -510,7 +510,7 @@
             options={},
         ),
         "crash_strikes": Description(
-            text="Crashes of endpoints, each as the fingerprint of a request in flight at the crash and the endpoint.",
+            text="Crashes of endpoints, each as the fingerprint of a request in flight at the crash and the endpoint; without an endpoint, a request that has succeeded since.",
             options={},
         ),
         "changes": Description(
