--- a/src/auburnswitch/soak/run.py
+++ b/src/auburnswitch/soak/run.py
@@ -44,6 +44,7 @@
 STOP_GAP_AIMS_MS: Final = (250, 1000)  # below and above the longest pause
 STOP_SLOTS: Final = 32
 METRICS_INTERVAL_S: Final = 1.0
+LAG_INTERVAL_S: Final = 0.05
 MAX_RELEASE_S: Final = 4.0  # then no memory may be reserved
 _MS_PER_S: Final = 1000.0
 
@@ -111,6 +112,8 @@
             asyncio.create_task(workload.run()) for _ in range(caller_count)
         ]
         tasks.append(asyncio.create_task(_scrape_metrics(fleet)))
+        lags_s = [0.0]
+        tasks.append(asyncio.create_task(_measure_lag(lags_s)))
         problems = []
         try:
             await StopInjector(fleet=fleet, rng=rng).run(seconds)
@@ -131,11 +134,21 @@
             f"seed {seed} stops: {caller_count} callers, aim of"
             f" {options.gap_aim_ms} ms,"
             f" {summarise_stops(workload.records, fleet, endings)},"
-            f" {len(problems)} problems"
+            f" {len(problems)} problems, soak itself late by up to"
+            f" {max(lags_s):.2f} s"
         )
     return problems
 
 
+async def _measure_lag(lags_s: list[float]) -> None:
+    """Appends how late this process and its stand-ins are, in seconds."""
+    loop = asyncio.get_running_loop()
+    while True:
+        due_at = loop.time() + LAG_INTERVAL_S
+        await asyncio.sleep(LAG_INTERVAL_S)
+        lags_s.append(loop.time() - due_at)
+
+
 async def _scrape_metrics(fleet: SoakFleet) -> None:
     async with aiohttp.ClientSession() as session:
         while True:
