--- a/src/auburnswitch/soak/run.py
+++ b/src/auburnswitch/soak/run.py
@@ -155,6 +155,7 @@
             await asyncio.sleep(METRICS_INTERVAL_S)
             for daemon in fleet.daemons:
                 url = f"http://{daemon.metrics_address}{METRICS_PATH}"
+                # A daemon that starts or stops may not answer.
                 with contextlib.suppress(TimeoutError, aiohttp.ClientError):
                     async with (
                         asyncio.timeout(METRICS_INTERVAL_S),
