Ignore numbers and dates that are too large

Cause: float() of a JSON integer of some hundred digits raises OverflowError, which is no FieldError, so one such number in an endpoint's entry would end the task that follows the entries. The same holds for a Retry-After date with a huge year or zone offset, read by the product's own store client.

--- a/src/auburnswitch/object_store/retry_after.py
+++ b/src/auburnswitch/object_store/retry_after.py
@@ -25,13 +25,17 @@
 
 
 def _seconds_until(value: str, now: datetime.datetime) -> float:
+    date = parse_date(value)
+    return 0.0 if date is None else (date - now).total_seconds()
+
+
+def parse_date(value: str) -> datetime.datetime | None:
+    """Returns the time that an HTTP date gives; None if it is unusable."""
     try:
         date = email.utils.parsedate_to_datetime(value)
-    except ValueError:
-        return 0.0
-    if date.tzinfo is None:
-        date = date.replace(tzinfo=datetime.UTC)
-    return (date - now).total_seconds()
+    except (ValueError, OverflowError):  # the latter for a huge year or offset
+        return None
+    return date if date.tzinfo else date.replace(tzinfo=datetime.UTC)
 
 
-__all__ = ["parse_retry_after_s"]
+__all__ = ["parse_date", "parse_retry_after_s"]
--- a/src/auburnswitch/platform/fields.py
+++ b/src/auburnswitch/platform/fields.py
@@ -31,7 +31,10 @@
     value = _field(data, name, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise FieldError(f"{name} must be a number")
-    return float(value)
+    try:
+        return float(value)
+    except OverflowError as error:
+        raise FieldError(f"{name} is too large") from error
 
 
 def integer(data: Any, name: str, default: int | None = None) -> int:
--- a/tests/object_store/test_client.py
+++ b/tests/object_store/test_client.py
@@ -40,6 +40,11 @@
             ("-3", 0),
             ("nan", 0),
             ("soon", 0),
+            ("inf", 0),
+            ("1e999", 0),
+            ("Fri, 04 Dec 99999 12:00:30 GMT", 0),
+            ("Fri, 04 Dec 99999999999999999999 12:00:30 GMT", 0),
+            ("Fri, 04 Dec 2026 12:00:30 +99999999999999999999", 0),
         ):
             with self.subTest(value=value):
                 self.assertEqual(parse_retry_after_s(value, now), expected_s)
--- a/tests/platform/test_config_decoder.py
+++ b/tests/platform/test_config_decoder.py
@@ -74,6 +74,11 @@
         self.assertEqual(entry.cold_s, 1.5)
         self.assertTrue(entry.ready)
 
+    def test_huge_numbers_are_rejected(self):
+        """Guards against an OverflowError, which ended the watch."""
+        with self.assertRaises(FieldError):
+            decode_endpoint("i-1", {**ENTRY, "ColdRemainingMs": 10**400})
+
     def test_entries_with_invalid_fields_are_rejected(self):
         for name in ("Service", "Address", "Zone", "Slots", "State"):
             for value in (None, [], {}, True, "resting"):
