Let the soak's endpoints leave and defer requests, and check both rules

Two faults: an endpoint leaves, with its entry written before its answers say so, after them or never, and starts again under its id; an endpoint refuses requests with a Retry-After (seconds, a date, or nonsense). Two rules over what callers and endpoints saw: nothing reaches a process of an endpoint from a daemon that has passed on that it is leaving; at most two requests of a daemon reach it from half a second after its refusal until the end of the time. A start, stop or pause of the daemon excuses both; disturbed connections excuse the second.

--- a/src/auburnswitch/soak/fault_injector.py
+++ b/src/auburnswitch/soak/fault_injector.py
@@ -6,6 +6,7 @@
 import signal
 from typing import TYPE_CHECKING, Final
 
+from auburnswitch.soak import availability_faults
 from auburnswitch.soak.fault_proxy import FaultProxy, ProxyMode
 from auburnswitch.standins import installation_objects
 from auburnswitch.standins.endpoint import Fault
@@ -58,6 +59,8 @@
             self._compact_history,
             self._revoke_key,
             self._close_zone,
+            self._leave_endpoint,
+            self._defer_requests,
         ]
         async with asyncio.TaskGroup() as tasks:
             while loop.time() < ends_at:
@@ -143,6 +146,12 @@
             await self._wait_fault_duration()
         self.fleet.put_endpoint(name)
 
+    async def _leave_endpoint(self) -> None:
+        await availability_faults.leave_endpoint(self.fleet, self.rng)
+
+    async def _defer_requests(self) -> None:
+        await availability_faults.defer_requests(self.fleet, self.rng)
+
     async def _stop_store(self) -> None:
         self.fleet.store.unavailable = True
         await self._wait_fault_duration()
--- a/src/auburnswitch/soak/fault_proxy.py
+++ b/src/auburnswitch/soak/fault_proxy.py
@@ -32,12 +32,14 @@
         target: Host and port that connections are forwarded to.
         port: TCP port that the proxy listens on, 0 before ``open``.
         mode: Fault that is applied now.
+        mode_changed_at: Loop times at which the fault was changed, in seconds.
     """
 
     def __init__(self, *, target: tuple[str, int]) -> None:
         self.target = target
         self.port = 0
         self.mode = ProxyMode.PASS
+        self.mode_changed_at: list[float] = []
         self._writers: set[asyncio.StreamWriter] = set()
 
     @contextlib.asynccontextmanager
@@ -56,6 +58,7 @@
     def set_mode(self, mode: ProxyMode) -> None:
         """Changes the fault, also for open connections."""
         self.mode = mode
+        self.mode_changed_at.append(asyncio.get_running_loop().time())
         if mode is ProxyMode.RESET:
             self._reset_all()
 
--- a/src/auburnswitch/soak/fleet.py
+++ b/src/auburnswitch/soak/fleet.py
@@ -35,6 +35,8 @@
         readiness_address: Address of the readiness check, as host:port.
         peer_port: Port for peers.
         process: The running process, None before the first start.
+        interrupted_at: Loop times at which it was started, killed, paused,
+            continued or stopped, in seconds.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         self.readiness_address = f"127.0.0.1:{free_port()}"
         self.peer_port = free_port()
         self.process: asyncio.subprocess.Process | None = None
+        self.interrupted_at: list[float] = []
 
     async def start(self) -> None:
         """Starts the process and appends its log to a file."""
@@ -59,6 +62,7 @@
             f"[store]\naddress = 127.0.0.1:{self.store_proxy.port}\n"
             "[bounds]\nstop_grace_s = 6\n"
         )
+        self._record_interruption()
         source = Path(__file__).parents[2]
         with (self.folder / f"{self.name}.log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -75,6 +79,11 @@
         """Sends a signal to the process if it is running."""
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
+            if number is not signal.SIGHUP:
+                self._record_interruption()
+
+    def _record_interruption(self) -> None:
+        self.interrupted_at.append(asyncio.get_running_loop().time())
 
     def check_running(self) -> None:
         """Checks that the process has not exited.
--- a/src/auburnswitch/soak/run.py
+++ b/src/auburnswitch/soak/run.py
@@ -14,6 +14,7 @@
 import aiohttp
 
 from auburnswitch.platform.protocol import READINESS_PATH
+from auburnswitch.soak.availability_check import find_availability_problems
 from auburnswitch.soak.fault_injector import FaultInjector
 from auburnswitch.soak.fleet import SoakFleet, open_fleet
 from auburnswitch.soak.workload_generator import (
@@ -142,7 +143,7 @@
         f"{request_id}: ran, but was not sent"
         for request_id in run_counts.keys() - sent_ids
     ]
-    return problems
+    return problems + find_availability_problems(records, fleet)
 
 
 def main(arguments: list[str]) -> int:
--- a/src/auburnswitch/soak/workload_generator.py
+++ b/src/auburnswitch/soak/workload_generator.py
@@ -40,6 +40,9 @@
         status: HTTP status of the response, 0 without a response.
         body: Body of the response, empty if it is incomplete.
         signed: Whether the response was signed by an endpoint.
+        daemon: Name of the daemon that the request was sent to.
+        answered_at: Loop time at which the response began, in seconds.
+        leaving: Whether the response states that its endpoint is leaving.
     """
 
     id: str
@@ -49,6 +52,9 @@
     status: int = 0
     body: bytes = b""
     signed: bool = False
+    daemon: str = ""
+    answered_at: float = 0.0
+    leaving: bool = False
 
 
 class WorkloadGenerator:
@@ -85,6 +91,7 @@
         )
         self.records.append(record)
         daemon = self.rng.choice(self.fleet.daemons)
+        record.daemon = daemon.name
         tokens = ""
         if record.path.startswith("/chat"):
             is_long = self.rng.random() < LONG_PROMPT_SHARE
@@ -103,6 +110,8 @@
                 ) as response,
             ):
                 record.status = response.status
+                record.answered_at = asyncio.get_running_loop().time()
+                record.leaving = "server-leaving" in response.headers
                 record.signed = is_signed(response.headers)
                 record.body = await response.read()
         except (TimeoutError, aiohttp.ClientError, OSError):
--- a/src/auburnswitch/standins/endpoint.py
+++ b/src/auburnswitch/standins/endpoint.py
@@ -11,6 +11,7 @@
 from auburnswitch.standins.received_request import (
     FIRST_BOOT_MS,
     ReceivedRequest,
+    deferral_s,
 )
 
 if TYPE_CHECKING:
@@ -130,7 +131,7 @@
             received_at=asyncio.get_running_loop().time(),
             boot_ms=self.boot_ms,
             leaving=self.leaving,
-            retry_after="" if misdirected else self.retry_after,
+            deferral_s=0.0 if misdirected else deferral_s(self.retry_after),
         )
         self.received_requests.append(received)
         if misdirected:
