--- a/src/auburnswitch/cli/explain.py
+++ b/src/auburnswitch/cli/explain.py
@@ -29,6 +29,8 @@
 CONTEXT_EVENTS: Final = frozenset(
     {
         "endpoint_entry_changed",
+        "endpoint_marked",
+        "endpoint_mark_ended",
         "endpoint_suspected",
         "engine_load_differs",
         "crash_strike",
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -74,6 +74,29 @@
             ],
         )
 
+    def test_shows_marks_of_the_requests_endpoints(self):
+        self.second_log.write_text(
+            "\n".join(
+                [
+                    line("2", "endpoint_marked", endpoint="e1", mark="leaving"),
+                    line("3", "endpoint_mark_ended", endpoint="e1"),
+                    line("3", "endpoint_marked", endpoint="e2"),
+                ]
+            )
+        )
+        out = io.StringIO()
+        with contextlib.redirect_stdout(out):
+            explain("ab", [str(self.first_log), str(self.second_log)])
+        lines = out.getvalue().splitlines()
+        self.assertEqual(
+            lines[1:3],
+            [
+                "2 entry-2 endpoint_marked at e1 mark=leaving",
+                "3 entry-2 endpoint_mark_ended at e1",
+            ],
+        )
+        self.assertEqual(len(lines), 5)
+
     def test_rejects_unknown_request_and_missing_file(self):
         with self.assertRaises(CommandError):
             explain("nothing", [str(self.first_log)])
--- a/tests/entry/test_metrics.py
+++ b/tests/entry/test_metrics.py
@@ -34,6 +34,22 @@
         )
         self.assertIn("auburnswitch_entry_store_calls", text)
 
+    async def test_marks_of_endpoints_are_counted(self):
+        async with open_installation(plain_services=1) as fleet:
+            fleet.endpoints["desk-0"].leaving = True
+            for _ in range(2):
+                await fleet.call("/book/1")
+            app = MetricsApp(daemon=fleet.daemons[0])
+            async with (
+                open_http_server(app, host="127.0.0.1", port=0) as server,
+                fleet.session.get(f"{server.url}/metrics") as response,
+            ):
+                text = await response.text()
+        self.assertIn(
+            'auburnswitch_entry_endpoint_marks_total{mark="leaving"} 1.0', text
+        )
+        self.assertIn("auburnswitch_entry_marked_endpoints 1.0", text)
+
     def test_histogram_is_cumulative(self):
         histogram = Histogram()
         for value in (0.01, 0.05, 0.2, 99.0):
--- a/tests/standins/test_endpoint.py
+++ b/tests/standins/test_endpoint.py
@@ -6,7 +6,7 @@
 import unittest
 
 from auburnswitch.standins.endpoint import EndpointStandIn
-from tests.virtual_time import run_virtual
+from tests.virtual_time import in_virtual_loop, run_virtual
 
 
 async def send_order(endpoint: EndpointStandIn, **values) -> int:
@@ -59,5 +59,76 @@
         run_virtual(run)
 
 
+async def call(endpoint: EndpointStandIn, path: str, **headers: str):
+    """Returns the status and the headers of a response."""
+    messages = []
+    order = b'{"Op": "release", "Id": "k"}' if path == "/v1/order" else b""
+
+    async def receive():
+        return {"type": "http.request", "body": order}
+
+    async def send(message):
+        messages.append(message)
+
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    scope = {
+        "type": "http",
+        "path": path,
+        "raw_path": path.encode(),
+        "headers": [(k.encode(), v.encode()) for k, v in named.items()],
+    }
+    await endpoint(scope, receive, send)
+    return messages[0]["status"], dict(messages[0]["headers"])
+
+
+class AvailabilityTest(unittest.TestCase):
+    @in_virtual_loop
+    async def test_all_responses_of_a_leaving_endpoint_say_so(self):
+        endpoint = EndpointStandIn(endpoint_id="engine")
+        for path, headers, ready_status, leaving_status in (
+            ("/book/1", {}, 200, 200),
+            ("/book/1", {"x_expect_instance": "another"}, 421, 421),
+            ("/chat/1", {"x_token_counts": "9,9"}, 200, 200),
+            ("/v1/report", {}, 200, 200),
+            ("/v1/order", {}, 200, 200),
+            ("/health", {}, 200, 503),
+        ):
+            with self.subTest(path=path, headers=headers):
+                status, received = await call(endpoint, path, **headers)
+                self.assertEqual(status, ready_status)
+                self.assertNotIn(b"server-leaving", received)
+                endpoint.leaving = True
+                status, received = await call(endpoint, path, **headers)
+                self.assertEqual(status, leaving_status)
+                self.assertEqual(received[b"server-leaving"], b"1")
+                endpoint.restart()
+
+    @in_virtual_loop
+    async def test_leaving_endpoint_renews_but_grants_no_reservation(self):
+        endpoint = EndpointStandIn(endpoint_id="engine")
+        held = {"Op": "reserve", "Id": "a", "Tokens": 10, "HoldMs": 900}
+        await send_order(endpoint, **held)
+        endpoint.leaving = True
+        self.assertEqual(await send_order(endpoint, **held), 200)
+        new = {**held, "Id": "b"}
+        self.assertEqual(await send_order(endpoint, **new), 503)
+
+    @in_virtual_loop
+    async def test_refusal_with_a_time_and_restart(self):
+        endpoint = EndpointStandIn(endpoint_id="desk")
+        first_boot_ms = endpoint.boot_ms
+        endpoint.retry_after = "2.5"
+        status, headers = await call(endpoint, "/book/1")
+        self.assertEqual((status, headers[b"retry-after"]), (503, b"2.5"))
+        self.assertIn(b"x-not-executed", headers)
+        endpoint.restart()
+        self.assertEqual((await call(endpoint, "/book/1"))[0], 200)
+        refused, accepted = endpoint.received_requests
+        self.assertEqual((refused.deferral_s, refused.ran), (2.5, False))
+        self.assertEqual((accepted.deferral_s, accepted.ran), (0, True))
+        self.assertEqual(refused.boot_ms, first_boot_ms)
+        self.assertGreater(accepted.boot_ms, first_boot_ms)
+
+
 if __name__ == "__main__":
     unittest.main()
