--- a/src/auburnswitch/soak/workload_generator.py
+++ b/src/auburnswitch/soak/workload_generator.py
@@ -11,7 +11,11 @@
 
 from auburnswitch.http_client import send_at_most_once
 from auburnswitch.soak.fleet import STREAM_EVENTS
-from auburnswitch.standins.caller_headers import is_signed, request_headers
+from auburnswitch.standins.caller_headers import (
+    is_leaving,
+    is_signed,
+    request_headers,
+)
 
 if TYPE_CHECKING:
     import random
@@ -111,7 +115,7 @@
             ):
                 record.status = response.status
                 record.answered_at = asyncio.get_running_loop().time()
-                record.leaving = "server-leaving" in response.headers
+                record.leaving = is_leaving(response.headers)
                 record.signed = is_signed(response.headers)
                 record.body = await response.read()
         except (TimeoutError, aiohttp.ClientError, OSError):
--- a/src/auburnswitch/standins/caller_headers.py
+++ b/src/auburnswitch/standins/caller_headers.py
@@ -38,4 +38,9 @@
     return "x-response-seal" in headers
 
 
-__all__ = ["is_signed", "request_headers"]
+def is_leaving(headers: Mapping[str, str]) -> bool:
+    """Returns whether a response states that its endpoint is leaving."""
+    return "server-leaving" in headers
+
+
+__all__ = ["is_leaving", "is_signed", "request_headers"]
