--- a/src/auburnswitch/callers/entry_app.py
+++ b/src/auburnswitch/callers/entry_app.py
@@ -31,6 +31,7 @@
     from auburnswitch.platform.requests import CallerRequest, Headers
     from auburnswitch.routing.delivery import DeliveryRunner
     from auburnswitch.routing.endpoint_availability import EndpointAvailability
+    from auburnswitch.routing.stop_deadline import StopDeadline
     from auburnswitch.schema.installation import IngressLimits
 
 BAD_REQUEST: Final = 400
@@ -63,11 +64,8 @@
     """An ASGI application that routes requests to the installation's services.
 
     Attributes:
-        stopping_at: Loop time of the stop signal, in seconds; None before it.
-            After it each response requests that the caller closes its
-            connection.
-        refuses_requests: Whether new requests are refused, because they might
-            not complete before the daemon stops.
+        stop: The end of a planned stop. Each response of a stopping daemon
+            requests that the caller closes its connection.
         started_at: Loop time of the daemon's start, in seconds.
         open_requests: Requests whose response is not complete.
     """
@@ -80,14 +78,14 @@
         availability: EndpointAvailability,
         rng: random.Random,
         statistics: EntryStatistics,
+        stop: StopDeadline,
     ) -> None:
+        self.stop = stop
         self.statistics = statistics
         self.installation = installation
         self.delivery_runner = delivery_runner
         self.availability = availability
         self.rng = rng
-        self.stopping_at: float | None = None
-        self.refuses_requests = False
         self.started_at = monotonic_s()
         self.open_requests: set[OpenRequest] = set()
 
@@ -113,7 +111,7 @@
             headers=headers,
         )
         writer = CallerWriter(
-            send=send, should_close=lambda: self.stopping_at is not None
+            send=send, should_close=lambda: self.stop.stopping
         )
         open_request = OpenRequest(
             id=request.id, arrived_at=monotonic_s(), writer=writer
@@ -149,10 +147,6 @@
         await self._deliver(job, receive, writer)
 
     def _require_route_table(self) -> RouteTable:
-        if self.refuses_requests:
-            raise EntryRefusalError(
-                UNAVAILABLE, "stopping", RETRY_AFTER_DRAIN_S
-            )
         table = self.installation.table
         if table is None or not self.installation.complete:
             is_starting = monotonic_s() - self.started_at < EXPECTED_STARTUP_S
@@ -267,16 +261,17 @@
     def _choose_retry_after_s(
         self, job: DeliveryJob, advice: RetryAdvice
     ) -> float | None:
-        known_s = self.availability.retry_after_s(job.service.name)
-        if known_s is not None and advice is not RetryAdvice.NEVER:
-            return known_s
         match advice:
+            case RetryAdvice.AT_ONCE:
+                return RETRY_AFTER_DRAIN_S
             case RetryAdvice.SOON:
-                return self.rng.uniform(*RETRY_AFTER_OVERLOAD_RANGE_S)
+                range_s = RETRY_AFTER_OVERLOAD_RANGE_S
             case RetryAdvice.LATER:
-                return self.rng.uniform(*RETRY_AFTER_UNAVAILABLE_RANGE_S)
+                range_s = RETRY_AFTER_UNAVAILABLE_RANGE_S
             case RetryAdvice.NEVER:
                 return None
+        known_s = self.availability.retry_after_s(job.service.name)
+        return self.rng.uniform(*range_s) if known_s is None else known_s
 
     def _record_outcome(
         self,
@@ -297,7 +292,7 @@
             config=self.installation.config_version,
             took_ms=round(took_s * 1000, 1),
             time_left_ms=round(job.time_left_s() * 1000, 1) if job else 0.0,
-            since_stop_ms=since_stop_ms(arrived_at, self.stopping_at),
+            since_stop_ms=since_stop_ms(arrived_at, self.stop.stopping_at),
             outcome=outcome,
         )
 
--- a/src/auburnswitch/entry/run.py
+++ b/src/auburnswitch/entry/run.py
@@ -13,12 +13,13 @@
 
 from expression import Result
 
+from auburnswitch.clock import monotonic_s
 from auburnswitch.entry.entry_daemon import EntryDaemon
 from auburnswitch.entry.monitoring_apps import MetricsApp, ReadinessApp
 from auburnswitch.http_server import ListenError, open_http_server
 from auburnswitch.observe.logs import log_event
 from auburnswitch.observe.nonblocking_logs import configure_nonblocking_logs
-from auburnswitch.observe.tasks import open_task_set
+from auburnswitch.observe.tasks import TaskSet, open_task_set
 from auburnswitch.schema.events import EventId
 from auburnswitch.settings.loader import load_entry_settings
 
@@ -30,9 +31,10 @@
     from auburnswitch.http_server import HttpServer
     from auburnswitch.schema.entry import EntrySettings
 
-DEREGISTRATION_DELAY_S: Final = 2.6  # until no new connections arrive
-STOP_MARGIN_S: Final = 0.7  # left for the shutdown after draining
 DRAIN_POLL_INTERVAL_S: Final = 0.05
+CUT_OFF_WAIT_S: Final = 0.2
+CUT_OFF_POLL_INTERVAL_S: Final = 0.01
+CALLERS_CLOSE_TIMEOUT_S: Final = 0.2
 EXIT_OK: Final = 0
 EXIT_BAD_SETTINGS: Final = 2
 EXIT_CANNOT_LISTEN: Final = 3
@@ -52,32 +54,38 @@
     Raises:
         ListenError: A listener's address cannot be bound.
     """
-    async with open_task_set() as tasks:
-        daemon = EntryDaemon(
-            settings=settings,
-            tasks=tasks,
-            rng=random.Random(),
+    tasks = TaskSet()
+    daemon = EntryDaemon(
+        settings=settings,
+        tasks=tasks,
+        rng=random.Random(),
+    )
+    listen = settings.listen
+    async with (
+        _open_metrics_server(daemon),
+        daemon.gossip.open(),
+        daemon.state_exchange.open(listen.peer_host, listen.peer_port),
+        _open_listener(
+            "readiness",
+            ReadinessApp(is_ready=lambda: daemon.ready),
+            listen.readiness,
+        ),
+        open_task_set(tasks),  # the tasks end before what they use closes
+        _open_listener(
+            "callers",
+            daemon.app,
+            listen.callers,
+            close_timeout_s=CALLERS_CLOSE_TIMEOUT_S,
+        ),
+    ):
+        daemon.start()
+        log_event(
+            EventId.ENTRY_STARTED,
+            instance=settings.instance.name,
+            zone=settings.instance.zone,
+            callers=listen.callers,
         )
-        listen = settings.listen
-        async with (
-            _open_metrics_server(daemon),
-            daemon.gossip.open(),
-            daemon.state_exchange.open(listen.peer_host, listen.peer_port),
-            _open_listener(
-                "readiness",
-                ReadinessApp(is_ready=lambda: daemon.ready),
-                listen.readiness,
-            ),
-            _open_listener("callers", daemon.app, listen.callers),
-        ):
-            daemon.start()
-            log_event(
-                EventId.ENTRY_STARTED,
-                instance=settings.instance.name,
-                zone=settings.instance.zone,
-                callers=listen.callers,
-            )
-            yield daemon
+        yield daemon
 
 
 @contextlib.asynccontextmanager
@@ -92,40 +100,42 @@
 
 @contextlib.asynccontextmanager
 async def _open_listener(
-    name: str, app: ASGIApp, address: str
+    name: str, app: ASGIApp, address: str, *, close_timeout_s: float = 0.0
 ) -> AsyncIterator[HttpServer]:
     """Serves an application and logs when its listener has closed."""
     host, port = _split_address(address)
-    async with open_http_server(app, host=host, port=port) as server:
+    async with open_http_server(
+        app, host=host, port=port, close_timeout_s=close_timeout_s
+    ) as server:
         yield server
     log_event(EventId.ENTRY_LISTENER_CLOSED, listener=name)
 
 
 async def drain(daemon: EntryDaemon) -> None:
-    """Keeps serving until no request is in flight or the grace period ends.
-
-    New requests are refused in the second half of the grace period.
-    """
-    loop = asyncio.get_running_loop()
-    stopped_at = loop.time()
-    grace_s = daemon.settings.bounds.stop_grace_s - STOP_MARGIN_S
+    """Keeps serving until no request is in flight or the stop must end."""
+    stopping_at = monotonic_s()
     daemon.begin_drain()
     log_event(
         EventId.ENTRY_STOPPING,
         in_flight=daemon.app.in_flight,
-        grace_s=grace_s,
+        grace_s=daemon.settings.bounds.stop_grace_s,
     )
-    await asyncio.sleep(DEREGISTRATION_DELAY_S)
-    while daemon.app.in_flight and loop.time() < stopped_at + grace_s:
-        daemon.app.refuses_requests = loop.time() > stopped_at + grace_s / 2
+    stop = daemon.stop
+    await asyncio.sleep(stop.deregistered_at - stopping_at)
+    while daemon.app.in_flight and monotonic_s() < stop.ends_at:
         await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
     for open_request in daemon.app.open_requests:
-        open_request.log_unfinished(stopped_at, loop.time())
+        open_request.log_unfinished(stopping_at, monotonic_s())
     log_event(
         EventId.ENTRY_DRAINED,
         in_flight=daemon.app.in_flight,
-        after_s=round(loop.time() - stopped_at, 3),
+        after_s=round(monotonic_s() - stopping_at, 3),
     )
+    daemon.end_drain()
+    with contextlib.suppress(TimeoutError):  # the rest ends with the process
+        async with asyncio.timeout(CUT_OFF_WAIT_S):
+            while not daemon.idle:
+                await asyncio.sleep(CUT_OFF_POLL_INTERVAL_S)
 
 
 async def serve(settings: EntrySettings, path: Path) -> int:
--- a/src/auburnswitch/platform/endpoint_client.py
+++ b/src/auburnswitch/platform/endpoint_client.py
@@ -73,13 +73,17 @@
 
     Attributes:
         on_notice: Called with an endpoint's entry and the notice in any of its
-            responses.
+            responses; by default notices are ignored.
     """
 
     __slots__ = ("on_notice",)
 
     def __init__(
-        self, *, on_notice: Callable[[EndpointEntry, EndpointNotice], None]
+        self,
+        *,
+        on_notice: Callable[
+            [EndpointEntry, EndpointNotice], None
+        ] = lambda entry, notice: None,
     ) -> None:
         self.on_notice = on_notice
 
--- a/src/auburnswitch/routing/delivery.py
+++ b/src/auburnswitch/routing/delivery.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Final
 
+from auburnswitch.clock import monotonic_s
 from auburnswitch.observe.logs import log_event
 from auburnswitch.platform.endpoint_responses import ResponseHead
 from auburnswitch.routing.attempt import AttemptRunner
+from auburnswitch.routing.duration_estimator import DurationEstimator
 from auburnswitch.routing.endpoint_health import (
     HARD_FAILURE_WEIGHT,
     SOFT_FAILURE_WEIGHT,
@@ -21,6 +22,8 @@
     RetryAdvice,
 )
 from auburnswitch.routing.placement_wait import wait_for_placement
+from auburnswitch.routing.request_timers import RequestTimers
+from auburnswitch.routing.retry_permission import RetryPermission
 from auburnswitch.schema.events import EventId
 
 if TYPE_CHECKING:
@@ -34,22 +37,38 @@
     )
     from auburnswitch.routing.memory_reservations import MemoryReservations
     from auburnswitch.routing.outcomes import AnswerWriter
+    from auburnswitch.routing.stop_deadline import StopDeadline
     from auburnswitch.routing.windowed_retry_budget import WindowedRetryBudget
 
-MIN_RETRY_TIME_LEFT_S: Final = 0.03
 MIN_SEND_TIME_LEFT_S: Final = 0.02
 
 
 class DeliveryRunner:
-    """Sends requests to endpoints and relays their answers."""
+    """Sends requests to endpoints and relays their answers.
+
+    Attributes:
+        selector: Chooses endpoints.
+        endpoint_client: Sends requests to endpoints.
+        budget: Limits retries.
+        memory: Reserves memory for long prompts.
+        crash_registry: Requests that crash endpoints.
+        statistics: Counts retries and records latencies.
+        stop: Bounds the requests of a stopping daemon.
+        durations: Estimates how long attempts take.
+        timers: Deadlines of the requests in progress.
+    """
 
     __slots__ = (
         "budget",
         "crash_registry",
+        "durations",
         "endpoint_client",
         "memory",
+        "retries",
         "selector",
         "statistics",
+        "stop",
+        "timers",
     )
 
     def __init__(
@@ -61,13 +80,24 @@
         memory: MemoryReservations,
         crash_registry: CrashRegistry,
         statistics: EntryStatistics,
+        stop: StopDeadline,
     ) -> None:
+        self.stop = stop
+        self.durations = DurationEstimator()
+        self.timers = RequestTimers()
         self.statistics = statistics
         self.crash_registry = crash_registry
         self.memory = memory
         self.selector = selector
         self.endpoint_client = endpoint_client
         self.budget = budget
+        self.retries = RetryPermission(
+            selector=selector,
+            budget=budget,
+            crash_registry=crash_registry,
+            stop=stop,
+            may_send=self._ends_before_stop,
+        )
 
     async def deliver(
         self, job: DeliveryJob, writer: AnswerWriter
@@ -80,14 +110,25 @@
                 may_have_run=False,
                 retry=RetryAdvice.NEVER,
             )
+        if not self.stop.may_begin(job.deadline_at):
+            return _stop_failure()
         progress = DeliveryProgress(last_event_id=job.request.last_event_id)
         try:
-            async with asyncio.timeout_at(job.deadline_at):
+            async with self.timers.limit(job.deadline_at):
                 return await self._run_attempts(job, writer, progress)
         except TimeoutError:
+            return self._timeout_failure(progress)
+
+    def _timeout_failure(self, progress: DeliveryProgress) -> DeliveryFailed:
+        if not self.stop.ended:
             return DeliveryFailed(
                 reason="deadline", may_have_run=progress.may_have_run
             )
+        return DeliveryFailed(
+            reason="stopping",
+            may_have_run=progress.may_have_run,
+            retry=RetryAdvice.AT_ONCE,
+        )
 
     async def _run_attempts(
         self, job: DeliveryJob, writer: AnswerWriter, progress: DeliveryProgress
@@ -98,11 +139,16 @@
                 job, last_failure
             ):
                 return await self._final_outcome(last_failure, writer, progress)
-            placement = await wait_for_placement(self.selector, job)
-            if job.time_left_s() < MIN_SEND_TIME_LEFT_S:
-                placement = None  # for example after a pause of this process
+            placement = await self._find_placement(job, last_failure)
+            if placement is not None and not self._ends_before_stop(
+                job, placement
+            ):
+                if not progress.may_have_run:
+                    return _stop_failure()
+                placement = None
             if placement is None:
                 if last_failure is not None:
+                    self._release_retry(job, last_failure)
                     return await self._final_outcome(
                         last_failure, writer, progress
                     )
@@ -122,6 +168,8 @@
                     last_failure = outcome
             self.statistics.retries[last_failure.cause] += 1
             progress.may_have_run |= last_failure.may_have_run
+            if last_failure.head is not None:
+                progress.error_answer = last_failure
             job.attempts += last_failure.sent
             if last_failure.sent or last_failure.failed_to_connect:
                 job.excluded.add(placement.endpoint.entry.id)
@@ -134,6 +182,29 @@
                 attempts=job.attempts,
             )
 
+    async def _find_placement(
+        self, job: DeliveryJob, last_failure: AttemptFailed | None
+    ) -> Placement | None:
+        """Returns the reserved placement of the next attempt, or a new one."""
+        successor = None if last_failure is None else last_failure.successor
+        placement = successor or await wait_for_placement(
+            self.selector, job, self.stop
+        )
+        if job.time_left_s() >= MIN_SEND_TIME_LEFT_S:
+            return placement
+        if successor is not None:  # for example after a pause of this process
+            self.retries.give_back(job, successor)
+        return None
+
+    def _ends_before_stop(self, job: DeliveryJob, placement: Placement) -> bool:
+        """Returns whether an attempt is expected to end before the stop."""
+        if placement.started or not self.stop.stopping:
+            return True
+        duration_s = self.durations.estimate_s(
+            job.service.name, placement.duration_s
+        )
+        return self.stop.may_send(job.deadline_at, duration_s)
+
     def _placement_failure(self, job: DeliveryJob) -> DeliveryFailed:
         if self.selector.is_feasible(job):
             return DeliveryFailed(reason="no room", may_have_run=False)
@@ -144,32 +215,38 @@
         )
 
     def _may_retry(self, job: DeliveryJob, last_failure: AttemptFailed) -> bool:
+        if last_failure.successor is not None:
+            return True  # its retry has been acquired
         if last_failure.may_have_run and not job.retryable:
             return False
-        if self.crash_registry.is_retry_forbidden(job.fingerprint):
-            return False
-        if job.attempts >= job.route.max_attempts:
-            return False
-        if job.time_left_s() < MIN_RETRY_TIME_LEFT_S:
+        if not self.retries.allows_another(job, job.attempts):
             return False
         return not last_failure.sent or self.budget.try_acquire(
             job.service.name
         )
 
+    def _release_retry(
+        self, job: DeliveryJob, last_failure: AttemptFailed
+    ) -> None:
+        """Gives back the retry of an attempt for which there is no endpoint."""
+        if last_failure.sent and last_failure.successor is None:
+            self.budget.release(job.service.name)
+
     async def _final_outcome(
         self,
         last_failure: AttemptFailed,
         writer: AnswerWriter,
         progress: DeliveryProgress,
     ) -> Delivered | DeliveryFailed:
-        if last_failure.head is None or writer.started:
+        answer = progress.error_answer
+        if answer is None or answer.head is None or writer.started:
             return DeliveryFailed(
                 reason=last_failure.reason, may_have_run=progress.may_have_run
             )
-        await writer.start(last_failure.head.status, last_failure.head.headers)
-        await writer.write(last_failure.body)
+        await writer.start(answer.head.status, answer.head.headers)
+        await writer.write(answer.body)
         await writer.finish()
-        return Delivered(status=last_failure.head.status)
+        return Delivered(status=answer.head.status)
 
     async def _attempt(
         self,
@@ -179,6 +256,7 @@
         progress: DeliveryProgress,
     ) -> Delivered | AttemptFailed:
         self.selector.start(job, placement)
+        started_at = monotonic_s()
         endpoint = placement.endpoint.entry
         try:
             async with self.memory.reserve(
@@ -193,6 +271,7 @@
                     )
                 attempt = AttemptRunner(
                     selector=self.selector,
+                    retries=self.retries,
                     statistics=self.statistics,
                     job=job,
                     placement=placement,
@@ -204,6 +283,12 @@
             self.selector.end(placement)
         if isinstance(outcome, AttemptFailed) and outcome.connection_broken:
             self.crash_registry.record_crash(job.fingerprint, endpoint.id)
+        if isinstance(outcome, Delivered):
+            self.durations.record(
+                job.service.name,
+                placement.duration_s,
+                monotonic_s() - started_at,
+            )
         self._record_health(endpoint.id, outcome, job)
         return outcome
 
@@ -215,6 +300,8 @@
     ) -> None:
         health = self.selector.health
         match outcome:
+            case AttemptFailed(successor=successor) if successor is not None:
+                pass  # recorded when the endpoint fell silent
             case AttemptFailed(failed_endpoint=str(other), reason=reason) if (
                 other != endpoint
             ):
@@ -236,4 +323,10 @@
                 health.record_failure(endpoint, reason, HARD_FAILURE_WEIGHT)
 
 
+def _stop_failure() -> DeliveryFailed:
+    return DeliveryFailed(
+        reason="stopping", may_have_run=False, retry=RetryAdvice.AT_ONCE
+    )
+
+
 __all__ = ["DeliveryRunner"]
--- a/src/auburnswitch/routing/outcomes.py
+++ b/src/auburnswitch/routing/outcomes.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from auburnswitch.platform.endpoint_responses import ResponseHead
     from auburnswitch.platform.requests import Headers
+    from auburnswitch.routing.endpoint_selector import Placement
 
 
 class AnswerWriter(Protocol):
@@ -44,6 +45,7 @@
 class RetryAdvice(enum.Enum):
     """Whether and when a caller should send a failed request again."""
 
+    AT_ONCE = "at once"  # another daemon can serve it
     SOON = "soon"  # capacity may become available
     LATER = "later"  # too few endpoints that can run it are in service
     NEVER = "never"  # the request would fail again
@@ -81,6 +83,8 @@
         head: Head of the complete answer to deliver if no other attempt
             follows.
         body: Body of that answer.
+        successor: Started placement of the next attempt, whose retry has been
+            acquired; None if the next attempt is not certain.
     """
 
     reason: str
@@ -91,6 +95,7 @@
     failed_endpoint: str | None = None
     head: ResponseHead | None = None
     body: bytes = b""
+    successor: Placement | None = None
 
     @property
     def cause(self) -> str:
@@ -111,13 +116,16 @@
         last_event_id: Id of the last event the caller has received, None if
             there is none.
         may_have_run: Whether some endpoint may have run the request.
+        error_answer: The last failure with a complete answer, None if there is
+            none; delivered if no attempt succeeds.
     """
 
-    __slots__ = ("last_event_id", "may_have_run")
+    __slots__ = ("error_answer", "last_event_id", "may_have_run")
 
     def __init__(self, *, last_event_id: str | None) -> None:
         self.last_event_id = last_event_id
         self.may_have_run = False
+        self.error_answer: AttemptFailed | None = None
 
 
 __all__ = [
--- a/tests/platform/test_endpoint_client.py
+++ b/tests/platform/test_endpoint_client.py
@@ -67,7 +67,7 @@
     )
     async with (
         server,
-        PlatformEndpointClient(on_notice=lambda entry, notice: None).send(
+        PlatformEndpointClient().send(
             request,
             endpoint=entry,
             headers=request.headers,
@@ -168,7 +168,7 @@
         request = decode_request(
             method="GET", raw_path=b"/", query=b"", headers=[]
         )
-        client = PlatformEndpointClient(on_notice=lambda entry, notice: None)
+        client = PlatformEndpointClient()
         async with (
             server,
             client.send(
@@ -189,7 +189,7 @@
         request = decode_request(
             method="GET", raw_path=b"/", query=b"", headers=[]
         )
-        client = PlatformEndpointClient(on_notice=lambda entry, notice: None)
+        client = PlatformEndpointClient()
         async with client.send(
             request,
             endpoint=entry,
--- a/tests/routing/test_placement_wait.py
+++ b/tests/routing/test_placement_wait.py
@@ -17,6 +17,7 @@
 from auburnswitch.routing.endpoint_selector import EndpointSelector
 from auburnswitch.routing.fleet_load import FleetLoad
 from auburnswitch.routing.placement_wait import wait_for_placement
+from auburnswitch.routing.stop_deadline import StopDeadline
 from auburnswitch.schema.gossip import EngineReport
 from auburnswitch.schema.installation import EndpointEntry, Route, Service
 from tests.routing.test_endpoint_availability import LEAVING, defer
@@ -136,7 +137,7 @@
             job.excluded.update(excluded)
             job.deadline_at = monotonic_s() + time_left_s
             started_at = monotonic_s()
-            placement = await wait_for_placement(selector, job)
+            placement = await wait_for_placement(selector, job, StopDeadline())
             return placement, monotonic_s() - started_at
 
         return run_virtual(run)
@@ -197,7 +198,9 @@
                 )
             await asyncio.sleep(0.001)
             started_at = monotonic_s()
-            placement = await wait_for_placement(selector, make_job(1_000))
+            placement = await wait_for_placement(
+                selector, make_job(1_000), StopDeadline()
+            )
             return placement, monotonic_s() - started_at
 
         return run_virtual(run)
