--- a/src/auburnswitch/callers/entry_app.py
+++ b/src/auburnswitch/callers/entry_app.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from starlette.types import Receive, Scope, Send
 
@@ -64,6 +65,7 @@
     """An ASGI application that routes requests to the installation's services.
 
     Attributes:
+        has_live_peers: Returns whether another daemon accepts requests.
         stop: The end of a planned stop. Each response of a stopping daemon
             requests that the caller closes its connection.
         started_at: Loop time of the daemon's start, in seconds.
@@ -79,7 +81,9 @@
         rng: random.Random,
         statistics: EntryStatistics,
         stop: StopDeadline,
+        has_live_peers: Callable[[], bool],
     ) -> None:
+        self.has_live_peers = has_live_peers
         self.stop = stop
         self.statistics = statistics
         self.installation = installation
@@ -262,14 +266,16 @@
         self, job: DeliveryJob, advice: RetryAdvice
     ) -> float | None:
         match advice:
-            case RetryAdvice.AT_ONCE:
+            case RetryAdvice.NEVER:
+                return None
+            case RetryAdvice.AT_ONCE if self.has_live_peers():
                 return RETRY_AFTER_DRAIN_S
+            case RetryAdvice.AT_ONCE:
+                return self.rng.uniform(*RETRY_AFTER_UNAVAILABLE_RANGE_S)
             case RetryAdvice.SOON:
                 range_s = RETRY_AFTER_OVERLOAD_RANGE_S
             case RetryAdvice.LATER:
                 range_s = RETRY_AFTER_UNAVAILABLE_RANGE_S
-            case RetryAdvice.NEVER:
-                return None
         known_s = self.availability.retry_after_s(job.service.name)
         return self.rng.uniform(*range_s) if known_s is None else known_s
 
--- a/src/auburnswitch/soak/fault_injector.py
+++ b/src/auburnswitch/soak/fault_injector.py
@@ -15,7 +15,8 @@
     import random
     from collections.abc import Awaitable, Callable
 
-    from auburnswitch.soak.fleet import DaemonProcess, SoakFleet
+    from auburnswitch.soak.daemon_process import DaemonProcess
+    from auburnswitch.soak.fleet import SoakFleet
 
 FAULT_INTERVAL_RANGE_S: Final = (0.2, 1.0)
 FAULT_DURATION_RANGE_S: Final = (0.3, 2.5)
@@ -114,6 +115,7 @@
 
     async def _reload(self) -> None:
         if daemon := self._select_daemon():
+            await daemon.wait_for_reload_handler()
             daemon.send_signal(signal.SIGHUP)
             self._faulted_daemons.discard(daemon.name)
 
--- a/src/auburnswitch/standins/endpoint.py
+++ b/src/auburnswitch/standins/endpoint.py
@@ -8,6 +8,12 @@
 from collections import deque
 from typing import TYPE_CHECKING, Final
 
+from auburnswitch.standins.asgi_messages import (
+    read_body,
+    send_chunk,
+    send_response,
+    wait_for_disconnect,
+)
 from auburnswitch.standins.received_request import (
     FIRST_BOOT_MS,
     ReceivedRequest,
@@ -19,6 +25,7 @@
 
 SIGNATURE: Final = b"stand-in"
 LEAVING_HEADER: Final = (b"server-leaving", b"1")
+WORK_MS_HEADER: Final = "x-work-ms"  # sets the time of one request's work
 _MS_PER_S: Final = 1000.0
 
 
@@ -114,7 +121,7 @@
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         headers = {k.decode(): v.decode() for k, v in scope["headers"]}
-        body = await _read_body(receive)
+        body = await read_body(receive)
         if scope["path"] == "/v1/order":
             await self._apply_order(json.loads(body), send)
             return
@@ -123,7 +130,7 @@
             return
         if scope["path"] == "/health":
             status = 503 if self.leaving else 200
-            await _send_response(send, status, [self._id_header()])
+            await send_response(send, status, [self._id_header()])
             return
         fault = self.faults.popleft() if self.faults else Fault.NONE
         expected = headers.get("x-expect-instance", self.id)
@@ -141,7 +148,7 @@
         )
         self.received_requests.append(received)
         if misdirected:
-            await _send_response(send, 421, [self._id_header()])
+            await send_response(send, 421, [self._id_header()])
             return
         if self.retry_after:
             await self._refuse_until_later(send)
@@ -151,15 +158,14 @@
             await self._respond(headers, fault, receive, send)
         finally:
             self.running -= 1
+            received.ended_at = asyncio.get_running_loop().time()
 
     def _id_header(self) -> tuple[bytes, bytes]:
         return (b"x-instance-id", self.id.encode())
 
     async def _refuse_until_later(self, send: Send) -> None:
         retry_after = (b"retry-after", self.retry_after.encode())
-        await _send_response(
-            send, 503, [(b"x-not-executed", b"1"), retry_after]
-        )
+        await send_response(send, 503, [(b"x-not-executed", b"1"), retry_after])
 
     async def _respond(
         self,
@@ -176,9 +182,9 @@
         ]
         match fault:
             case Fault.NOT_EXECUTED:
-                await _send_response(send, 503, [(b"x-not-executed", b"1")])
+                await send_response(send, 503, [(b"x-not-executed", b"1")])
             case Fault.SERVER_ERROR:
-                await _send_response(send, 500, signed_headers, b"failed")
+                await send_response(send, 500, signed_headers, b"failed")
             case Fault.DISCONNECT:
                 raise AbortConnectionError
             case Fault.NO_RESPONSE:
@@ -189,19 +195,24 @@
                     (b"x-attempt-id", b"0000"),
                     signed_headers[1],
                 ]
-                await _send_response(
+                await send_response(
                     send, 200, mismatched_headers, b"for another request"
                 )
             case Fault.UNSIGNED:
-                await _send_response(send, 200, signed_headers[:1], b"unsigned")
+                await send_response(send, 200, signed_headers[:1], b"unsigned")
             case _ if "x-token-counts" in headers:
                 first = int(headers.get("last-event-id", "0")) + 1
+                interval_s = self.event_interval_s
+                if WORK_MS_HEADER in headers:
+                    interval_s = _work_s(headers) / self.event_count
                 await self._send_stream(
-                    first, fault, signed_headers, receive, send
+                    first, fault, signed_headers, receive, send, interval_s
                 )
             case _:
+                if await wait_for_disconnect(receive, _work_s(headers)):
+                    return
                 body = self.plain_body or b"answer of " + request_id
-                await _send_response(send, 200, signed_headers, body)
+                await send_response(send, 200, signed_headers, body)
 
     async def _send_stream(
         self,
@@ -210,6 +221,7 @@
         headers: list[tuple[bytes, bytes]],
         receive: Receive,
         send: Send,
+        interval_s: float,
     ) -> None:
         content_type = (b"content-type", b"text/event-stream")
         start = {"type": "http.response.start", "status": 200}
@@ -222,12 +234,12 @@
                 return
             event = f"id: {number}\ndata: {self.id} {number}\n\n".encode()
             if fault is Fault.DISCONNECT_MID_EVENT and number == first + 1:
-                await _send_chunk(send, event[: len(event) // 2])
+                await send_chunk(send, event[: len(event) // 2])
                 await self.disconnect_allowed.wait()
                 disconnected.cancel()
                 raise AbortConnectionError
-            await _send_chunk(send, event)
-            await asyncio.sleep(self.event_interval_s)
+            await send_chunk(send, event)
+            await asyncio.wait((disconnected,), timeout=interval_s)
         disconnected.cancel()
         await send({"type": "http.response.body", "body": b""})
 
@@ -247,7 +259,7 @@
             "pace": self.slowdown,
             "born": self.boot_ms,
         }
-        await _send_response(send, 200, [], json.dumps(report).encode())
+        await send_response(send, 200, [], json.dumps(report).encode())
 
     async def _apply_order(self, order: dict[str, object], send: Send) -> None:
         self.received_orders.append(order)
@@ -255,10 +267,10 @@
         self.expire_reservations()
         if order["Op"] == "release":
             self.reservations.pop(key, None)
-            await _send_response(send, 200, [])
+            await send_response(send, 200, [])
             return
         if self.leaving and key not in self.reservations:
-            await _send_response(send, 503, [])
+            await send_response(send, 503, [])
             return
         tokens = int(str(order["Tokens"]))
         other_tokens = sum(v for k, v in self.reservations.items() if k != key)
@@ -268,32 +280,11 @@
             hold_s = int(str(order["HoldMs"])) / _MS_PER_S
             now = asyncio.get_running_loop().time()
             self._expires_at[key] = now + hold_s
-        await _send_response(send, 200 if granted else 409, [])
-
-
-async def _read_body(receive: Receive) -> bytes:
-    body = b""
-    while True:
-        message = await receive()
-        body += message.get("body", b"")
-        if not message.get("more_body", False):
-            return body
-
-
-async def _send_chunk(send: Send, data: bytes) -> None:
-    await send({"type": "http.response.body", "body": data, "more_body": True})
+        await send_response(send, 200 if granted else 409, [])
 
 
-async def _send_response(
-    send: Send,
-    status: int,
-    headers: list[tuple[bytes, bytes]],
-    body: bytes = b"",
-) -> None:
-    length = (b"content-length", str(len(body)).encode())
-    start = {"type": "http.response.start", "status": status}
-    await send({**start, "headers": [*headers, length]})
-    await send({"type": "http.response.body", "body": body})
+def _work_s(headers: dict[str, str]) -> float:
+    return float(headers.get(WORK_MS_HEADER, "0")) / _MS_PER_S
 
 
-__all__ = ["EndpointStandIn", "Fault", "ReceivedRequest"]
+__all__ = ["WORK_MS_HEADER", "EndpointStandIn", "Fault", "ReceivedRequest"]
--- a/src/auburnswitch/standins/received_request.py
+++ b/src/auburnswitch/standins/received_request.py
@@ -24,6 +24,8 @@
         received_at: Loop time of its arrival, in seconds.
         boot_ms: Start of the endpoint's process that received it.
         leaving: Whether the endpoint was leaving.
+        ended_at: Loop time at which the endpoint stopped working on it, in
+            seconds; infinite while it works.
         deferral_s: Time for which the refusal asks for no requests, in
             seconds; 0 if it does not.
     """
@@ -36,6 +38,7 @@
     boot_ms: int = FIRST_BOOT_MS
     leaving: bool = False
     deferral_s: float = 0.0
+    ended_at: float = math.inf
 
     @property
     def request_id(self) -> str:
--- a/tests/soak/test_availability_check.py
+++ b/tests/soak/test_availability_check.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import tempfile
 import unittest
-from pathlib import Path
 
 from auburnswitch.soak.availability_check import find_availability_problems
+from auburnswitch.soak.daemon_process import ProcessRun
 from auburnswitch.soak.fault_proxy import FaultProxy
-from auburnswitch.soak.fleet import DaemonProcess, SoakFleet
+from auburnswitch.soak.fleet import SoakFleet
 from auburnswitch.soak.workload_generator import RequestRecord
 from auburnswitch.standins.endpoint import EndpointStandIn
 from auburnswitch.standins.received_request import (
@@ -18,13 +17,13 @@
     deferral_s,
 )
 
-DAEMON, OTHER_DAEMON = "entry-0", "entry-1"
-
 
 class AvailabilityCheckTest(unittest.TestCase):
     def setUp(self):
         asyncio.run(self.make_fleet())
         self.records: list[RequestRecord] = []
+        self.run_of_daemon = ProcessRun(daemon="entry-0")
+        self.run_of_another = ProcessRun(daemon="entry-1")
 
     async def make_fleet(self):
         self.fleet = SoakFleet()
@@ -32,18 +31,12 @@
         self.fleet.endpoints["desk-1"] = self.endpoint
         self.proxy = FaultProxy(target=("127.0.0.1", 1))
         self.fleet.endpoint_proxies["desk-1"] = self.proxy
-        with tempfile.TemporaryDirectory() as folder:
-            for name in (DAEMON, OTHER_DAEMON):
-                daemon = DaemonProcess(
-                    name=name, folder=Path(folder), store_proxy=self.proxy
-                )
-                self.fleet.daemons.append(daemon)
 
     def add_request(
         self,
         time_s: float,
         *,
-        daemon: str = DAEMON,
+        run: ProcessRun | None = None,
         leaving: bool = False,
         boot_ms: int = FIRST_BOOT_MS,
         deferral_s: float = 0.0,
@@ -54,7 +47,7 @@
             path="/read/1",
             key="key-1",
             sent_at=time_s,
-            daemon=daemon,
+            run=run or self.run_of_daemon,
             answered_at=time_s,
             leaving=leaving,
         )
@@ -86,7 +79,7 @@
 
     def test_other_daemons_and_processes_are_not_bound(self):
         self.add_request(10.0, leaving=True)
-        self.add_request(11.0, daemon=OTHER_DAEMON)
+        self.add_request(11.0, run=self.run_of_another)
         self.add_request(12.0, boot_ms=FIRST_BOOT_MS + 1)
         self.assertEqual(self.count_problems(), 0)
 
@@ -95,9 +88,9 @@
         self.add_request(11.0)
         self.assertEqual(self.count_problems(), 0)
 
-    def test_interruption_excuses_only_later_requests(self):
+    def test_pause_excuses_only_later_requests(self):
         self.add_request(10.0, leaving=True)
-        self.fleet.daemons[0].interrupted_at.append(11.0)
+        self.run_of_daemon.paused_at.append(11.0)
         self.add_request(12.0)
         self.assertEqual(self.count_problems(), 0)
         self.add_request(10.5)
@@ -118,11 +111,11 @@
     def test_other_daemons_and_processes_are_not_bound(self):
         self.add_request(10.0, deferral_s=2.0)
         for number in range(9):
-            self.add_request(11.0, daemon=OTHER_DAEMON)
+            self.add_request(11.0, run=self.run_of_another)
             self.add_request(11.0, boot_ms=FIRST_BOOT_MS + 1 + number)
         self.assertEqual(self.count_problems(), 0)
 
-    def test_interruption_and_disturbed_connections_excuse(self):
+    def test_pause_and_disturbed_connections_excuse(self):
         self.add_request(10.0, deferral_s=2.0)
         for _ in range(3):
             self.add_request(11.0)
@@ -130,7 +123,7 @@
         self.proxy.mode_changed_at.append(9.0)
         self.assertEqual(self.count_problems(), 0)
         self.proxy.mode_changed_at.clear()
-        self.fleet.daemons[0].interrupted_at.append(10.5)
+        self.run_of_daemon.paused_at.append(10.5)
         self.assertEqual(self.count_problems(), 0)
 
     def test_meaning_of_the_header(self):
