--- a/src/auburnswitch/platform/endpoint_client.py
+++ b/src/auburnswitch/platform/endpoint_client.py
@@ -95,7 +95,7 @@
         endpoint: EndpointEntry,
         headers: Headers,
         body: bytes,
-        may_send: Callable[[], bool],
+        may_send: Callable[[], bool] = lambda: True,
     ) -> AsyncIterator[
         ResponseHead | RequestNotSent | RequestNotExecuted | BrokenResponse
     ]:
--- a/tests/platform/test_endpoint_client.py
+++ b/tests/platform/test_endpoint_client.py
@@ -68,11 +68,7 @@
     async with (
         server,
         PlatformEndpointClient().send(
-            request,
-            endpoint=entry,
-            headers=request.headers,
-            body=b"",
-            may_send=lambda: True,
+            request, endpoint=entry, headers=request.headers, body=b""
         ) as outcome,
     ):
         body = None
@@ -189,13 +185,8 @@
         request = decode_request(
             method="GET", raw_path=b"/", query=b"", headers=[]
         )
-        client = PlatformEndpointClient()
-        async with client.send(
-            request,
-            endpoint=entry,
-            headers=[],
-            body=b"",
-            may_send=lambda: True,
+        async with PlatformEndpointClient().send(
+            request, endpoint=entry, headers=[], body=b""
         ) as outcome:
             self.assertIsInstance(outcome, RequestNotSent)
 
