--- a/tests/routing/test_endpoint_availability.py
+++ b/tests/routing/test_endpoint_availability.py
@@ -237,6 +237,28 @@
         self.assertIsNone(fleet.availability.retry_after_s("desk"))
 
 
+class LookupOnly(dict):
+    """A dictionary that must not be scanned."""
+
+    def __iter__(self):
+        raise AssertionError("the marks were scanned")
+
+    items = keys = values = __iter__
+
+
+class CostTest(unittest.TestCase):
+    @in_virtual_loop
+    async def test_requests_look_marks_up_without_a_scan(self):
+        fleet = Fleet(a=FIRST_BOOT, b=FIRST_BOOT)
+        fleet.availability.marks = LookupOnly()
+        fleet.note("a", LEAVING)
+        self.assertFalse(fleet.is_usable("a"))
+        self.assertTrue(fleet.is_usable("b"))
+        self.assertIsNone(fleet.availability.retry_after_s("desk"))
+        with self.assertRaises(AssertionError):
+            fleet.availability.sweep()  # not made for a request
+
+
 class LogTest(unittest.TestCase):
     @in_virtual_loop
     async def test_marks_are_logged_once_with_their_age(self):
