--- a/src/auburnswitch/callers/entry_app.py
+++ b/src/auburnswitch/callers/entry_app.py
@@ -31,6 +31,7 @@
     from auburnswitch.observe.statistics import EntryStatistics
     from auburnswitch.platform.requests import CallerRequest, Headers
     from auburnswitch.routing.delivery import DeliveryRunner
+    from auburnswitch.routing.endpoint_availability import EndpointAvailability
     from auburnswitch.routing.stop_deadline import StopDeadline
     from auburnswitch.schema.installation import IngressLimits
 
@@ -76,6 +77,7 @@
         *,
         installation: Installation,
         delivery_runner: DeliveryRunner,
+        availability: EndpointAvailability,
         rng: random.Random,
         statistics: EntryStatistics,
         stop: StopDeadline,
@@ -86,6 +88,7 @@
         self.statistics = statistics
         self.installation = installation
         self.delivery_runner = delivery_runner
+        self.availability = availability
         self.rng = rng
         self.started_at = monotonic_s()
         self.open_requests: set[OpenRequest] = set()
@@ -253,22 +256,28 @@
             return EntryRefusalError(
                 UNAVAILABLE,
                 failed.reason,
-                self._choose_retry_after_s(failed.retry),
+                self._choose_retry_after_s(job, failed.retry),
             )
         if job.time_left_s() <= 0:
             return EntryRefusalError(GATEWAY_TIMEOUT, failed.reason)
         return EntryRefusalError(BAD_GATEWAY, failed.reason)
 
-    def _choose_retry_after_s(self, advice: RetryAdvice) -> float | None:
+    def _choose_retry_after_s(
+        self, job: DeliveryJob, advice: RetryAdvice
+    ) -> float | None:
         match advice:
+            case RetryAdvice.NEVER:
+                return None
             case RetryAdvice.AT_ONCE if self.has_live_peers():
                 return RETRY_AFTER_DRAIN_S
-            case RetryAdvice.SOON:
-                return self.rng.uniform(*RETRY_AFTER_OVERLOAD_RANGE_S)
-            case RetryAdvice.LATER | RetryAdvice.AT_ONCE:
+            case RetryAdvice.AT_ONCE:
                 return self.rng.uniform(*RETRY_AFTER_UNAVAILABLE_RANGE_S)
-            case RetryAdvice.NEVER:
-                return None
+            case RetryAdvice.SOON:
+                range_s = RETRY_AFTER_OVERLOAD_RANGE_S
+            case RetryAdvice.LATER:
+                range_s = RETRY_AFTER_UNAVAILABLE_RANGE_S
+        known_s = self.availability.retry_after_s(job.service.name)
+        return self.rng.uniform(*range_s) if known_s is None else known_s
 
     def _record_outcome(
         self,
--- a/src/auburnswitch/routing/attempt.py
+++ b/src/auburnswitch/routing/attempt.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from auburnswitch.clock import monotonic_s
-from auburnswitch.platform.endpoint_client import (
+from auburnswitch.platform.endpoint_responses import (
     BrokenResponse,
     RequestNotExecuted,
     RequestNotSent,
@@ -101,16 +101,19 @@
                 endpoint=placement.endpoint.entry,
                 headers=headers,
                 body=job.body,
+                may_send=self._may_send,
             ) as answer,
         ):
             match answer:
-                case RequestNotSent(reason=reason):
+                case RequestNotSent(
+                    reason=reason, connect_failed=connect_failed
+                ):
                     progress.may_have_run = may_have_run_before
                     return AttemptFailed(
                         reason=reason,
                         may_have_run=False,
                         sent=False,
-                        failed_to_connect=True,
+                        failed_to_connect=connect_failed,
                     )
                 case RequestNotExecuted(status=status, failed_address=address):
                     progress.may_have_run = may_have_run_before
@@ -134,6 +137,11 @@
             successor=watch.successor,
         )
 
+    def _may_send(self) -> bool:
+        """Returns whether all endpoints of the placement are usable now."""
+        is_usable = self.selector.availability.is_usable
+        return all(map(is_usable, self.placement.engines()))
+
     async def _relay_stream(
         self,
         answer: ResponseHead,
--- a/src/auburnswitch/routing/endpoint_outcomes.py
+++ b/src/auburnswitch/routing/endpoint_outcomes.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from auburnswitch.platform.endpoint_client import ResponseHead
+from auburnswitch.platform.endpoint_responses import ResponseHead
 from auburnswitch.routing.endpoint_health import (
     HARD_FAILURE_WEIGHT,
     SOFT_FAILURE_WEIGHT,
--- a/src/auburnswitch/soak/daemon_process.py
+++ b/src/auburnswitch/soak/daemon_process.py
@@ -7,7 +7,7 @@
 import os
 import signal
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import TYPE_CHECKING, Final
 
@@ -35,6 +35,7 @@
         exited_at: Loop time of the exit after it, None before it.
         status: Exit status.
         killed: Whether it was killed at the end of the grace time.
+        paused_at: Loop times at which it was paused or continued, in seconds.
     """
 
     daemon: str
@@ -42,6 +43,7 @@
     exited_at: float | None = None
     status: int | None = None
     killed: bool = False
+    paused_at: list[float] = field(default_factory=list)
 
 
 class DaemonProcess:
@@ -125,6 +127,10 @@
         """Sends a signal to the process if it is running."""
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
+            if number in (signal.SIGSTOP, signal.SIGCONT):
+                self.runs[-1].paused_at.append(
+                    asyncio.get_running_loop().time()
+                )
 
     async def wait_for_reload_handler(self) -> None:
         """Waits until a reload signal no longer ends the process.
--- a/src/auburnswitch/soak/fleet.py
+++ b/src/auburnswitch/soak/fleet.py
@@ -86,6 +86,7 @@
         """Writes an endpoint's entry."""
         address = f"127.0.0.1:{self.endpoint_proxies[name].port}"
         service = name.split("-")[0]
+        boot_ms = self.endpoints[name].boot_ms
         installation_objects.put_endpoint(
             self.store,
             name,
@@ -93,6 +94,7 @@
             address,
             State=state,
             Slots=self.options.slots,
+            born=boot_ms,
         )
 
 
--- a/src/auburnswitch/soak/run.py
+++ b/src/auburnswitch/soak/run.py
@@ -15,6 +15,7 @@
 import aiohttp
 
 from auburnswitch.entry.monitoring_apps import METRICS_PATH
+from auburnswitch.soak.availability_check import find_availability_problems
 from auburnswitch.soak.fault_injector import FaultInjector
 from auburnswitch.soak.fleet import FleetOptions, SoakFleet, open_fleet
 from auburnswitch.soak.stop_checks import (
@@ -219,7 +220,7 @@
         f"{request_id}: ran, but was not sent"
         for request_id in run_counts.keys() - sent_ids
     ]
-    return problems
+    return problems + find_availability_problems(records, fleet)
 
 
 SCENARIOS: Final = {"faults": run_soak, "stops": run_stop_soak}
--- a/src/auburnswitch/soak/workload_generator.py
+++ b/src/auburnswitch/soak/workload_generator.py
@@ -12,7 +12,11 @@
 
 from auburnswitch.http_client import ConnectionLostError, send_at_most_once
 from auburnswitch.soak.fleet import STREAM_EVENTS
-from auburnswitch.standins.caller_headers import is_signed, request_headers
+from auburnswitch.standins.caller_headers import (
+    is_leaving,
+    is_signed,
+    request_headers,
+)
 from auburnswitch.standins.endpoint import WORK_MS_HEADER
 
 if TYPE_CHECKING:
@@ -54,6 +58,8 @@
         status: HTTP status of the response, 0 without a response.
         body: Body of the response, empty if it is incomplete.
         signed: Whether the response was signed by an endpoint.
+        answered_at: Loop time at which the response began, in seconds.
+        leaving: Whether the response states that its endpoint is leaving.
         retry_after_s: Value of Retry-After, None without.
         closes: Whether the response asks for the connection's close.
         complete: Whether the whole response has arrived.
@@ -75,6 +81,8 @@
     status: int = 0
     body: bytes = b""
     signed: bool = False
+    answered_at: float = 0.0
+    leaving: bool = False
     retry_after_s: float | None = None
     closes: bool = False
     complete: bool = False
@@ -150,6 +158,8 @@
                 ) as response,
             ):
                 record.status = response.status
+                record.answered_at = asyncio.get_running_loop().time()
+                record.leaving = is_leaving(response.headers)
                 record.signed = is_signed(response.headers)
                 record.closes = response.headers.get("Connection") == "close"
                 if "Retry-After" in response.headers:
--- a/src/auburnswitch/standins/endpoint.py
+++ b/src/auburnswitch/standins/endpoint.py
@@ -5,15 +5,26 @@
 import asyncio
 import enum
 import json
-import math
 from collections import deque
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from auburnswitch.standins.asgi_messages import (
+    read_body,
+    send_chunk,
+    send_response,
+    wait_for_disconnect,
+)
+from auburnswitch.standins.received_request import (
+    FIRST_BOOT_MS,
+    ReceivedRequest,
+    deferral_s,
+)
+
 if TYPE_CHECKING:
-    from starlette.types import Receive, Scope, Send
+    from starlette.types import Message, Receive, Scope, Send
 
 SIGNATURE: Final = b"stand-in"
+LEAVING_HEADER: Final = (b"server-leaving", b"1")
 WORK_MS_HEADER: Final = "x-work-ms"  # sets the time of one request's work
 _MS_PER_S: Final = 1000.0
 
@@ -35,36 +46,16 @@
     """Raised to make the server close the connection."""
 
 
-@dataclass(slots=True, kw_only=True)
-class ReceivedRequest:
-    """A request that the endpoint received.
-
-    Attributes:
-        headers: Request headers.
-        target: Path and query.
-        body: Request body.
-        ran: Whether the endpoint executed the request.
-        ended_at: Loop time at which the endpoint stopped working on it, in
-            seconds; infinite while it works.
-    """
-
-    headers: dict[str, str]
-    target: str
-    body: bytes
-    ran: bool
-    ended_at: float = math.inf
-
-    @property
-    def request_id(self) -> str:
-        """Id of the caller's attempt, empty if the header is absent."""
-        return self.headers.get("x-attempt-id", "")
-
-
 class EndpointStandIn:
     """Serves requests, memory orders and load reports as an endpoint does.
 
     Attributes:
         id: The endpoint's id.
+        boot_ms: Start of the endpoint's process, in milliseconds since the
+            epoch.
+        leaving: Whether the endpoint is leaving, as all its responses state.
+        retry_after: Retry-After header with which it refuses all requests,
+            empty if it accepts them.
         event_count: Number of events in a streamed answer.
         event_interval_s: Time between two events.
         pauses_s: Time to wait before an event, by its number, in addition to
@@ -73,6 +64,7 @@
             request.
         faults: Faults of the next requests, in order of arrival.
         received_requests: All requests received, misdirected ones included.
+        received_orders: All orders received.
         reservations: Reserved tokens by reservation key.
         capacity_tokens: Memory that can be reserved, in tokens.
         client_disconnects: Number of streams whose client disconnected before
@@ -85,12 +77,16 @@
 
     def __init__(self, *, endpoint_id: str, event_count: int = 5) -> None:
         self.id = endpoint_id
+        self.boot_ms = FIRST_BOOT_MS
+        self.leaving = False
+        self.retry_after = ""
         self.event_count = event_count
         self.event_interval_s = 0.01
         self.pauses_s: dict[int, float] = {}
         self.plain_body: bytes | None = None
         self.faults: deque[Fault] = deque()
         self.received_requests: list[ReceivedRequest] = []
+        self.received_orders: list[dict[str, object]] = []
         self.reservations: dict[str, int] = {}
         self._expires_at: dict[str, float] = {}
         self.capacity_tokens = 100_000
@@ -100,34 +96,62 @@
         self.disconnect_allowed = asyncio.Event()
         self.disconnect_allowed.set()
 
+    def restart(self) -> None:
+        """Starts a new process under the same id, which is not leaving."""
+        self.boot_ms += 1
+        self.leaving = False
+        self.retry_after = ""
+        self.reservations.clear()
+
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
         """Serves one request."""
-        if scope["type"] != "http":
-            return
+        if scope["type"] == "http":
+            await self._serve(scope, receive, self._announce_leaving(send))
+
+    def _announce_leaving(self, send: Send) -> Send:
+        async def send_announced(message: Message) -> None:
+            if message["type"] == "http.response.start" and self.leaving:
+                headers = [*message["headers"], LEAVING_HEADER]
+                message = {**message, "headers": headers}
+            await send(message)
+
+        return send_announced
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         headers = {k.decode(): v.decode() for k, v in scope["headers"]}
-        body = await _read_body(receive)
+        body = await read_body(receive)
         if scope["path"] == "/v1/order":
             await self._apply_order(json.loads(body), send)
             return
         if scope["path"] == "/v1/report":
             await self._send_report(send)
             return
+        if scope["path"] == "/health":
+            status = 503 if self.leaving else 200
+            await send_response(send, status, [self._id_header()])
+            return
         fault = self.faults.popleft() if self.faults else Fault.NONE
         expected = headers.get("x-expect-instance", self.id)
         misdirected = expected != self.id
+        refuses = bool(self.retry_after) or fault is Fault.NOT_EXECUTED
         received = ReceivedRequest(
             headers=headers,
             target=scope["raw_path"].decode(),
             body=body,
-            ran=not misdirected and fault is not Fault.NOT_EXECUTED,
+            ran=not misdirected and not refuses,
+            received_at=asyncio.get_running_loop().time(),
+            boot_ms=self.boot_ms,
+            leaving=self.leaving,
+            deferral_s=0.0 if misdirected else deferral_s(self.retry_after),
         )
         self.received_requests.append(received)
         if misdirected:
-            await _send_response(
-                send, 421, [(b"x-instance-id", self.id.encode())]
-            )
+            await send_response(send, 421, [self._id_header()])
+            return
+        if self.retry_after:
+            await self._refuse_until_later(send)
             return
         self.running += 1
         try:
@@ -136,6 +160,13 @@
             self.running -= 1
             received.ended_at = asyncio.get_running_loop().time()
 
+    def _id_header(self) -> tuple[bytes, bytes]:
+        return (b"x-instance-id", self.id.encode())
+
+    async def _refuse_until_later(self, send: Send) -> None:
+        retry_after = (b"retry-after", self.retry_after.encode())
+        await send_response(send, 503, [(b"x-not-executed", b"1"), retry_after])
+
     async def _respond(
         self,
         headers: dict[str, str],
@@ -151,9 +182,9 @@
         ]
         match fault:
             case Fault.NOT_EXECUTED:
-                await _send_response(send, 503, [(b"x-not-executed", b"1")])
+                await send_response(send, 503, [(b"x-not-executed", b"1")])
             case Fault.SERVER_ERROR:
-                await _send_response(send, 500, signed_headers, b"failed")
+                await send_response(send, 500, signed_headers, b"failed")
             case Fault.DISCONNECT:
                 raise AbortConnectionError
             case Fault.NO_RESPONSE:
@@ -164,11 +195,11 @@
                     (b"x-attempt-id", b"0000"),
                     signed_headers[1],
                 ]
-                await _send_response(
+                await send_response(
                     send, 200, mismatched_headers, b"for another request"
                 )
             case Fault.UNSIGNED:
-                await _send_response(send, 200, signed_headers[:1], b"unsigned")
+                await send_response(send, 200, signed_headers[:1], b"unsigned")
             case _ if "x-token-counts" in headers:
                 first = int(headers.get("last-event-id", "0")) + 1
                 interval_s = self.event_interval_s
@@ -178,10 +209,10 @@
                     first, fault, signed_headers, receive, send, interval_s
                 )
             case _:
-                if await _wait_for_disconnect(receive, _work_s(headers)):
+                if await wait_for_disconnect(receive, _work_s(headers)):
                     return
                 body = self.plain_body or b"answer of " + request_id
-                await _send_response(send, 200, signed_headers, body)
+                await send_response(send, 200, signed_headers, body)
 
     async def _send_stream(
         self,
@@ -203,11 +234,11 @@
                 return
             event = f"id: {number}\ndata: {self.id} {number}\n\n".encode()
             if fault is Fault.DISCONNECT_MID_EVENT and number == first + 1:
-                await _send_chunk(send, event[: len(event) // 2])
+                await send_chunk(send, event[: len(event) // 2])
                 await self.disconnect_allowed.wait()
                 disconnected.cancel()
                 raise AbortConnectionError
-            await _send_chunk(send, event)
+            await send_chunk(send, event)
             await asyncio.wait((disconnected,), timeout=interval_s)
         disconnected.cancel()
         await send({"type": "http.response.body", "body": b""})
@@ -226,15 +257,20 @@
             "Waiting": 0,
             "KvUsed": sum(self.reservations.values()),
             "pace": self.slowdown,
+            "born": self.boot_ms,
         }
-        await _send_response(send, 200, [], json.dumps(report).encode())
+        await send_response(send, 200, [], json.dumps(report).encode())
 
     async def _apply_order(self, order: dict[str, object], send: Send) -> None:
+        self.received_orders.append(order)
         key = str(order["Id"])
         self.expire_reservations()
         if order["Op"] == "release":
             self.reservations.pop(key, None)
-            await _send_response(send, 200, [])
+            await send_response(send, 200, [])
+            return
+        if self.leaving and key not in self.reservations:
+            await send_response(send, 503, [])
             return
         tokens = int(str(order["Tokens"]))
         other_tokens = sum(v for k, v in self.reservations.items() if k != key)
@@ -244,49 +280,11 @@
             hold_s = int(str(order["HoldMs"])) / _MS_PER_S
             now = asyncio.get_running_loop().time()
             self._expires_at[key] = now + hold_s
-        await _send_response(send, 200 if granted else 409, [])
-
-
-async def _read_body(receive: Receive) -> bytes:
-    body = b""
-    while True:
-        message = await receive()
-        body += message.get("body", b"")
-        if not message.get("more_body", False):
-            return body
+        await send_response(send, 200 if granted else 409, [])
 
 
 def _work_s(headers: dict[str, str]) -> float:
     return float(headers.get(WORK_MS_HEADER, "0")) / _MS_PER_S
 
 
-async def _wait_for_disconnect(receive: Receive, timeout_s: float) -> bool:
-    """Returns whether the client has disconnected before the timeout."""
-    if timeout_s <= 0:
-        return False
-    try:
-        async with asyncio.timeout(timeout_s):
-            while (await receive())["type"] != "http.disconnect":
-                pass
-    except TimeoutError:
-        return False
-    return True
-
-
-async def _send_chunk(send: Send, data: bytes) -> None:
-    await send({"type": "http.response.body", "body": data, "more_body": True})
-
-
-async def _send_response(
-    send: Send,
-    status: int,
-    headers: list[tuple[bytes, bytes]],
-    body: bytes = b"",
-) -> None:
-    length = (b"content-length", str(len(body)).encode())
-    start = {"type": "http.response.start", "status": status}
-    await send({**start, "headers": [*headers, length]})
-    await send({"type": "http.response.body", "body": body})
-
-
 __all__ = ["WORK_MS_HEADER", "EndpointStandIn", "Fault", "ReceivedRequest"]
