Move the reports of work out of the entry daemon

No decision changes.

tests.entry.test_cell_reports 4, test_state_propagation 12, test_load_observation 1: passed.

--- a/src/auburnswitch/entry/entry_daemon.py
+++ b/src/auburnswitch/entry/entry_daemon.py
@@ -13,9 +13,10 @@
     WATCHED_KINDS,
     InstallationWatcher,
 )
+from auburnswitch.entry.work_reporter import WorkReporter
 from auburnswitch.members.cells import Cells
 from auburnswitch.members.entry_directory import EntryDirectory
-from auburnswitch.members.gossip import ALL_CELLS, GossipNode
+from auburnswitch.members.gossip import GossipNode
 from auburnswitch.members.rendezvous import rendezvous_owner
 from auburnswitch.members.state_exchange import StateExchange
 from auburnswitch.members.store_readers import StoreReaderElection
@@ -44,7 +45,7 @@
     from auburnswitch.members.gossip_peer import GossipPeer
     from auburnswitch.observe.tasks import TaskSet
     from auburnswitch.schema.entry import EntrySettings
-    from auburnswitch.schema.gossip import EngineReport, Gossip, WorkItem
+    from auburnswitch.schema.gossip import Gossip
 
 EXPIRY_INTERVAL_S: Final = 0.5
 DAEMONS_PER_GROUP: Final = 8
@@ -81,7 +82,6 @@
         self.fleet_load = FleetLoad()
         self.stop = StopDeadline()
         self.member_check_interval_s = MEMBER_CHECK_INTERVAL_S
-        self._cells_by_work_id: dict[int, list[int]] = {}
         self.store = PlatformStoreClient(settings=settings.store)
         record = DaemonRecord(
             instance=settings.instance.name,
@@ -100,11 +100,18 @@
             local_record=record,
             incarnation=int(time.time() * _MS_PER_S),
             fill_state=self._fill_state,
-            list_work=self._list_work,
+            list_work=lambda: self.work_reporter.list_work(),
             on_gossip=self._on_gossip,
             is_reader=lambda: self.reader_election.is_reader,
             cell_of=self.cells.cell_of_instance,
         )
+        self.work_reporter = WorkReporter(
+            instance=record.instance,
+            installation=self.installation,
+            cells=self.cells,
+            fleet_load=self.fleet_load,
+            gossip=self.gossip,
+        )
         self.reader_election = StoreReaderElection(
             settings=settings.store,
             local_record=record,
@@ -138,7 +145,7 @@
             rates=SendRateLimiter(
                 bounds=settings.bounds, count_daemons=self._count_daemons
             ),
-            on_change=self._publish_work_change,
+            on_change=self.work_reporter.publish_work_change,
             group=self._daemon_group,
             cells=self.cells,
             rng=rng,
@@ -171,7 +178,7 @@
             instance=record.instance,
             live_instances=self._live_cell_instances,
             is_cell_endpoint=self.cells.is_cell_endpoint,
-            publish=self._publish_engine_reports,
+            publish=self.work_reporter.publish_engine_reports,
         )
         self.app = EntryApp(
             installation=self.installation,
@@ -286,56 +293,6 @@
         if read_at is not None:
             message.store_read_age_ms = (monotonic_s() - read_at) * _MS_PER_S
 
-    def _list_work(self) -> list[WorkItem]:
-        """Returns this daemon's work with updated remaining times."""
-        items = self.fleet_load.items[self.gossip.local_record.instance]
-        now = monotonic_s()
-        for item in items.values():
-            endpoint_work = self.fleet_load.by_endpoint[
-                item.endpoint
-            ].work_by_request.get((self.gossip.local_record.instance, item.id))
-            if endpoint_work is not None:
-                item.remaining_ms = (
-                    max(0.0, endpoint_work.ends_at - now) * _MS_PER_S
-                )
-        return list(items.values())
-
-    def _publish_work_change(
-        self, started: list[WorkItem], ended: list[int]
-    ) -> None:
-        """Sends started and ended work to the cells that it concerns."""
-        for item in started:
-            cells = self._concerned_cells(item)
-            self._cells_by_work_id[item.id] = cells
-            for cell in cells:
-                self.gossip.send_started_work([item], cell=cell)
-        for work_id in ended:
-            for cell in self._cells_by_work_id.pop(work_id, []):
-                self.gossip.schedule_ended_work([work_id], cell=cell)
-
-    def _concerned_cells(self, item: WorkItem) -> list[int]:
-        """Returns the cells whose daemons prefer one of the endpoints."""
-        endpoint = self.installation.endpoints.get(item.endpoint)
-        if endpoint is None or not item.memory_tokens:
-            # plain endpoints use only load known in the cell
-            return [self.cells.local_cell]
-        if not self.cells.spans_cells(endpoint.entry.service_name):
-            return [ALL_CELLS]
-        endpoints_in_use = (item.endpoint, *item.helpers)
-        return sorted(set(map(self.cells.cell_of_endpoint, endpoints_in_use)))
-
-    def _publish_engine_reports(self, reports: list[EngineReport]) -> None:
-        """Sends reports to the cell if only its daemons prefer the engines."""
-        services = {
-            endpoint.entry.service_name
-            for report in reports
-            if (endpoint := self.installation.endpoints.get(report.endpoint))
-        }
-        in_cell = all(map(self.cells.spans_cells, services))
-        self.gossip.send_engine_reports(
-            reports, cell=self.cells.local_cell if in_cell else ALL_CELLS
-        )
-
     def _live_cell_instances(self) -> list[str]:
         return [
             peer.record.instance
--- a/tests/entry/test_cell_reports.py
+++ b/tests/entry/test_cell_reports.py
@@ -30,7 +30,7 @@
     daemon.installation.adopt_endpoints(
         EndpointList(revision=1, endpoints=entries), "test"
     )
-    daemon.gossip = mock.Mock()
+    daemon.gossip = daemon.work_reporter.gossip = mock.Mock()
     daemon.gossip.peers.by_instance = {f"entry-{n}": None for n in range(1, 30)}
     return daemon
 
@@ -52,25 +52,29 @@
         item = WorkItem(
             id=1, endpoint=names[0], helpers=names[1:], memory_tokens=10
         )
-        daemon._publish_work_change([item], [])
-        daemon._publish_work_change([], [1])
+        daemon.work_reporter.publish_work_change([item], [])
+        daemon.work_reporter.publish_work_change([], [1])
         cells = sorted(set(map(daemon.cells.cell_of_endpoint, names)))
         self.assertGreater(len(cells), 1)
         self.assertEqual(reported_cells(daemon), (cells, cells))
-        daemon._publish_work_change([], [1])  # an unknown id reports nothing
+        daemon.work_reporter.publish_work_change(
+            [], [1]
+        )  # an unknown id reports nothing
         self.assertEqual(reported_cells(daemon), (cells, cells))
 
     @in_virtual_loop
     def test_work_on_a_service_that_all_cells_use_goes_to_all(self):
         daemon = make_daemon()
         item = WorkItem(id=1, endpoint="small-engines-1", memory_tokens=10)
-        daemon._publish_work_change([item], [1])
+        daemon.work_reporter.publish_work_change([item], [1])
         self.assertEqual(reported_cells(daemon), ([ALL_CELLS], [ALL_CELLS]))
 
     @in_virtual_loop
     def test_plain_work_stays_in_the_cell(self):
         daemon = make_daemon()
-        daemon._publish_work_change([WorkItem(id=1, endpoint="desk-1")], [1])
+        daemon.work_reporter.publish_work_change(
+            [WorkItem(id=1, endpoint="desk-1")], [1]
+        )
         own_cell = daemon.cells.local_cell
         self.assertEqual(reported_cells(daemon), ([own_cell], [own_cell]))
 
@@ -81,7 +85,9 @@
             ("engines-3", daemon.cells.local_cell),
             ("small-engines-1", ALL_CELLS),
         ):
-            daemon._publish_engine_reports([EngineReport(endpoint=endpoint)])
+            daemon.work_reporter.publish_engine_reports(
+                [EngineReport(endpoint=endpoint)]
+            )
             send = daemon.gossip.send_engine_reports
             self.assertEqual(send.call_args.kwargs["cell"], cell)
 
