Retry requests in flight until the end of a stop

What callers saw: from 2.6 s of a stop on, a stream that its endpoint broke off ended there, and an idempotent request got 502, although another endpoint was idle and 4 s were left.

Cause, a regression of: once no new connections arrive a request was sent only if its own deadline was earlier than the end of the stop, and this was asked for retries too. "Another daemon serves it at once" is not true of an answer that has begun. Now a request that may have run is compared with the end of the stop by its expected duration alone.

Also from the review, not mended, listed as known red with its tests: an endpoint that takes over from a silent one may refuse, and then no attempt is left (tests.entry.test_silent_endpoints.RefusedSuccessorTest, 2 of 2 red).

--- a/src/auburnswitch/routing/delivery.py
+++ b/src/auburnswitch/routing/delivery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 from auburnswitch.clock import monotonic_s
@@ -92,7 +93,7 @@
             budget=budget,
             crash_registry=crash_registry,
             stop=stop,
-            may_send=self._ends_before_stop,
+            may_retry=partial(self._ends_before_stop, is_retry=True),
         )
 
     async def deliver(
@@ -137,7 +138,7 @@
                 return await self._final_outcome(last_failure, writer, progress)
             placement = await self._find_placement(job, last_failure)
             if placement is not None and not self._ends_before_stop(
-                job, placement
+                job, placement, is_retry=progress.may_have_run
             ):
                 if not progress.may_have_run:
                     return _stop_failure()
@@ -192,14 +193,18 @@
             self.retries.give_back(job, successor)
         return None
 
-    def _ends_before_stop(self, job: DeliveryJob, placement: Placement) -> bool:
+    def _ends_before_stop(
+        self, job: DeliveryJob, placement: Placement, *, is_retry: bool
+    ) -> bool:
         """Returns whether an attempt is expected to end before the stop."""
         if placement.started or not self.stop.stopping:
             return True
         duration_s = self.durations.estimate_s(
             job.service.name, placement.duration_s
         )
-        return self.stop.may_send(job.deadline_at, duration_s)
+        return self.stop.may_send(
+            job.deadline_at, duration_s, is_retry=is_retry
+        )
 
     def _placement_failure(self, job: DeliveryJob) -> DeliveryFailed:
         if self.selector.is_feasible(job):
--- a/src/auburnswitch/routing/retry_permission.py
+++ b/src/auburnswitch/routing/retry_permission.py
@@ -31,14 +31,14 @@
         budget: Limits the retries.
         crash_registry: Knows the requests that crash endpoints.
         stop: Bounds the requests of a stopping daemon.
-        may_send: Returns whether a placement may be used before the stop.
+        may_retry: Returns whether a retry is expected to end before the stop.
         searches: Running searches for the successors of silent endpoints.
     """
 
     __slots__ = (
         "budget",
         "crash_registry",
-        "may_send",
+        "may_retry",
         "searches",
         "selector",
         "stop",
@@ -51,10 +51,10 @@
         budget: WindowedRetryBudget,
         crash_registry: CrashRegistry,
         stop: StopDeadline,
-        may_send: Callable[[DeliveryJob, Placement], bool],
+        may_retry: Callable[[DeliveryJob, Placement], bool],
     ) -> None:
         self.stop = stop
-        self.may_send = may_send
+        self.may_retry = may_retry
         self.selector = selector
         self.budget = budget
         self.crash_registry = crash_registry
@@ -97,7 +97,7 @@
         placement = await wait_for_placement(self.selector, job, self.stop)
         if placement is None or not self._may_follow(job):
             return None
-        if not self.may_send(job, placement):
+        if not self.may_retry(job, placement):
             return None
         if not self.budget.try_acquire(service):
             return None
--- a/src/auburnswitch/routing/stop_deadline.py
+++ b/src/auburnswitch/routing/stop_deadline.py
@@ -18,9 +18,10 @@
 
     Before the stop signal every request may be sent. While new connections
     still arrive, a stopping daemon sends the requests that are expected to end
-    in time. After that it sends only those whose own deadline is earlier than
+    in time. After that it accepts only those whose own deadline is earlier than
     the end of the stop: a caller that reuses its connection loses nothing by a
-    refusal, as another daemon serves it at once.
+    refusal, as another daemon serves it at once. A request that has been
+    accepted is retried as long as it is expected to end in time.
 
     Attributes:
         stopping_at: Loop time of the stop signal, in seconds; None before it.
@@ -75,17 +76,23 @@
             deadline_at <= self.ends_at or monotonic_s() < self.deregistered_at
         )
 
-    def may_send(self, deadline_at: float, duration_s: float) -> bool:
+    def may_send(
+        self, deadline_at: float, duration_s: float, *, is_retry: bool = False
+    ) -> bool:
         """Returns whether a request may be sent to an endpoint.
 
         Args:
             deadline_at: Loop time of the request's deadline, in seconds.
             duration_s: Expected time until the answer is complete, in seconds.
+            is_retry: Whether an endpoint may already have run the request, so
+                that no other daemon can serve it in this one's place.
         """
         if deadline_at <= self.ends_at:
             return True
         now = monotonic_s()
-        return now < self.deregistered_at and now + duration_s <= self.ends_at
+        if not is_retry and now >= self.deregistered_at:
+            return False
+        return now + duration_s <= self.ends_at
 
 
 __all__ = ["StopDeadline"]
--- a/tests/entry/test_silent_endpoints.py
+++ b/tests/entry/test_silent_endpoints.py
@@ -16,6 +16,7 @@
 from auburnswitch.platform.endpoint_client import PlatformEndpointClient
 from auburnswitch.schema.gossip import EngineReport
 from auburnswitch.standins.caller_headers import request_headers
+from auburnswitch.standins.endpoint import Fault
 from auburnswitch.standins.installation_objects import ENGINE
 
 SHORT = "1000,50"
@@ -141,6 +142,36 @@
         self.assertEqual(len(fleet.received_requests), 1)
 
 
+class RefusedSuccessorTest(SilentEndpointTest):
+    """The endpoint that takes over refuses, and the silent one would go on."""
+
+    # A silent stream was given up for an endpoint that then did not run it.
+    async def test_stream_whose_successor_is_refused_is_complete(self):
+        async with self.open() as fleet:
+            pause_streams(fleet)
+            call = asyncio.create_task(fleet.call("/chat/1", tokens=SHORT))
+            await wait_until(lambda: fleet.received_requests)
+            for endpoint in fleet.endpoints.values():
+                if not endpoint.received_requests:
+                    endpoint.faults.append(Fault.NOT_EXECUTED)
+            status, body, _ = await call
+        self.assertEqual((status, event_ids(body)), (200, ALL_EVENTS))
+
+    # The same for an idempotent request.
+    async def test_plain_request_whose_successor_is_refused_is_answered(self):
+        async with self.open() as fleet:
+            for name in ("desk-0", "desk-1"):
+                fleet.endpoints[name].pauses_s[0] = 1.5 * START_TIMEOUT_S
+            call = asyncio.create_task(fleet.call("/read/1", method="GET"))
+            await wait_until(lambda: fleet.received_requests)
+            for endpoint in fleet.endpoints.values():
+                if not endpoint.received_requests:
+                    endpoint.pauses_s.clear()
+                    endpoint.faults.append(Fault.NOT_EXECUTED)
+            status, _, _ = await call
+        self.assertEqual(status, 200)
+
+
 class SwitchTest(SilentEndpointTest):
     """Another attempt is possible."""
 
--- a/tests/routing/test_silence_watch.py
+++ b/tests/routing/test_silence_watch.py
@@ -61,7 +61,7 @@
             budget=self.budget,
             crash_registry=self.registry,
             stop=self.stop,
-            may_send=lambda job, placement: self.may_send,
+            may_retry=lambda job, placement: self.may_send,
         )
         self.job = make_job(TOKENS)
         self.job.route.kind = RequestKind.STREAM
