--- a/src/auburnswitch/observe/nonblocking_logs.py
+++ b/src/auburnswitch/observe/nonblocking_logs.py
@@ -5,8 +5,10 @@
 import contextlib
 import logging
 import os
+import select
 import sys
 import time
+from collections import Counter
 from typing import Final
 
 from pythonjsonlogger.json import JsonFormatter
@@ -15,6 +17,8 @@
 
 MAX_BUFFERED_BYTES: Final = 65536
 RATE_WINDOW_S: Final = 1.0
+CLOSE_TIMEOUT_S: Final = 0.1
+_MS_PER_S: Final = 1000.0
 
 
 class NonBlockingLogHandler(logging.Handler):
@@ -22,11 +26,13 @@
 
     Lines above the rate limit, and lines for which the buffer is full because
     the reader is too slow, are dropped and counted; the next line that is
-    written carries the count.
+    written carries the count. Warnings and errors have a rate limit of their
+    own, so that they are not lost among other lines.
 
     Attributes:
         descriptor: Non-blocking file descriptor for the output.
-        max_lines_per_s: Maximum number of lines written per second.
+        max_lines_per_s: Maximum number of lines written per second, and of
+            warnings and errors besides.
         dropped_lines: Number of lines dropped since the last written line.
     """
 
@@ -37,17 +43,18 @@
         self.dropped_lines = 0
         self._buffer = b""
         self._window_started_at = 0.0
-        self._window_lines = 0
+        self._window_lines: Counter[bool] = Counter()
 
     def emit(self, record: logging.LogRecord) -> None:
         """Writes a record; drops it above the rate or if the buffer is full."""
         now = time.monotonic()
         if now - self._window_started_at >= RATE_WINDOW_S:
             self._window_started_at = now
-            self._window_lines = 0
-        self._window_lines += 1
-        buffer_full = len(self._buffer) > MAX_BUFFERED_BYTES
-        if buffer_full or self._window_lines > self.max_lines_per_s:
+            self._window_lines.clear()
+        is_warning = record.levelno >= logging.WARNING
+        self._window_lines[is_warning] += 1
+        too_many = self._window_lines[is_warning] > self.max_lines_per_s
+        if too_many or len(self._buffer) > MAX_BUFFERED_BYTES:
             self.dropped_lines += 1
             self._write(b"")
             return
@@ -56,6 +63,16 @@
             self.dropped_lines = 0
         self._write(self.format(record).encode() + b"\n")
 
+    def close(self) -> None:
+        """Writes what is buffered, within a limited time."""
+        poll = select.poll()
+        poll.register(self.descriptor, select.POLLOUT)
+        ends_at = time.monotonic() + CLOSE_TIMEOUT_S
+        while self._buffer and (left_s := ends_at - time.monotonic()) > 0:
+            poll.poll(left_s * _MS_PER_S)
+            self._write(b"")
+        super().close()
+
     def _write(self, line: bytes) -> None:
         self._buffer += line
         with contextlib.suppress(BlockingIOError):  # retried with the next line
--- a/tests/observe/test_nonblocking_logs.py
+++ b/tests/observe/test_nonblocking_logs.py
@@ -50,6 +50,35 @@
         self.assertEqual(len(lines), 4)
         self.assertEqual(json.loads(lines[-1])["dropped_lines"], 7)
 
+    # The lines about requests that a stop cuts off come with many others.
+    def test_warnings_are_written_among_many_other_lines(self):
+        logger, handler = self.make_logger(3)
+        for number in range(10):
+            logger.info("line %d", number)
+        logger.warning("cut off")
+        lines = os.read(self.reader, 65536).decode().splitlines()
+        self.assertEqual(json.loads(lines[-1])["message"], "cut off")
+        for _ in range(10):
+            logger.warning("again")
+        self.assertEqual(handler.dropped_lines, 8)
+
+    # The last lines of a process stayed in its buffer.
+    def test_buffered_lines_are_written_at_the_end(self):
+        logger, handler = self.make_logger(1_000_000)
+        while not handler._buffer:
+            logger.info("x" * 200)
+        os.read(self.reader, 1_000_000)
+        handler.close()
+        self.assertEqual(handler._buffer, b"")
+
+    def test_end_does_not_wait_for_a_stopped_reader(self):
+        logger, handler = self.make_logger(1_000_000)
+        while not handler._buffer:
+            logger.info("x" * 200)
+        started_at = time.monotonic()
+        handler.close()
+        self.assertLess(time.monotonic() - started_at, 1.0)
+
 
 if __name__ == "__main__":
     unittest.main()
