Let the endpoint stand-in's disconnect break the connection

The stand-in raised an error to have its server close the connection. Before the head of a response the server answers such an error with a plain 500 instead, so tests and soaks that meant a crash tested an answer without an id or signature. It passed for a broken connection only because the daemon counted both alike.

No check is changed.

--- a/src/auburnswitch/standins/endpoint.py
+++ b/src/auburnswitch/standins/endpoint.py
@@ -186,7 +186,7 @@
             case Fault.SERVER_ERROR:
                 await send_response(send, 500, signed_headers, b"failed")
             case Fault.DISCONNECT:
-                raise AbortConnectionError
+                await _abort_connection(receive)
             case Fault.NO_RESPONSE:
                 while (await receive())["type"] != "http.disconnect":
                     pass
@@ -283,6 +283,13 @@
         await send_response(send, 200 if granted else 409, [])
 
 
+async def _abort_connection(receive: Receive) -> None:
+    """Aborts the connection instead of letting the server answer with 500."""
+    receive.__self__.transport.abort()  # type: ignore[attr-defined]
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
 def _work_s(headers: dict[str, str]) -> float:
     return float(headers.get(WORK_MS_HEADER, "0")) / _MS_PER_S
 
--- a/tests/standins/test_endpoint.py
+++ b/tests/standins/test_endpoint.py
@@ -3,9 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import unittest
 
-from auburnswitch.standins.endpoint import WORK_MS_HEADER, EndpointStandIn
+from auburnswitch.http_server import open_http_server
+from auburnswitch.standins.endpoint import (
+    WORK_MS_HEADER,
+    EndpointStandIn,
+    Fault,
+)
 from tests.virtual_time import in_virtual_loop, run_virtual
 
 
@@ -49,6 +55,25 @@
             self.assertAlmostEqual(ended_s, expected_s)
 
 
+class DisconnectTest(unittest.IsolatedAsyncioTestCase):
+    # Its server answered with 500 instead, which hid what callers count.
+    async def test_disconnect_sends_no_byte(self):
+        endpoint = EndpointStandIn(endpoint_id="desk")
+        endpoint.faults.append(Fault.DISCONNECT)
+        received = b""
+        async with open_http_server(
+            endpoint, host="127.0.0.1", port=0
+        ) as server:
+            reader, writer = await asyncio.open_connection(
+                server.host, server.port
+            )
+            writer.write(b"GET /read/1 HTTP/1.1\r\nhost: desk\r\n\r\n")
+            with contextlib.suppress(ConnectionResetError):
+                received = await reader.read()
+            writer.close()
+        self.assertEqual(received, b"")
+
+
 class ReservationTest(unittest.TestCase):
     def test_reservation_expires_unless_renewed(self):
         async def run():
