Don't count a wrong answer as a crash

Class of fault: different failures share one type, and the worst is assumed.

An endpoint that answers has not crashed.

Cause: the endpoint client had one type for a connection that broke and for an answer that can't be this request's, and the attempt took both for a break.

Fix: a type of its own, WrongResponse.

Red before: tests.entry.test_crash_strikes, test_wrong_answers_are_no_crashes, for both faults (503 instead of 200). A request whose connections break is refused as before (test_request_that_crashes_endpoints_is_refused, unchanged).

tests.platform.test_endpoint_client asked for BrokenResponse in the three cases of a wrong answer, which is the fault; it now asks for WrongResponse in the same cases, as strictly, and is renamed accordingly.

--- a/src/auburnswitch/platform/endpoint_client.py
+++ b/src/auburnswitch/platform/endpoint_client.py
@@ -21,6 +21,7 @@
     RequestNotExecuted,
     RequestNotSent,
     ResponseHead,
+    WrongResponse,
     classify_response,
     decode_headers,
     index_headers,
@@ -97,7 +98,11 @@
         body: bytes,
         may_send: Callable[[], bool] = lambda: True,
     ) -> AsyncIterator[
-        ResponseHead | RequestNotSent | RequestNotExecuted | BrokenResponse
+        ResponseHead
+        | RequestNotSent
+        | RequestNotExecuted
+        | BrokenResponse
+        | WrongResponse
     ]:
         """Sends a request and yields the head of its response, or the failure.
 
--- a/src/auburnswitch/platform/endpoint_responses.py
+++ b/src/auburnswitch/platform/endpoint_responses.py
@@ -48,7 +48,18 @@
 
 @dataclass(slots=True, kw_only=True)
 class BrokenResponse:
-    """The connection broke, or the response is not for this request.
+    """The connection broke before the end of the response.
+
+    Attributes:
+        reason: Description of the failure.
+    """
+
+    reason: str
+
+
+@dataclass(slots=True, kw_only=True)
+class WrongResponse:
+    """The endpoint answered with what can't be this request's response.
 
     Attributes:
         reason: Description of the failure.
@@ -109,7 +120,7 @@
     status: int,
     received: Headers,
     exchange: HttpExchange,
-) -> ResponseHead | RequestNotExecuted | BrokenResponse:
+) -> ResponseHead | RequestNotExecuted | WrongResponse:
     """Returns the outcome that the head of a response shows."""
     headers = index_headers(received)
     if protocol.NOT_EXECUTED_HEADER in headers or status == _HTTP_MISDIRECTED:
@@ -118,11 +129,11 @@
             failed_address=headers.get(protocol.FAILED_ENDPOINT_HEADER, ""),
         )
     if headers.get(protocol.ATTEMPT_ID_HEADER) != request.id:
-        return BrokenResponse(reason="the response is for another request")
+        return WrongResponse(reason="the response is for another request")
     if protocol.SIGNATURE_HEADER not in headers:
-        return BrokenResponse(reason="the response is not signed")
+        return WrongResponse(reason="the response is not signed")
     if "content-encoding" in headers:
-        return BrokenResponse(reason="the response has a content encoding")
+        return WrongResponse(reason="the response has a content encoding")
     return ResponseHead(
         status=status,
         headers=[(n, v) for n, v in received if n not in HOP_BY_HOP_HEADERS],
@@ -135,6 +146,7 @@
     "RequestNotExecuted",
     "RequestNotSent",
     "ResponseHead",
+    "WrongResponse",
     "classify_response",
     "decode_headers",
     "index_headers",
--- a/src/auburnswitch/routing/attempt.py
+++ b/src/auburnswitch/routing/attempt.py
@@ -10,6 +10,7 @@
     RequestNotExecuted,
     RequestNotSent,
     ResponseHead,
+    WrongResponse,
 )
 from auburnswitch.platform.requests import encode_request_headers
 from auburnswitch.routing.attempt_timeouts import AttemptTimeouts
@@ -128,6 +129,8 @@
                         may_have_run=True,
                         connection_broken=True,
                     )
+                case WrongResponse(reason=reason):
+                    return AttemptFailed(reason=reason, may_have_run=True)
             if job.is_stream and answer.is_success:
                 return await self._relay_stream(answer, watch, timeouts)
             return await self._relay_whole(answer, watch)
--- a/tests/entry/test_crash_strikes.py
+++ b/tests/entry/test_crash_strikes.py
@@ -61,6 +61,19 @@
                 statuses = [answer.status for answer in answers]
                 self.assertEqual(statuses, [HTTP_OK, HTTP_OK], name)
 
+    # Soak 105: an answer that wasn't the request's counted as a crash.
+    async def test_wrong_answers_are_no_crashes(self):
+        for fault in (Fault.UNSIGNED, Fault.WRONG_REQUEST_ID):
+            with self.subTest(fault):
+                async with open_installation(engines=3) as fleet:
+                    for name in ENGINES:
+                        await open_only(fleet, [name])
+                        fleet.endpoints[name].faults.append(fault)
+                        await fleet.call("/chat/1", tokens=SHORT)
+                    await open_only(fleet, ENGINES)
+                    answer = await fleet.call("/chat/1", tokens=SHORT)
+                self.assertEqual(answer.status, HTTP_OK)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_endpoint_client.py
+++ b/tests/platform/test_endpoint_client.py
@@ -16,6 +16,7 @@
     RequestNotExecuted,
     RequestNotSent,
     ResponseHead,
+    WrongResponse,
 )
 from auburnswitch.platform.requests import decode_request
 from auburnswitch.schema.installation import EndpointEntry
@@ -163,7 +164,7 @@
         outcome, _ = await call(RawEndpoint(REFUSED))
         self.assertIsInstance(outcome, RequestNotExecuted)
 
-    async def test_encoded_unsigned_and_foreign_responses_are_broken(self):
+    async def test_encoded_unsigned_and_foreign_responses_are_wrong(self):
         for head in (
             HEAD + b"Content-Encoding: gzip\r\n",
             HEAD.replace(b"X-Response-Seal", b"X-Other"),
@@ -171,7 +172,7 @@
         ):
             response = head + b"Content-Length: 1\r\n\r\nx"
             outcome, _ = await call(RawEndpoint(response))
-            self.assertIsInstance(outcome, BrokenResponse)
+            self.assertIsInstance(outcome, WrongResponse)
 
     async def test_request_withdrawn_while_connecting_is_not_sent(self):
         received = []
