Leave the exit status of a soak's processes to asyncio

Seen: a signal sent to a process that is just ending had its exit status reported as 255, whatever it was, first in tests.entry.test_signals.

Cause: the process's send_signal first polls the process and so may collect its status before asyncio does.

Fix: signals are sent by process id, which stays reserved until asyncio has collected the status and set the return code.

Red before, three of three runs: tests.soak.test_daemon_process (255 instead of 7). Green now, three of three, with tests.soak.test_fault_injector and test_stop_checks. Other tests that signal processes by the process's own method are not changed.

--- a/src/auburnswitch/soak/daemon_process.py
+++ b/src/auburnswitch/soak/daemon_process.py
@@ -125,12 +125,14 @@
 
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process if it is running."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
-            if number in (signal.SIGSTOP, signal.SIGCONT):
-                self.runs[-1].paused_at.append(
-                    asyncio.get_running_loop().time()
-                )
+        if self.process is None or self.process.returncode is not None:
+            return
+        # The process's own method may take the exit status from asyncio, which
+        # then reports 255.
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(self.process.pid, number)
+        if number in (signal.SIGSTOP, signal.SIGCONT):
+            self.runs[-1].paused_at.append(asyncio.get_running_loop().time())
 
     async def wait_for_reload_handler(self) -> None:
         """Waits until a reload signal no longer ends the process.
