--- a/src/auburnswitch/members/gossip.py
+++ b/src/auburnswitch/members/gossip.py
@@ -9,7 +9,10 @@
 from auburnswitch.clock import monotonic_s
 from auburnswitch.http_server import ListenError
 from auburnswitch.members.cells import SINGLE_CELL
-from auburnswitch.members.gossip_peer import heartbeat_interval_s
+from auburnswitch.members.gossip_peer import (
+    group_by_zone,
+    heartbeat_interval_s,
+)
 from auburnswitch.members.peer_table import PeerTable
 from auburnswitch.members.relay_selector import RelaySelector
 from auburnswitch.members.signed_frames import (
@@ -28,7 +31,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable, Collection, Iterator
+    from collections.abc import AsyncIterator, Callable, Collection
 
     from auburnswitch.members.gossip_peer import GossipPeer
     from auburnswitch.schema.gossip import (
@@ -240,7 +243,7 @@
             self._send_to(recipients, [message])
             return
         message.relayed = True
-        for zone, members in _group_by_zone(recipients).items():
+        for zone, members in group_by_zone(recipients).items():
             relay = self._relays.relay_for(zone)
             if relay == self.local_record.instance:
                 self._enqueue_relayed(message)
@@ -277,8 +280,9 @@
                 for message in messages
                 if message.cell in (ALL_CELLS, cell)
             ]
-            for batch in _batches(cell_messages):
-                self._send_to(members, batch)
+            size = MAX_RELAYED_MESSAGES_PER_FRAME
+            for start in range(0, len(cell_messages), size):
+                self._send_to(members, cell_messages[start : start + size])
 
     def _send_to(
         self,
@@ -345,17 +349,4 @@
         return self.peers.cell_of(self.local_record.instance)
 
 
-def _group_by_zone(peers: list[GossipPeer]) -> dict[str, list[GossipPeer]]:
-    zones: dict[str, list[GossipPeer]] = {}
-    for peer in peers:
-        zones.setdefault(peer.record.zone, []).append(peer)
-    return zones
-
-
-def _batches(messages: list[Gossip]) -> Iterator[list[Gossip]]:
-    size = MAX_RELAYED_MESSAGES_PER_FRAME
-    for start in range(0, len(messages), size):
-        yield messages[start : start + size]
-
-
 __all__ = ["ALL_CELLS", "GossipNode"]
--- a/src/auburnswitch/members/gossip_peer.py
+++ b/src/auburnswitch/members/gossip_peer.py
@@ -9,6 +9,8 @@
 from auburnswitch.schema.gossip import Gossip
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from auburnswitch.schema.gossip import DaemonRecord
 
 MIN_HEARTBEAT_INTERVAL_S: Final = 0.5
@@ -125,4 +127,12 @@
     )
 
 
-__all__ = ["GossipPeer", "heartbeat_interval_s"]
+def group_by_zone(peers: Iterable[GossipPeer]) -> dict[str, list[GossipPeer]]:
+    """Returns the peers by availability zone."""
+    zones: dict[str, list[GossipPeer]] = {}
+    for peer in peers:
+        zones.setdefault(peer.record.zone, []).append(peer)
+    return zones
+
+
+__all__ = ["GossipPeer", "group_by_zone", "heartbeat_interval_s"]
--- a/src/auburnswitch/routing/attempt.py
+++ b/src/auburnswitch/routing/attempt.py
@@ -23,11 +23,9 @@
     from auburnswitch.platform.endpoint_client import PlatformEndpointClient
     from auburnswitch.platform.requests import PrefillHelper
     from auburnswitch.routing.delivery_job import DeliveryJob
-    from auburnswitch.routing.endpoint_selector import (
-        EndpointSelector,
-        Placement,
-    )
+    from auburnswitch.routing.endpoint_selector import EndpointSelector
     from auburnswitch.routing.outcomes import AnswerWriter, DeliveryProgress
+    from auburnswitch.routing.placement import Placement
     from auburnswitch.routing.retry_permission import RetryPermission
 
 _HTTP_SERVER_ERROR: Final = 500
--- a/src/auburnswitch/routing/attempt_timeouts.py
+++ b/src/auburnswitch/routing/attempt_timeouts.py
@@ -6,7 +6,7 @@
 
 if TYPE_CHECKING:
     from auburnswitch.routing.delivery_job import DeliveryJob
-    from auburnswitch.routing.endpoint_selector import Placement
+    from auburnswitch.routing.placement import Placement
 
 MIN_FIRST_EVENT_TIMEOUT_S: Final = 1.0
 FIRST_EVENT_TARGET_FACTOR: Final = 2.0  # multiple of the target latency
--- a/src/auburnswitch/routing/endpoint_selector.py
+++ b/src/auburnswitch/routing/endpoint_selector.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import itertools
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.observe.logs import log_event
 from auburnswitch.routing import engine_latency
 from auburnswitch.routing.engine_candidate import PromptRequirements
+from auburnswitch.routing.placement import Placement
 from auburnswitch.routing.placement_wait import MAX_PLACEMENT_WAIT_SHARE
 from auburnswitch.routing.prefill_planner import (
     MAX_ENGINES,
@@ -46,39 +46,6 @@
 _MS_PER_S: Final = 1000.0
 
 
-@dataclass(slots=True, kw_only=True)
-class Placement:
-    """Endpoints chosen for one attempt.
-
-    Attributes:
-        endpoint: Endpoint that receives the request.
-        helpers: Endpoints that prefill parts of the prompt.
-        item: The work as published to peers.
-        first_token_s: Predicted time to the first token, in seconds.
-        duration_s: Predicted time to the end of the answer, in seconds.
-        late: Whether the first token is predicted to miss its target latency.
-        delays_others: Whether the request would make other answers late.
-        started: Whether its work has been added to the load.
-    """
-
-    endpoint: TrackedEndpoint
-    helpers: list[TrackedEndpoint]
-    item: WorkItem
-    first_token_s: float
-    duration_s: float
-    late: bool = False
-    delays_others: bool = False
-    started: bool = False
-
-    def engines(self) -> list[TrackedEndpoint]:
-        """Returns all endpoints of the placement."""
-        return [self.endpoint, *self.helpers]
-
-    def holders(self) -> list[TrackedEndpoint]:
-        """Returns the helpers that hold a part of the prompt's KV cache."""
-        return self.helpers[: self.item.holders]
-
-
 class EndpointSelector:
     """Chooses endpoints by the work of all daemons on them.
 
@@ -359,4 +326,4 @@
         return WorkItem(id=self._next_id, **values)  # type: ignore[arg-type]
 
 
-__all__ = ["EndpointSelector", "Placement"]
+__all__ = ["EndpointSelector"]
--- a/src/auburnswitch/routing/memory_reservations.py
+++ b/src/auburnswitch/routing/memory_reservations.py
@@ -17,7 +17,7 @@
     from auburnswitch.configuration.installation import TrackedEndpoint
     from auburnswitch.platform.endpoint_client import PlatformEndpointClient
     from auburnswitch.routing.endpoint_availability import EndpointAvailability
-    from auburnswitch.routing.endpoint_selector import Placement
+    from auburnswitch.routing.placement import Placement
     from auburnswitch.schema.installation import EndpointEntry
 
 # If this daemon terminates, the engine frees the memory after the lease.
--- a/src/auburnswitch/routing/outcomes.py
+++ b/src/auburnswitch/routing/outcomes.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from auburnswitch.platform.endpoint_responses import ResponseHead
     from auburnswitch.platform.requests import Headers
-    from auburnswitch.routing.endpoint_selector import Placement
+    from auburnswitch.routing.placement import Placement
 
 _HTTP_OK: Final = 200
 _HTTP_MULTIPLE_CHOICES: Final = 300
--- /dev/null
+++ b/src/auburnswitch/routing/placement.py
@@ -0,0 +1,46 @@
+"""Describes the endpoints chosen for one attempt."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from auburnswitch.configuration.installation import TrackedEndpoint
+    from auburnswitch.schema.gossip import WorkItem
+
+
+@dataclass(slots=True, kw_only=True)
+class Placement:
+    """Endpoints chosen for one attempt.
+
+    Attributes:
+        endpoint: Endpoint that receives the request.
+        helpers: Endpoints that prefill parts of the prompt.
+        item: The work as published to peers.
+        first_token_s: Predicted time to the first token, in seconds.
+        duration_s: Predicted time to the end of the answer, in seconds.
+        late: Whether the first token is predicted to miss its target latency.
+        delays_others: Whether the request would make other answers late.
+        started: Whether its work has been added to the load.
+    """
+
+    endpoint: TrackedEndpoint
+    helpers: list[TrackedEndpoint]
+    item: WorkItem
+    first_token_s: float
+    duration_s: float
+    late: bool = False
+    delays_others: bool = False
+    started: bool = False
+
+    def engines(self) -> list[TrackedEndpoint]:
+        """Returns all endpoints of the placement."""
+        return [self.endpoint, *self.helpers]
+
+    def holders(self) -> list[TrackedEndpoint]:
+        """Returns the helpers that hold a part of the prompt's KV cache."""
+        return self.helpers[: self.item.holders]
+
+
+__all__ = ["Placement"]
--- a/src/auburnswitch/routing/placement_wait.py
+++ b/src/auburnswitch/routing/placement_wait.py
@@ -9,10 +9,8 @@
 
 if TYPE_CHECKING:
     from auburnswitch.routing.delivery_job import DeliveryJob
-    from auburnswitch.routing.endpoint_selector import (
-        EndpointSelector,
-        Placement,
-    )
+    from auburnswitch.routing.endpoint_selector import EndpointSelector
+    from auburnswitch.routing.placement import Placement
     from auburnswitch.routing.stop_deadline import StopDeadline
 
 PLACEMENT_POLL_INTERVAL_S: Final = 0.02
--- a/src/auburnswitch/routing/retry_permission.py
+++ b/src/auburnswitch/routing/retry_permission.py
@@ -12,11 +12,9 @@
 
     from auburnswitch.routing.crash_registry import CrashRegistry
     from auburnswitch.routing.delivery_job import DeliveryJob
-    from auburnswitch.routing.endpoint_selector import (
-        EndpointSelector,
-        Placement,
-    )
+    from auburnswitch.routing.endpoint_selector import EndpointSelector
     from auburnswitch.routing.outcomes import AttemptFailed
+    from auburnswitch.routing.placement import Placement
     from auburnswitch.routing.stop_deadline import StopDeadline
     from auburnswitch.routing.windowed_retry_budget import WindowedRetryBudget
 
--- a/src/auburnswitch/routing/silence_watch.py
+++ b/src/auburnswitch/routing/silence_watch.py
@@ -15,7 +15,7 @@
     from collections.abc import AsyncIterator
 
     from auburnswitch.routing.delivery_job import DeliveryJob
-    from auburnswitch.routing.endpoint_selector import Placement
+    from auburnswitch.routing.placement import Placement
     from auburnswitch.routing.retry_permission import RetryPermission
 
 SUCCESSOR_POLL_INTERVAL_S: Final = 0.1
--- a/src/auburnswitch/routing/stream_relay.py
+++ b/src/auburnswitch/routing/stream_relay.py
@@ -20,11 +20,9 @@
     from auburnswitch.platform.endpoint_responses import ResponseHead
     from auburnswitch.routing.attempt_timeouts import AttemptTimeouts
     from auburnswitch.routing.delivery_job import DeliveryJob
-    from auburnswitch.routing.endpoint_selector import (
-        EndpointSelector,
-        Placement,
-    )
+    from auburnswitch.routing.endpoint_selector import EndpointSelector
     from auburnswitch.routing.outcomes import AnswerWriter, DeliveryProgress
+    from auburnswitch.routing.placement import Placement
     from auburnswitch.routing.silence_watch import SilenceWatch
 
 
