Log how far a broken answer had got, and the parts of its prompt

Event 216 names the stage of the answer (not begun, begun, under way), the request's fingerprint and hashes of the parts that others may share; the list of parts is decoded for it. No decision uses them yet.

--- a/src/auburnswitch/callers/entry_app.py
+++ b/src/auburnswitch/callers/entry_app.py
@@ -16,6 +16,7 @@
 from auburnswitch.routing.crash_registry import compute_fingerprint
 from auburnswitch.routing.delivery_job import DeliveryJob
 from auburnswitch.routing.outcomes import Delivered, DeliveryFailed, RetryAdvice
+from auburnswitch.routing.prompt_parts import fingerprint_parts
 from auburnswitch.schema.events import EventId
 
 if TYPE_CHECKING:
@@ -197,6 +198,7 @@
             deadline_at=arrived_at + min(timeout_s, caller_timeout_s),
             caller_deadline_at=arrived_at + caller_timeout_s,
             fingerprint=compute_fingerprint(request, body),
+            parts=fingerprint_parts(service.name, request.shared_parts),
         )
 
     async def _deliver(
--- a/src/auburnswitch/platform/protocol.py
+++ b/src/auburnswitch/platform/protocol.py
@@ -15,6 +15,7 @@
 TOKEN_COUNTS_HEADER: Final = (
     "x-token-counts"  # prompt tokens, maximum answer tokens
 )
+PROMPT_PARTS_HEADER: Final = "x-prompt-prefix"  # parts of the prompt in order
 LENGTH_HINT_HEADER: Final = (
     "x-length-hint"  # the caller's estimate of answer tokens
 )
@@ -57,6 +58,7 @@
     "ORDER_PATH",
     "READINESS_PATH",
     "PREFILL_HELPERS_HEADER",
+    "PROMPT_PARTS_HEADER",
     "REPORT_PATH",
     "RETRY_AFTER_HEADER",
     "SIGNATURE_HEADER",
--- a/src/auburnswitch/platform/requests.py
+++ b/src/auburnswitch/platform/requests.py
@@ -77,6 +77,8 @@
         answer_tokens: Expected number of answer tokens, 0 if not given.
         last_event_id: Id of the last event that the caller received, None if
             not given.
+        shared_parts: Ids of the parts of the prompt that other requests may
+            have as well, in order and each once.
     """
 
     id: str
@@ -90,6 +92,7 @@
     prompt_tokens: int = 0
     answer_tokens: int = 0
     last_event_id: str | None = None
+    shared_parts: tuple[str, ...] = ()
 
 
 def decode_request(
@@ -118,6 +121,7 @@
         prompt_tokens=prompt_tokens,
         answer_tokens=min(length_hint or max_tokens, max_tokens or length_hint),
         last_event_id=by_name.get(protocol.LAST_EVENT_ID_HEADER),
+        shared_parts=_parse_shared_parts(headers),
     )
 
 
@@ -154,6 +158,16 @@
     return _parse_non_negative(prompt), _parse_non_negative(answer)
 
 
+def _parse_shared_parts(headers: Headers) -> tuple[str, ...]:
+    """Returns the ids of all parts but the last, which is the request's own."""
+    values = [v for name, v in headers if name == protocol.PROMPT_PARTS_HEADER]
+    if not values:
+        return ()
+    entries = ",".join(values).split(",")[:-1]
+    ids = (entry.partition(":")[0].strip().lower() for entry in entries)
+    return tuple(dict.fromkeys(part_id for part_id in ids if part_id))
+
+
 def _parse_non_negative(value: str) -> int:
     try:
         return max(0, int(value.strip() or 0))
--- a/src/auburnswitch/routing/delivery.py
+++ b/src/auburnswitch/routing/delivery.py
@@ -38,6 +38,7 @@
     from auburnswitch.routing.windowed_retry_budget import WindowedRetryBudget
 
 MIN_SEND_TIME_LEFT_S: Final = 0.02
+MAX_LOGGED_PARTS: Final = 8
 
 
 class DeliveryRunner:
@@ -192,6 +193,9 @@
             reason=failure.reason,
             may_have_run=failure.may_have_run,
             attempts=job.attempts,
+            stage=failure.stage.value,
+            fingerprint=job.fingerprint,
+            parts=job.parts[:MAX_LOGGED_PARTS],
         )
 
     async def _find_placement(
--- a/src/auburnswitch/routing/delivery_job.py
+++ b/src/auburnswitch/routing/delivery_job.py
@@ -28,6 +28,7 @@
             seconds.
         caller_deadline_at: Loop time until which the caller waits, in seconds.
         fingerprint: Identifies the request when it is sent again.
+        parts: Identify the parts of its prompt that others may share.
         attempts: Number of attempts that count as sent to an endpoint.
         excluded: Endpoints that must not be tried again.
     """
@@ -41,6 +42,7 @@
     deadline_at: float
     caller_deadline_at: float
     fingerprint: str = ""
+    parts: tuple[str, ...] = ()
     attempts: int = 0
     excluded: set[str] = field(default_factory=set)
 
--- a/src/auburnswitch/routing/outcomes.py
+++ b/src/auburnswitch/routing/outcomes.py
@@ -63,6 +63,14 @@
         return _HTTP_OK <= self.status < _HTTP_MULTIPLE_CHOICES
 
 
+class AnswerStage(enum.Enum):
+    """How far an endpoint had got with its answer when the attempt ended."""
+
+    NOT_BEGUN = "not begun"
+    BEGUN = "begun"  # its head has arrived, and one event at most
+    UNDER_WAY = "under way"
+
+
 class RetryAdvice(enum.Enum):
     """Whether and when a caller should send a failed request again."""
 
@@ -101,6 +109,7 @@
             opened.
         failed_endpoint: Endpoint at fault, if the endpoint that received the
             request reports one.
+        stage: How far the answer had got.
         head: Head of the complete answer to deliver if no other attempt
             follows.
         body: Body of that answer.
@@ -114,6 +123,7 @@
     connection_broken: bool = False
     failed_to_connect: bool = False
     failed_endpoint: str | None = None
+    stage: AnswerStage = AnswerStage.NOT_BEGUN
     head: ResponseHead | None = None
     body: bytes = b""
     successor: Successor | None = None
@@ -158,6 +168,7 @@
 
 
 __all__ = [
+    "AnswerStage",
     "AnswerWriter",
     "AttemptFailed",
     "Delivered",
--- a/src/auburnswitch/routing/stream_relay.py
+++ b/src/auburnswitch/routing/stream_relay.py
@@ -11,7 +11,11 @@
     AnswerEndKind,
     record_answer_end,
 )
-from auburnswitch.routing.outcomes import AttemptFailed, Delivered
+from auburnswitch.routing.outcomes import (
+    AnswerStage,
+    AttemptFailed,
+    Delivered,
+)
 from auburnswitch.routing.sse_events import (
     EventTooLargeError,
     SseEventSplitter,
@@ -45,9 +49,11 @@
         watch: Watches the endpoint for silence.
         timeouts: Maximum silence of the endpoint.
         splitter: Splits the response into events.
+        event_count: Number of events that the endpoint has sent.
     """
 
     __slots__ = (
+        "event_count",
         "job",
         "placement",
         "progress",
@@ -80,6 +86,7 @@
         self.watch = watch
         self.timeouts = timeouts
         self.splitter = SseEventSplitter()
+        self.event_count = 0
 
     async def run(self, answer: ResponseHead) -> Delivered | AttemptFailed:
         """Relays whole events until the stream ends or breaks."""
@@ -87,11 +94,7 @@
             data = await answer.read_chunk()
             if isinstance(data, BrokenResponse):
                 self._record_end(answer, data.reason)
-                return AttemptFailed(
-                    reason=data.reason,
-                    may_have_run=True,
-                    connection_broken=True,
-                )
+                return self._broken(data.reason)
             if not data:
                 break
             try:
@@ -100,6 +103,7 @@
                 self._record_end(answer, str(error))
                 return AttemptFailed(reason=str(error), may_have_run=True)
             if events:
+                self.event_count += len(events)
                 self.watch.expect_within(None)  # a slow caller may delay them
                 await self._forward_events(answer, events)
                 self.watch.expect_within(self.timeouts.gap_timeout_s())
@@ -112,16 +116,10 @@
         """Ends the caller's answer if no more is claimed than is known."""
         match end:
             case AnswerEndKind.BROKEN_OFF:
-                return AttemptFailed(
-                    reason="the stream ended inside an event",
-                    may_have_run=True,
-                    connection_broken=True,
-                )
+                return self._broken("the stream ended inside an event")
             case AnswerEndKind.UNCONFIRMED if not self._has_events():
-                return AttemptFailed(
-                    reason="the connection was closed before the first event",
-                    may_have_run=True,
-                    connection_broken=True,
+                return self._broken(
+                    "the connection was closed before the first event"
                 )
             case AnswerEndKind.UNCONFIRMED if not self._can_end_unconfirmed():
                 return AttemptFailed(
@@ -135,6 +133,22 @@
             end_confirmed=end is AnswerEndKind.COMPLETE,
         )
 
+    def _broken(self, reason: str) -> AttemptFailed:
+        """Returns the failure of an attempt whose connection has broken."""
+        return AttemptFailed(
+            reason=reason,
+            may_have_run=True,
+            connection_broken=True,
+            stage=self.stage,
+        )
+
+    @property
+    def stage(self) -> AnswerStage:
+        """How far the endpoint has got with its answer."""
+        if self.event_count > 1:
+            return AnswerStage.UNDER_WAY
+        return AnswerStage.BEGUN
+
     def _has_events(self) -> bool:
         """Returns whether the caller has an event, from whatever answer."""
         return self.writer.started or self.progress.last_event_id is not None
--- a/tests/entry/test_request_logs.py
+++ b/tests/entry/test_request_logs.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import unittest
 
+import aiohttp
+
 from auburnswitch.entry.run import drain
 from auburnswitch.experiments.installation import (
     open_installation,
     wait_until,
 )
 from auburnswitch.observe.logs import LOGGER
+from auburnswitch.routing.prompt_parts import fingerprint_parts
 from auburnswitch.standins.endpoint import Fault
 
 SHORT = "1000,50"
@@ -42,6 +46,26 @@
         self.assertEqual(len(failed), len(retried) + 1)
         self.assertEqual(retried[0].endpoint, failed[1].endpoint)
 
+    # Issue 35: the logs didn't tell the answer that was beginning at a crash
+    # from the streams that broke with it.
+    async def test_broken_attempt_names_its_stage_and_parts(self):
+        stages = {
+            Fault.DISCONNECT: "not begun",
+            Fault.DISCONNECT_MID_EVENT: "under way",
+        }
+        headers = {"X-Prompt-Prefix": "a0:10,b1:20,c2:30"}
+        async with open_installation(engines=1) as fleet:
+            engine = fleet.endpoints["engine-0"]
+            for fault in stages:
+                engine.faults.append(fault)
+                with contextlib.suppress(aiohttp.ClientError):
+                    await fleet.call("/chat/1", tokens=SHORT, headers=headers)
+        failed = self.events("attempt_failed")
+        self.assertEqual([r.stage for r in failed], [*stages.values()])
+        parts = fingerprint_parts("engines", ["a0", "b1"])
+        self.assertEqual({r.parts for r in failed}, {parts})
+        self.assertEqual(len({r.fingerprint for r in failed}), 1)
+
     async def test_request_in_flight_at_the_end_of_a_stop(self):
         async with open_installation() as fleet:
             daemon = fleet.daemons[0]
