--- a/src/auburnswitch/standins/raw_endpoint.py
+++ b/src/auburnswitch/standins/raw_endpoint.py
@@ -104,9 +104,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            request = await _read_request(reader)
+            request = await read_request(reader)
             if request.target.startswith("/v1/"):
-                writer.write(_own_answer(self.boot_ms))
+                writer.write(own_answer(self.boot_ms))
                 await writer.drain()
             else:
                 self.received_requests.append(request)
@@ -194,7 +194,8 @@
         await asyncio.sleep(0)  # drain() alone may never yield
 
 
-async def _read_request(reader: asyncio.StreamReader) -> ReceivedRequest:
+async def read_request(reader: asyncio.StreamReader) -> ReceivedRequest:
+    """Reads one request with a body of stated length."""
     head = await reader.readuntil(_HEAD_END)
     first_line, *lines = head.decode("latin-1").strip().split("\r\n")
     headers = {
@@ -211,7 +212,7 @@
     )
 
 
-def _own_answer(boot_ms: int) -> bytes:
+def own_answer(boot_ms: int) -> bytes:
     """Returns the answer to a load report or an order."""
     body = json.dumps({"Running": 0, "Waiting": 0, "born": boot_ms}).encode()
     head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
@@ -225,4 +226,6 @@
     "RawAnswer",
     "RawEndpoint",
     "make_event",
+    "own_answer",
+    "read_request",
 ]
