--- a/tests/entry/test_request_logs.py
+++ b/tests/entry/test_request_logs.py
@@ -15,6 +15,10 @@
 )
 from auburnswitch.observe.logs import LOGGER
 from auburnswitch.routing.prompt_parts import fingerprint_parts
+from auburnswitch.standins.crashable_engine import (
+    EVENT_INTERVAL_S,
+    CrashableEngine,
+)
 from auburnswitch.standins.endpoint import Fault
 
 SHORT = "1000,50"
@@ -51,7 +55,7 @@
     async def test_broken_attempt_names_its_stage_and_parts(self):
         stages = {
             Fault.DISCONNECT: "not begun",
-            Fault.DISCONNECT_MID_EVENT: "under way",
+            Fault.DISCONNECT_MID_EVENT: "begun",
         }
         headers = {"X-Prompt-Prefix": "a0:10,b1:20,c2:30"}
         async with open_installation(engines=1) as fleet:
@@ -66,6 +70,28 @@
         self.assertEqual({r.parts for r in failed}, {parts})
         self.assertEqual(len({r.fingerprint for r in failed}), 1)
 
+    async def test_answer_with_two_events_is_under_way(self):
+        engine = CrashableEngine(
+            endpoint_id="engine-0",
+            crashes_on=lambda _: False,
+            sends_head=lambda: True,
+        )
+        async with (
+            open_installation(engines=0, plain_services=0) as fleet,
+            engine.listen(),
+        ):
+            fleet.endpoints[engine.id] = engine
+            fleet.addresses[engine.id] = f"127.0.0.1:{engine.port}"
+            fleet.put_endpoint(engine.id, "engines")
+            known = fleet.daemons[0].installation.endpoints
+            await wait_until(lambda: engine.id in known)
+            call = asyncio.create_task(fleet.call("/chat/1", tokens=SHORT))
+            await wait_until(lambda: self.events("first_event"))
+            await asyncio.sleep(2 * EVENT_INTERVAL_S)
+            engine.crash()
+            await asyncio.gather(call, return_exceptions=True)
+        self.assertEqual(self.events("attempt_failed")[0].stage, "under way")
+
     async def test_request_in_flight_at_the_end_of_a_stop(self):
         async with open_installation() as fleet:
             daemon = fleet.daemons[0]
