--- a/schema/events.thrift
+++ b/schema/events.thrift
@@ -47,6 +47,18 @@
   ORPHAN_FREED = 402
   // A request was in flight when its endpoint crashed. @level warning
   CRASH_STRIKE = 403
+  // Prompt parts are suspected of crashing endpoints; peers may object. @level warning
+  PARTS_SUSPECTED = 404
+  // Requests with these prompt parts are refused, as they crash endpoints. @level error
+  PARTS_REFUSED = 405
+  // Prompt parts are no longer refused or suspected. @level info
+  PARTS_CLEARED = 406
+  // A request with refused prompt parts is tried again. @level warning
+  PARTS_TRIED = 407
+  // A limit on what is remembered of crashes was reached; the oldest is forgotten. @level warning
+  CRASH_MEMORY_FULL = 408
+  // A refusal of prompt parts could not be written to or read from the store. @level warning
+  PARTS_NOT_STORED = 409
   // An order was sent to an engine. @level info
   ORDER_SENT = 440
   // A ticket was accepted. @level info
--- a/schema/gossip.thrift
+++ b/schema/gossip.thrift
@@ -62,6 +62,47 @@
   4: i64 unknown_tokens = 0
 }
 
+// A request whose answer had not got past its beginning when its endpoint crashed.
+struct CrashSuspect {
+  1: string service_name = ""
+  2: string endpoint = ""
+  // Start of the endpoint's process that crashed. @unit milliseconds since the epoch
+  3: i64 boot_ms = 0
+  // Fingerprint of the request.
+  4: string request = ""
+  // Fingerprints of the shared parts of its prompt.
+  5: list<string> parts = []
+  // Time since the crash. @unit seconds
+  6: double age_s = 0
+}
+
+// Prompt parts that crash endpoints: requests with all of them are refused.
+struct PartRefusal {
+  1: string service_name = ""
+  // Fingerprints of the parts.
+  2: list<string> parts = []
+  // Time since the first of the crashes that decided it. @unit seconds
+  3: double evidence_age_s = 0
+  // Time since the last crash under these parts. @unit seconds
+  4: double last_crash_age_s = 0
+  // Number of requests that have been tried since.
+  5: i32 trials = 0
+  // Releases of the service's endpoints under which the parts crashed them.
+  6: list<string> releases = []
+  // The decision is final; until then each daemon may object.
+  7: bool confirmed = 0
+  // Time of day to which the ages refer; 0 in messages. @unit milliseconds since the epoch
+  8: i64 stored_at_ms = 0
+}
+
+// A prompt part in an answer that has got past its beginning.
+struct PartStart {
+  // Fingerprint of the part.
+  1: string part = ""
+  // Time since then. @unit seconds
+  2: double age_s = 0
+}
+
 // State that a daemon publishes to each peer when its work changes, and periodically.
 struct Gossip {
   // Instance of the sender.
@@ -104,6 +145,12 @@
   22: optional ConfigChanges config_changes
   // Number of the cell whose daemons receive the message; negative for all daemons.
   23: i32 cell = -1
+  // Requests at crashes that the sender has just observed.
+  24: list<CrashSuspect> crash_suspects = []
+  // Refusals in force at the sender, in heartbeats, or that it has just found.
+  25: list<PartRefusal> part_refusals = []
+  // Parts of refusals that the sender knows to be sound.
+  26: list<PartStart> part_starts = []
 }
 
 // One datagram.
--- a/schema/installation.thrift
+++ b/schema/installation.thrift
@@ -117,6 +117,8 @@
   8: double cold_s = 0
   // Start of the endpoint's process, which distinguishes its restarts under the same id; 0 if unknown. @unit milliseconds since the epoch
   9: i64 boot_ms = 0
+  // Versions of the endpoint's software and models; empty if unknown.
+  10: string release = ""
 }
 
 // All endpoints at one revision of the store.
--- a/src/auburnswitch/configuration/installation.py
+++ b/src/auburnswitch/configuration/installation.py
@@ -254,6 +254,10 @@
                 self._by_service.setdefault(name, []).append(endpoint)
         return self._by_service.get(service, [])
 
+    def releases_of(self, service: str) -> set[str]:
+        """Returns the releases of a service's endpoints."""
+        return {e.entry.release for e in self.endpoints_of(service)}
+
     def is_open(self, endpoint: TrackedEndpoint) -> bool:
         """Returns whether an endpoint may get new requests now."""
         if self.endpoints.get(endpoint.entry.id) is not endpoint:
--- a/src/auburnswitch/entry/entry_daemon.py
+++ b/src/auburnswitch/entry/entry_daemon.py
@@ -24,6 +24,8 @@
 from auburnswitch.observe.statistics import EntryStatistics
 from auburnswitch.platform.endpoint_client import PlatformEndpointClient
 from auburnswitch.platform.store_client import PlatformStoreClient
+from auburnswitch.routing.crash_check import CrashChecker
+from auburnswitch.routing.crash_guard import CrashGuard
 from auburnswitch.routing.crash_registry import CrashRegistry
 from auburnswitch.routing.delivery import DeliveryRunner
 from auburnswitch.routing.endpoint_availability import EndpointAvailability
@@ -32,6 +34,7 @@
 from auburnswitch.routing.fleet_load import FleetLoad
 from auburnswitch.routing.load_observer import LoadObserver
 from auburnswitch.routing.memory_reservations import MemoryReservations
+from auburnswitch.routing.part_watch import PartWatch
 from auburnswitch.routing.send_rate_limiter import SendRateLimiter
 from auburnswitch.routing.stop_deadline import StopDeadline
 from auburnswitch.routing.windowed_retry_budget import WindowedRetryBudget
@@ -44,6 +47,8 @@
 
     from auburnswitch.members.gossip_peer import GossipPeer
     from auburnswitch.observe.tasks import TaskSet
+    from auburnswitch.routing.part_evidence import Parts
+    from auburnswitch.routing.part_refusals import Refusal
     from auburnswitch.schema.entry import EntrySettings
     from auburnswitch.schema.gossip import Gossip
 
@@ -100,6 +105,9 @@
             local_record=record,
             incarnation=int(time.time() * _MS_PER_S),
             fill_state=self._fill_state,
+            fill_heartbeat=lambda message: self.part_watch.fill_heartbeat(
+                message
+            ),
             list_work=lambda: self.work_reporter.list_work(),
             on_gossip=self._on_gossip,
             is_reader=lambda: self.reader_election.is_reader,
@@ -159,9 +167,23 @@
             prefix=f"{record.instance}-{self.gossip.incarnation}",
         )
         self.crash_registry = CrashRegistry()
+        self.part_watch = PartWatch(
+            statistics=self.statistics,
+            rng=rng,
+            releases_of=self.installation.releases_of,
+            is_trial_owner=self._owns_trials,
+            send=self.gossip.send_crash_evidence,
+            on_change=self._on_refusal_change,
+        )
+        self.crash_guard = CrashGuard(
+            requests=self.crash_registry,
+            parts=self.part_watch,
+            checker=CrashChecker(endpoint_client=endpoint_client, tasks=tasks),
+            tasks=tasks,
+        )
         delivery_runner = DeliveryRunner(
             statistics=self.statistics,
-            crash_registry=self.crash_registry,
+            crash_guard=self.crash_guard,
             selector=self.endpoint_selector,
             endpoint_client=endpoint_client,
             memory=self.memory_reservations,
@@ -284,6 +306,17 @@
             else max(daemon_count, ASSUMED_DAEMON_COUNT)
         )
 
+    def _owns_trials(self, parts: Parts) -> bool:
+        """Returns whether this daemon tries requests with refused parts."""
+        live = [p.record.instance for p in self.gossip.peers.live_peers()]
+        instances = [self.gossip.local_record.instance, *live]
+        return rendezvous_owner(min(parts), instances) == instances[0]
+
+    def _on_refusal_change(
+        self, before: Refusal | None, after: Refusal | None
+    ) -> None:
+        """Keeps the store's copy of the refusals up to date."""
+
     def _fill_state(self, message: Gossip) -> None:
         message.config_version = self.installation.config_version
         message.endpoints_revision = self.installation.endpoints_revision
@@ -310,6 +343,7 @@
                 self.fleet_load.add(instance, item)
                 self.endpoint_selector.rates.record_fleet_send(item.endpoint)
         self.crash_registry.merge_peer_announcements(message.crash_strikes)
+        self.part_watch.merge(message)
         for report in message.reports:
             self.load_observer.apply_report(report)
         for work_id in message.ended:
--- a/src/auburnswitch/http_exchange.py
+++ b/src/auburnswitch/http_exchange.py
@@ -37,7 +37,15 @@
 
 
 class ConnectError(Exception):
-    """No connection could be opened; nothing was sent."""
+    """No connection could be opened; nothing was sent.
+
+    Attributes:
+        refused: Whether the peer's host refused it: nothing listens there.
+    """
+
+    def __init__(self, reason: str, *, refused: bool = False) -> None:
+        super().__init__(reason)
+        self.refused = refused
 
 
 class ExchangeError(Exception):
@@ -253,7 +261,8 @@
             async with asyncio.timeout(timeout_s):
                 await loop.sock_connect(tcp_socket, (host, port))
         except OSError as error:  # includes TimeoutError
-            raise ConnectError(repr(error)) from error
+            refused = isinstance(error, ConnectionRefusedError)
+            raise ConnectError(repr(error), refused=refused) from error
         transport, _ = await loop.create_connection(
             lambda: connection, sock=tcp_socket
         )
--- a/src/auburnswitch/members/gossip.py
+++ b/src/auburnswitch/members/gossip.py
@@ -64,6 +64,7 @@
         on_gossip: Called with each accepted message and its sender.
         is_reader: Returns whether this daemon reads the store for its peers.
         stopping: Whether this daemon is stopping.
+        fill_heartbeat: Adds what only heartbeats carry.
     """
 
     def __init__(
@@ -72,6 +73,7 @@
         local_record: DaemonRecord,
         incarnation: int,
         fill_state: Callable[[Gossip], None],
+        fill_heartbeat: Callable[[Gossip], None] = lambda message: None,
         list_work: Callable[[], list[WorkItem]],
         on_gossip: Callable[[GossipPeer, Gossip], None],
         is_reader: Callable[[], bool],
@@ -83,6 +85,7 @@
         self.key = b""
         self.peers = PeerTable(cell_of=cell_of)
         self.fill_state = fill_state
+        self.fill_heartbeat = fill_heartbeat
         self.list_work = list_work
         self.on_gossip = on_gossip
         self.stopping = False
@@ -182,6 +185,18 @@
         message.reports = reports
         self._send(message, cell)
 
+    def send_crash_evidence(self, evidence: Gossip) -> None:
+        """Sends what concerns prompt parts that crash endpoints to all peers.
+
+        Args:
+            evidence: Message of which only these fields are used.
+        """
+        message = self._new_message(items=[], ended=[])
+        message.crash_suspects = evidence.crash_suspects
+        message.part_refusals = evidence.part_refusals
+        message.part_starts = evidence.part_starts
+        self._send(message)
+
     def _flush_ended_work(self) -> None:
         self._flush_timer = None
         for cell in [*self._ended_work]:
@@ -204,7 +219,9 @@
             self._send(message, cell)
             if monotonic_s() >= next_fleet_heartbeat_at:
                 next_fleet_heartbeat_at = monotonic_s() + fleet_interval_s
-                self._send(self._new_message(items=[], ended=[]))
+                fleet_message = self._new_message(items=[], ended=[])
+                self.fill_heartbeat(fleet_message)
+                self._send(fleet_message)
             await asyncio.sleep(
                 heartbeat_interval_s(len(cell_peers), leading=message.leading)
             )
@@ -212,6 +229,7 @@
     def _new_heartbeat(self) -> Gossip:
         items = self.list_work()[:MAX_HEARTBEAT_ITEMS]
         message = self._new_message(items=items, ended=[])
+        self.fill_heartbeat(message)
         message.complete = True
         return message
 
--- a/src/auburnswitch/observe/entry_metrics.py
+++ b/src/auburnswitch/observe/entry_metrics.py
@@ -43,6 +43,8 @@
         self._add_counter("retries", self._observe_retries)
         self._add_counter("endpoint_marks", self._observe_endpoint_marks)
         self._add_counter("answer_ends", self._observe_answer_ends)
+        self._add_counter("part_refusals", self._observe_part_refusals)
+        self._add_counter("crash_limits", self._observe_crash_limits)
         self._add_histograms(
             "first_event_seconds", statistics.time_to_first_event
         )
@@ -71,6 +73,14 @@
         for (framing, end), count in self.statistics.answer_ends.items():
             yield Observation(count, {"framing": framing, "end": end})
 
+    def _observe_part_refusals(self) -> Iterable[Observation]:
+        for change, count in self.statistics.part_refusals.items():
+            yield Observation(count, {"change": change})
+
+    def _observe_crash_limits(self) -> Iterable[Observation]:
+        for limit, count in self.statistics.crash_limits.items():
+            yield Observation(count, {"limit": limit})
+
     def _add_counter(
         self, name: str, read: Callable[[], Iterable[Observation]]
     ) -> None:
--- a/src/auburnswitch/observe/statistics.py
+++ b/src/auburnswitch/observe/statistics.py
@@ -73,12 +73,18 @@
         endpoint_marks: Number of marks of endpoints by kind.
         answer_ends: Number of endpoints' answers by the framing of the body and
             the way in which it ended.
+        part_refusals: Number of refusals of prompt parts by what became of
+            them.
+        crash_limits: Number of times that a limit on what is remembered of
+            crashes was reached, by limit.
     """
 
     __slots__ = (
         "answer_ends",
+        "crash_limits",
         "duration",
         "endpoint_marks",
+        "part_refusals",
         "requests",
         "retries",
         "time_to_first_event",
@@ -89,6 +95,8 @@
         self.retries: Counter[str] = Counter()
         self.endpoint_marks: Counter[str] = Counter()
         self.answer_ends: Counter[tuple[str, str]] = Counter()
+        self.part_refusals: Counter[str] = Counter()
+        self.crash_limits: Counter[str] = Counter()
         length_classes = ("plain", "short", "medium", "long")
         self.time_to_first_event = {
             length_class: Histogram() for length_class in length_classes
--- a/src/auburnswitch/platform/config_decoder.py
+++ b/src/auburnswitch/platform/config_decoder.py
@@ -26,6 +26,7 @@
 }
 _STATES: Final = ("ready", "draining")
 _MS_PER_S: Final = 1000.0
+MAX_RELEASE_LENGTH: Final = 200
 _MAX_BOOT_MS: Final = 1 << 62  # fits into messages to peers
 
 
@@ -150,9 +151,20 @@
         ready=state == "ready",
         cold_s=fields.number(data, "ColdRemainingMs", 0) / _MS_PER_S,
         boot_ms=_decode_boot_ms(data),
+        release=_decode_release(data),
     )
 
 
+def _decode_release(data: Any) -> str:
+    """Returns the versions of an endpoint's software and models as text."""
+    versions = [str(data.get("Version", ""))]
+    models = data.get("Models")
+    for model in models if isinstance(models, list) else []:
+        if isinstance(model, dict):
+            versions.append(f"{model.get('Name')}:{model.get('Version')}")
+    return " ".join(versions)[:MAX_RELEASE_LENGTH]
+
+
 def _decode_boot_ms(data: Any) -> int:
     boot_ms = fields.integer(data, "born", 0)
     if not 0 <= boot_ms < _MAX_BOOT_MS:
--- a/src/auburnswitch/platform/endpoint_client.py
+++ b/src/auburnswitch/platform/endpoint_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import enum
 import json
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
@@ -18,6 +19,7 @@
 from auburnswitch.platform import fields, protocol
 from auburnswitch.platform.endpoint_notices import NoticeSource, decode_notice
 from auburnswitch.platform.endpoint_responses import (
+    HTTP_MISDIRECTED,
     BrokenResponse,
     RequestNotExecuted,
     RequestNotSent,
@@ -55,6 +57,14 @@
     body: bytes
 
 
+class ProcessState(enum.Enum):
+    """What is known about the process that an endpoint's entry describes."""
+
+    RUNNING = "running"
+    ENDED = "ended"  # nothing listens there, or another process does
+    UNKNOWN = "unknown"
+
+
 @dataclass(slots=True, kw_only=True)
 class EngineLoadReport:
     """Load that an engine reports, a few hundred milliseconds late.
@@ -196,6 +206,23 @@
         except (FieldError, ValueError, *_CALL_ERRORS):
             return None  # the next request detects a failed engine
 
+    async def check_process(self, endpoint: EndpointEntry) -> ProcessState:
+        """Asks whether an engine's process still runs."""
+        try:
+            reply = await self._call(
+                endpoint, "GET", protocol.REPORT_PATH, NoticeSource.LOAD_REPORT
+            )
+        except ConnectError as error:
+            return ProcessState.ENDED if error.refused else ProcessState.UNKNOWN
+        except (ExchangeError, TimeoutError):
+            return ProcessState.UNKNOWN
+        if reply.status == HTTP_MISDIRECTED:
+            return ProcessState.ENDED
+        boot_ms = _decode_boot_ms(reply.body)
+        if boot_ms and endpoint.boot_ms and boot_ms != endpoint.boot_ms:
+            return ProcessState.ENDED
+        return ProcessState.RUNNING
+
     async def _send_order(
         self, endpoint: EndpointEntry, order: dict[str, str | int]
     ) -> bool:
@@ -246,6 +273,14 @@
         return received
 
 
+def _decode_boot_ms(body: bytes) -> int:
+    """Returns when a process says that it started, 0 if it does not."""
+    try:
+        return fields.integer(json.loads(body), "born", 0)
+    except (FieldError, ValueError):
+        return 0
+
+
 def _open_exchange(
     endpoint: EndpointEntry, body_budget: BodyBudget
 ) -> contextlib.AbstractAsyncContextManager[HttpExchange]:
@@ -262,5 +297,6 @@
     "MAX_ANSWER_BYTES",
     "MAX_BUFFERED_BYTES",
     "EngineLoadReport",
+    "ProcessState",
     "PlatformEndpointClient",
 ]
--- a/src/auburnswitch/platform/endpoint_responses.py
+++ b/src/auburnswitch/platform/endpoint_responses.py
@@ -17,7 +17,7 @@
 
 _HTTP_OK: Final = 200
 _HTTP_MULTIPLE_CHOICES: Final = 300
-_HTTP_MISDIRECTED: Final = 421
+HTTP_MISDIRECTED: Final = 421
 _EVENT_STREAM_TYPE: Final = "text/event-stream"
 
 
@@ -142,7 +142,7 @@
 ) -> ResponseHead | RequestNotExecuted | WrongResponse:
     """Returns the outcome that the head of a response shows."""
     headers = index_headers(received)
-    if protocol.NOT_EXECUTED_HEADER in headers or status == _HTTP_MISDIRECTED:
+    if protocol.NOT_EXECUTED_HEADER in headers or status == HTTP_MISDIRECTED:
         return RequestNotExecuted(
             status=status,
             failed_address=headers.get(protocol.FAILED_ENDPOINT_HEADER, ""),
@@ -164,6 +164,7 @@
 
 
 __all__ = [
+    "HTTP_MISDIRECTED",
     "BrokenResponse",
     "RequestNotExecuted",
     "RequestNotSent",
--- a/src/auburnswitch/platform/protocol.py
+++ b/src/auburnswitch/platform/protocol.py
@@ -37,6 +37,7 @@
 ENDPOINTS_KIND: Final = "servers"
 CLOSED_ZONES_KIND: Final = "evacuations"
 DAEMONS_KIND: Final = "auburnswitch-daemons"
+REFUSALS_KIND: Final = "auburnswitch-part-refusals"
 
 __all__ = [
     "ATTEMPT_ID_HEADER",
@@ -59,6 +60,7 @@
     "READINESS_PATH",
     "PREFILL_HELPERS_HEADER",
     "PROMPT_PARTS_HEADER",
+    "REFUSALS_KIND",
     "REPORT_PATH",
     "RETRY_AFTER_HEADER",
     "SIGNATURE_HEADER",
--- a/src/auburnswitch/routing/attempt.py
+++ b/src/auburnswitch/routing/attempt.py
@@ -13,6 +13,8 @@
 from auburnswitch.routing.whole_answer import deliver_whole
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from auburnswitch.observe.statistics import EntryStatistics
     from auburnswitch.platform.endpoint_responses import ResponseHead
     from auburnswitch.routing.attempt_opener import AttemptOpener
@@ -43,10 +45,12 @@
         placement: The endpoint chosen for the request.
         writer: Writes the answer to the caller.
         progress: State of the request over all attempts.
+        on_under_way: Called when the answer has got past its beginning.
     """
 
     __slots__ = (
         "job",
+        "on_under_way",
         "opener",
         "placement",
         "progress",
@@ -69,7 +73,9 @@
         placement: Placement,
         writer: AnswerWriter,
         progress: DeliveryProgress,
+        on_under_way: Callable[[], None],
     ) -> None:
+        self.on_under_way = on_under_way
         self.opener = opener
         self.selector = selector
         self.retries = retries
@@ -136,6 +142,7 @@
             progress=self.progress,
             watch=watch,
             timeouts=timeouts,
+            on_under_way=self.on_under_way,
         )
         return await relay.run(answer)
 
--- a/src/auburnswitch/routing/attempt_opener.py
+++ b/src/auburnswitch/routing/attempt_opener.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import contextlib
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.platform.endpoint_responses import (
@@ -29,6 +29,9 @@
     from auburnswitch.routing.placement import Placement
 
 
+CRASHES_REASON: Final = "crashes endpoints"
+
+
 class AttemptOpener:
     """Opens attempts, each of which lasts until its context ends.
 
@@ -36,9 +39,11 @@
         selector: Tracks the load of endpoints.
         memory: Reserves memory for long prompts.
         endpoint_client: Sends requests to endpoints.
+        may_begin: Returns whether a request may be sent right now, as far as
+            the crashes under it go.
     """
 
-    __slots__ = ("endpoint_client", "memory", "selector")
+    __slots__ = ("endpoint_client", "may_begin", "memory", "selector")
 
     def __init__(
         self,
@@ -46,7 +51,9 @@
         selector: EndpointSelector,
         memory: MemoryReservations,
         endpoint_client: PlatformEndpointClient,
+        may_begin: Callable[[DeliveryJob], bool] = lambda job: True,
     ) -> None:
+        self.may_begin = may_begin
         self.selector = selector
         self.memory = memory
         self.endpoint_client = endpoint_client
@@ -105,11 +112,17 @@
             last_event_id=progress.last_event_id,
         )
 
+        crashes = False
+
         def may_send() -> bool:
-            """Returns whether all endpoints of the placement are usable now."""
+            """Returns whether the request may be sent to its endpoints now."""
+            nonlocal crashes
             is_usable = self.selector.availability.is_usable
             if not all(map(is_usable, placement.engines())):
                 return False
+            crashes = not self.may_begin(job)
+            if crashes:
+                return False
             on_send()
             return True
 
@@ -126,6 +139,8 @@
                 yield answer
                 return
             failure = self._make_failure(answer)
+            if crashes:
+                failure.reason = CRASHES_REASON
             if not failure.may_have_run:
                 progress.may_have_run = may_have_run_before
             yield failure
--- a/src/auburnswitch/routing/delivery.py
+++ b/src/auburnswitch/routing/delivery.py
@@ -8,7 +8,7 @@
 from auburnswitch.clock import monotonic_s
 from auburnswitch.observe.logs import log_event
 from auburnswitch.routing.attempt import AttemptRunner
-from auburnswitch.routing.attempt_opener import AttemptOpener
+from auburnswitch.routing.attempt_opener import CRASHES_REASON, AttemptOpener
 from auburnswitch.routing.duration_estimator import DurationEstimator
 from auburnswitch.routing.endpoint_outcomes import record_outcome
 from auburnswitch.routing.outcomes import (
@@ -28,7 +28,7 @@
 if TYPE_CHECKING:
     from auburnswitch.observe.statistics import EntryStatistics
     from auburnswitch.platform.endpoint_client import PlatformEndpointClient
-    from auburnswitch.routing.crash_registry import CrashRegistry
+    from auburnswitch.routing.crash_guard import CrashGuard
     from auburnswitch.routing.delivery_job import DeliveryJob
     from auburnswitch.routing.endpoint_selector import EndpointSelector
     from auburnswitch.routing.memory_reservations import MemoryReservations
@@ -48,7 +48,7 @@
         selector: Chooses endpoints.
         opener: Sends requests to endpoints.
         budget: Limits retries.
-        crash_registry: Requests that crash endpoints.
+        crash_guard: Keeps requests that crash endpoints away from them.
         statistics: Counts retries and records latencies.
         stop: Bounds the requests of a stopping daemon.
         durations: Estimates how long attempts take.
@@ -57,7 +57,7 @@
 
     __slots__ = (
         "budget",
-        "crash_registry",
+        "crash_guard",
         "durations",
         "opener",
         "retries",
@@ -74,7 +74,7 @@
         endpoint_client: PlatformEndpointClient,
         budget: WindowedRetryBudget,
         memory: MemoryReservations,
-        crash_registry: CrashRegistry,
+        crash_guard: CrashGuard,
         statistics: EntryStatistics,
         stop: StopDeadline,
     ) -> None:
@@ -82,16 +82,19 @@
         self.durations = DurationEstimator()
         self.timers = RequestTimers()
         self.statistics = statistics
-        self.crash_registry = crash_registry
+        self.crash_guard = crash_guard
         self.selector = selector
         self.opener = AttemptOpener(
-            selector=selector, memory=memory, endpoint_client=endpoint_client
+            selector=selector,
+            memory=memory,
+            endpoint_client=endpoint_client,
+            may_begin=crash_guard.begin,
         )
         self.budget = budget
         self.retries = RetryPermission(
             selector=selector,
             budget=budget,
-            crash_registry=crash_registry,
+            crash_guard=crash_guard,
             stop=stop,
             may_retry=partial(self._ends_before_stop, is_retry=True),
         )
@@ -101,11 +104,10 @@
     ) -> Delivered | DeliveryFailed:
         """Delivers a request within its deadline."""
         self.budget.record_request(job.service.name)
-        if self.crash_registry.is_refused(job.fingerprint):
+        advice = self.crash_guard.advice(job)
+        if advice is not None:
             return DeliveryFailed(
-                reason="crashes endpoints",
-                may_have_run=False,
-                retry=RetryAdvice.NEVER,
+                reason=CRASHES_REASON, may_have_run=False, retry=advice
             )
         if not self.stop.may_begin(job.deadline_at):
             return _stop_failure()
@@ -116,6 +118,7 @@
         except TimeoutError:
             return self._timeout_failure(progress)
         finally:
+            self.crash_guard.end(job)
             if progress.successor is not None:  # it has not been needed
                 await progress.successor.close()
 
@@ -138,7 +141,9 @@
             if last_failure is not None and not self.retries.try_acquire(
                 job, last_failure
             ):
-                return await self._final_outcome(last_failure, writer, progress)
+                return await self._final_outcome(
+                    job, last_failure, writer, progress
+                )
             placement = await self._find_placement(job, progress)
             if placement is not None and not self._ends_before_stop(
                 job, placement, is_retry=progress.may_have_run
@@ -150,7 +155,7 @@
                 if last_failure is not None:
                     self.retries.release(job, last_failure)
                     return await self._final_outcome(
-                        last_failure, writer, progress
+                        job, last_failure, writer, progress
                     )
                 return self._placement_failure(job)
             if last_failure is not None and last_failure.successor is None:
@@ -176,8 +181,6 @@
     ) -> None:
         """Records an attempt that has failed, whatever follows it."""
         endpoint = placement.endpoint.entry.id
-        if failure.connection_broken:
-            self.crash_registry.record_crash(job.fingerprint, endpoint)
         record_outcome(self.selector, job, endpoint, failure)
         self.statistics.retries[failure.cause] += 1
         progress.may_have_run |= failure.may_have_run
@@ -198,6 +201,19 @@
             parts=job.parts[:MAX_LOGGED_PARTS],
         )
 
+    def _record_unused(
+        self,
+        job: DeliveryJob,
+        progress: DeliveryProgress,
+        placement: Placement,
+        failure: AttemptFailed,
+    ) -> None:
+        """Records the failure of an attempt that was to replace another."""
+        if failure.connection_broken:
+            entry = placement.endpoint.entry
+            self.crash_guard.start_record(job, entry, failure)
+        self._record_failure(job, progress, placement, failure)
+
     async def _find_placement(
         self, job: DeliveryJob, progress: DeliveryProgress
     ) -> Placement | None:
@@ -233,6 +249,7 @@
 
     async def _final_outcome(
         self,
+        job: DeliveryJob,
         last_failure: AttemptFailed,
         writer: AnswerWriter,
         progress: DeliveryProgress,
@@ -240,7 +257,9 @@
         answer = progress.error_answer
         if answer is None or answer.head is None or writer.started:
             return DeliveryFailed(
-                reason=last_failure.reason, may_have_run=progress.may_have_run
+                reason=last_failure.reason,
+                may_have_run=progress.may_have_run,
+                retry=self.crash_guard.advice(job) or RetryAdvice.SOON,
             )
         return await deliver_whole(writer, answer.head, answer.body)
 
@@ -262,18 +281,23 @@
                 retries=self.retries,
                 job=job,
                 progress=progress,
-                on_failure=partial(self._record_failure, job, progress),
+                on_failure=partial(self._record_unused, job, progress),
             ),
             statistics=self.statistics,
             job=job,
             placement=placement,
             writer=writer,
             progress=progress,
+            on_under_way=partial(self.crash_guard.record_under_way, job),
         )
         outcome = await attempt.run(successor)
         match outcome:
             case AttemptFailed():
                 progress.successor = outcome.successor
+                if outcome.connection_broken:
+                    await self.crash_guard.record_broken(
+                        job, placement.endpoint.entry, outcome
+                    )
                 self._record_failure(job, progress, placement, outcome)
             case Delivered():
                 self._record_delivery(job, placement, outcome, started_at)
@@ -287,7 +311,7 @@
         started_at: float,
     ) -> None:
         if outcome.is_success and outcome.end_confirmed:
-            self.crash_registry.record_success(job.fingerprint)
+            self.crash_guard.record_success(job)
         took_s = monotonic_s() - started_at
         self.durations.record(job.service.name, placement.duration_s, took_s)
         endpoint = placement.endpoint.entry.id
--- /dev/null
+++ b/src/auburnswitch/routing/part_watch.py
@@ -0,0 +1,367 @@
+"""Shares what is known of prompt parts that crash endpoints with the peers.
+
+Each daemon tells its peers the requests that were in flight at a crash it has
+observed, and each judges the evidence of all. A daemon that finds culprits asks
+its peers first: one whose answers with such a part go on objects. Without an
+objection the refusal is final. Heartbeats repeat it, so that daemons that
+started or were cut off learn of it; a daemon that knows better objects again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+from auburnswitch.clock import monotonic_s
+from auburnswitch.observe.logs import log_event
+from auburnswitch.routing.part_evidence import Culprits, PartEvidence, Parts
+from auburnswitch.routing.part_refusals import PartRefusals, Refusal
+from auburnswitch.schema.events import EventId
+from auburnswitch.schema.gossip import (
+    CrashSuspect,
+    Gossip,
+    PartRefusal,
+    PartStart,
+)
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Iterable
+
+    from auburnswitch.observe.statistics import EntryStatistics
+    from auburnswitch.routing.delivery_job import DeliveryJob
+    from auburnswitch.schema.installation import EndpointEntry
+
+OBJECTION_PERIOD_S: Final = 0.25
+MAX_OBJECTION_DELAY_S: Final = 0.05  # most objections are heard before it
+ANNOUNCE_DURATION_S: Final = 1.5
+LIMIT_LOG_INTERVAL_S: Final = 60.0
+MAX_SUSPECTS_PER_MESSAGE: Final = 24
+MAX_PARTS_PER_MESSAGE: Final = 400  # fit into one datagram
+MAX_REFUSALS_PER_MESSAGE: Final = 16
+
+
+class PartWatch:
+    """Finds, shares and lifts the refusals of prompt parts.
+
+    Attributes:
+        evidence: The crashes and the answers that went on.
+        refusals: The refusals in force.
+        statistics: Counts refusals by what became of them, and limits reached.
+        rng: Random generator for the delay of objections.
+        send: Sends a message with these fields to all peers.
+        on_change: Called with a refusal that this daemon's own evidence has
+            ended or replaced, or None, and the one now in force, or None.
+    """
+
+    __slots__ = (
+        "_limits_logged_at",
+        "_objections",
+        "_own_suspects",
+        "_suspected",
+        "evidence",
+        "on_change",
+        "refusals",
+        "rng",
+        "send",
+        "statistics",
+    )
+
+    def __init__(
+        self,
+        *,
+        statistics: EntryStatistics,
+        rng: random.Random,
+        releases_of: Callable[[str], set[str]],
+        is_trial_owner: Callable[[Parts], bool],
+        send: Callable[[Gossip], None],
+        on_change: Callable[[Refusal | None, Refusal | None], None],
+    ) -> None:
+        self.statistics = statistics
+        self.rng = rng
+        self.send = send
+        self.on_change = on_change
+        self.evidence = PartEvidence(on_limit=self._record_limit)
+        self.refusals = PartRefusals(
+            releases_of=releases_of,
+            is_trial_owner=is_trial_owner,
+            on_limit=self._record_limit,
+            on_trial=self._record_trial,
+        )
+        self._suspected: dict[Parts, asyncio.TimerHandle] = {}
+        self._objections: dict[str, asyncio.TimerHandle] = {}
+        self._own_suspects: list[tuple[float, CrashSuspect]] = []
+        self._limits_logged_at: dict[str, float] = {}
+
+    def record_crash(self, job: DeliveryJob, endpoint: EndpointEntry) -> None:
+        """Records a request that was in flight at a crash, not under way."""
+        if not job.parts:
+            return
+        now = monotonic_s()
+        parts = self.evidence.select_parts(job.parts)
+        self.refusals.record_crash(parts, now)
+        for before, after in self.refusals.record_trial_crash(job, now):
+            self._report_change(before, after, "tried")
+        is_new = self.evidence.add_suspect(
+            (endpoint.id, endpoint.boot_ms),
+            service=job.service.name,
+            request=job.fingerprint,
+            parts=parts,
+            at=now,
+            observed_here=True,
+        )
+        if not is_new:
+            return
+        suspect = CrashSuspect(
+            service_name=job.service.name,
+            endpoint=endpoint.id,
+            boot_ms=endpoint.boot_ms,
+            request=job.fingerprint,
+            parts=sorted(parts),
+        )
+        self._own_suspects.append((now, suspect))
+        self.send(Gossip(crash_suspects=[suspect]))
+        self._judge(parts)
+
+    def record_start(self, job: DeliveryJob) -> None:
+        """Records an answer that has got past its beginning."""
+        if not job.parts:
+            return
+        self.evidence.record_start(job.service.name, job.parts)
+        if self._suspected or self.refusals.concerns(job):
+            self._object(part for part in job.parts if self._is_accused(part))
+            self._clear("an answer went on")
+
+    def fill_heartbeat(self, message: Gossip) -> None:
+        """Adds the refusals in force and this daemon's newest evidence."""
+        for refusal in self.refusals.expire():
+            self._report_change(refusal, None, "no crash for a long time")
+        refusals = self.refusals.refusals
+        if len(refusals) > MAX_REFUSALS_PER_MESSAGE:
+            refusals = self.rng.sample(refusals, MAX_REFUSALS_PER_MESSAGE)
+        message.part_refusals = [encode_refusal(r) for r in refusals]
+        now = monotonic_s()
+        self._own_suspects = [
+            (at, suspect)
+            for at, suspect in self._own_suspects
+            if now - at <= ANNOUNCE_DURATION_S
+        ]
+        part_count = 0
+        for at, suspect in self._own_suspects[-MAX_SUSPECTS_PER_MESSAGE:]:
+            part_count += len(suspect.parts)
+            if part_count <= MAX_PARTS_PER_MESSAGE:
+                suspect.age_s = now - at
+                message.crash_suspects.append(suspect)
+
+    def merge(self, message: Gossip) -> None:
+        """Applies what a peer has told."""
+        now = monotonic_s()
+        for start in message.part_starts:
+            self._apply_objection(start, now)
+        for suspect in message.crash_suspects:
+            self._add_peer_suspect(suspect, now)
+        for encoded in message.part_refusals:
+            self._consider(decode_refusal(encoded), encoded.confirmed)
+
+    def adopt(self, refusal: Refusal, source: str) -> None:
+        """Puts a refusal into force that is final elsewhere."""
+        sound = self._find_sound(refusal)
+        if sound:
+            self._schedule_objections(sound)
+        elif self.refusals.add(refusal):
+            self.statistics.part_refusals["adopted"] += 1
+            _log_refusal(EventId.PARTS_REFUSED, refusal, reason=source)
+
+    def _add_peer_suspect(self, suspect: CrashSuspect, now: float) -> None:
+        parts = frozenset(suspect.parts)
+        crash_at = now - max(0.0, suspect.age_s)
+        self.refusals.record_crash(parts, crash_at)
+        is_new = self.evidence.add_suspect(
+            (suspect.endpoint, suspect.boot_ms),
+            service=suspect.service_name,
+            request=suspect.request,
+            parts=parts,
+            at=crash_at,
+        )
+        if is_new:
+            self._judge(parts)
+
+    def _judge(self, parts: Parts) -> None:
+        """Suspects the parts that the evidence speaks against."""
+        culprits = self._find_culprits(parts)
+        if culprits is None or culprits.parts in self._suspected:
+            return
+        refusal = self._make_refusal(culprits)
+        self.statistics.part_refusals["suspected"] += 1
+        _log_refusal(EventId.PARTS_SUSPECTED, refusal)
+        self._suspected[culprits.parts] = asyncio.get_running_loop().call_later(
+            OBJECTION_PERIOD_S, self._confirm, culprits.parts
+        )
+        encoded = encode_refusal(refusal)
+        encoded.confirmed = False
+        self.send(Gossip(part_refusals=[encoded]))
+
+    def _confirm(self, parts: Parts) -> None:
+        """Refuses suspected parts to which no peer has objected."""
+        del self._suspected[parts]
+        culprits = self._find_culprits(parts)
+        if culprits is None:
+            self.statistics.part_refusals["cleared"] += 1
+            log_event(
+                EventId.PARTS_CLEARED,
+                parts=sorted(parts),
+                reason="a peer or another refusal explains the crashes",
+            )
+            return
+        refusal = self._make_refusal(culprits)
+        if not self.refusals.add(refusal):
+            return
+        self._report_change(None, refusal, "own evidence")
+        self._judge(parts)  # what this one doesn't explain
+
+    def _find_culprits(self, parts: Iterable[str]) -> Culprits | None:
+        return self.evidence.find_culprits(parts, self.refusals.groups())
+
+    def _make_refusal(self, culprits: Culprits) -> Refusal:
+        return Refusal(
+            service=culprits.service,
+            parts=culprits.parts,
+            evidence_at=culprits.evidence_at,
+            last_crash_at=culprits.last_crash_at,
+            releases=self.refusals.releases_of(culprits.service),
+        )
+
+    def _consider(self, refusal: Refusal, confirmed: bool) -> None:
+        """Objects to a peer's refusal, or adopts it if it is final."""
+        if confirmed:
+            self.adopt(refusal, "a peer")
+        else:
+            self._schedule_objections(self._find_sound(refusal))
+
+    def _find_sound(self, refusal: Refusal) -> list[str]:
+        return [
+            part
+            for part in refusal.parts
+            if self.evidence.is_sound_since(part, refusal.evidence_at)
+        ]
+
+    def _is_accused(self, part: str) -> bool:
+        return any(
+            part in parts
+            for parts in (*self._suspected, *self.refusals.groups())
+        )
+
+    def _schedule_objections(self, parts: Iterable[str]) -> None:
+        loop = asyncio.get_running_loop()
+        for part in parts:
+            if part not in self._objections:
+                self._objections[part] = loop.call_later(
+                    self.rng.uniform(0.0, MAX_OBJECTION_DELAY_S),
+                    self._object,
+                    (part,),
+                )
+
+    def _object(self, parts: Iterable[str]) -> None:
+        """Tells the peers when answers with these parts last went on."""
+        starts = []
+        now = monotonic_s()
+        for part in parts:
+            if timer := self._objections.pop(part, None):
+                timer.cancel()
+            started_at = self.evidence.started_at.get(part)
+            if started_at is not None:
+                starts.append(PartStart(part=part, age_s=now - started_at))
+        if starts:
+            self.send(Gossip(part_starts=starts[:MAX_PARTS_PER_MESSAGE]))
+
+    def _apply_objection(self, start: PartStart, now: float) -> None:
+        started_at = now - max(0.0, start.age_s)
+        self.evidence.record_part_start(start.part, started_at)
+        if timer := self._objections.pop(start.part, None):
+            timer.cancel()
+        if self.refusals.groups():
+            self._clear("an answer went on at a peer")
+
+    def _clear(self, reason: str) -> None:
+        """Takes parts that have proved sound out of the refusals."""
+        for before, after in self.refusals.clear(self.evidence.is_sound_since):
+            self._report_change(before, after, reason)
+
+    def _record_trial(self, refusal: Refusal) -> None:
+        self.statistics.part_refusals["tried"] += 1
+        _log_refusal(EventId.PARTS_TRIED, refusal)
+        self.send(Gossip(part_refusals=[encode_refusal(refusal)]))
+        self.on_change(refusal, refusal)
+
+    def _report_change(
+        self, before: Refusal | None, after: Refusal | None, reason: str
+    ) -> None:
+        if before is not None:
+            self.statistics.part_refusals["cleared"] += 1
+            _log_refusal(EventId.PARTS_CLEARED, before, reason=reason)
+        if after is not None:
+            self.statistics.part_refusals["refused"] += 1
+            _log_refusal(EventId.PARTS_REFUSED, after, reason=reason)
+            self.send(Gossip(part_refusals=[encode_refusal(after)]))
+        self.on_change(before, after)
+
+    def _record_limit(self, name: str) -> None:
+        self.statistics.crash_limits[name] += 1
+        now = monotonic_s()
+        logged_at = self._limits_logged_at.get(name)
+        if logged_at is None or now - logged_at >= LIMIT_LOG_INTERVAL_S:
+            self._limits_logged_at[name] = now
+            log_event(EventId.CRASH_MEMORY_FULL, limit=name)
+
+
+def encode_refusal(refusal: Refusal) -> PartRefusal:
+    """Returns a final refusal as peers receive it."""
+    now = monotonic_s()
+    return PartRefusal(
+        service_name=refusal.service,
+        parts=sorted(refusal.parts),
+        evidence_age_s=now - refusal.evidence_at,
+        last_crash_age_s=now - refusal.last_crash_at,
+        trials=refusal.trials,
+        releases=sorted(refusal.releases),
+        confirmed=True,
+    )
+
+
+def decode_refusal(encoded: PartRefusal, age_s: float = 0.0) -> Refusal:
+    """Returns the refusal that a message or an object of the store describes.
+
+    Args:
+        encoded: The message or object.
+        age_s: Time since it was written, in seconds.
+    """
+    written_at = monotonic_s() - max(0.0, age_s)
+    return Refusal(
+        service=encoded.service_name,
+        parts=frozenset(encoded.parts),
+        evidence_at=written_at - max(0.0, encoded.evidence_age_s),
+        last_crash_at=written_at - max(0.0, encoded.last_crash_age_s),
+        releases=set(encoded.releases),
+        trials=encoded.trials,
+    )
+
+
+def _log_refusal(event: EventId, refusal: Refusal, **fields: str) -> None:
+    now = monotonic_s()
+    log_event(
+        event,
+        service=refusal.service,
+        parts=sorted(refusal.parts),
+        evidence_age_s=round(now - refusal.evidence_at, 3),
+        last_crash_age_s=round(now - refusal.last_crash_at, 3),
+        trials=refusal.trials,
+        **fields,
+    )
+
+
+__all__ = [
+    "OBJECTION_PERIOD_S",
+    "PartWatch",
+    "decode_refusal",
+    "encode_refusal",
+]
--- a/src/auburnswitch/routing/retry_permission.py
+++ b/src/auburnswitch/routing/retry_permission.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from auburnswitch.routing.crash_registry import CrashRegistry
+    from auburnswitch.routing.crash_guard import CrashGuard
     from auburnswitch.routing.delivery_job import DeliveryJob
     from auburnswitch.routing.endpoint_selector import EndpointSelector
     from auburnswitch.routing.outcomes import AttemptFailed
@@ -27,7 +27,7 @@
     Attributes:
         selector: Chooses endpoints.
         budget: Limits the retries.
-        crash_registry: Knows the requests that crash endpoints.
+        crash_guard: Knows the requests that crash endpoints.
         stop: Bounds the requests of a stopping daemon.
         may_retry: Returns whether a retry is expected to end before the stop.
         searches: Running searches for the successors of silent endpoints.
@@ -35,7 +35,7 @@
 
     __slots__ = (
         "budget",
-        "crash_registry",
+        "crash_guard",
         "may_retry",
         "searches",
         "selector",
@@ -47,7 +47,7 @@
         *,
         selector: EndpointSelector,
         budget: WindowedRetryBudget,
-        crash_registry: CrashRegistry,
+        crash_guard: CrashGuard,
         stop: StopDeadline,
         may_retry: Callable[[DeliveryJob, Placement], bool],
     ) -> None:
@@ -55,7 +55,7 @@
         self.may_retry = may_retry
         self.selector = selector
         self.budget = budget
-        self.crash_registry = crash_registry
+        self.crash_guard = crash_guard
         self.searches = TaskSet()
 
     def try_acquire(
@@ -116,7 +116,7 @@
             job: The request.
             attempts: Number of attempts that count as sent before it.
         """
-        if self.crash_registry.is_retry_forbidden(job.fingerprint):
+        if not self.crash_guard.may_retry(job):
             return False
         if attempts >= job.route.max_attempts:
             return False
--- a/src/auburnswitch/routing/stream_relay.py
+++ b/src/auburnswitch/routing/stream_relay.py
@@ -25,6 +25,8 @@
 from auburnswitch.schema.events import EventId
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from auburnswitch.observe.statistics import EntryStatistics
     from auburnswitch.platform.endpoint_responses import ResponseHead
     from auburnswitch.platform.requests import Headers
@@ -48,6 +50,7 @@
         progress: State of the request over all attempts.
         watch: Watches the endpoint for silence.
         timeouts: Maximum silence of the endpoint.
+        on_under_way: Called when the answer has got past its beginning.
         splitter: Splits the response into events.
         event_count: Number of events that the endpoint has sent.
     """
@@ -55,6 +58,7 @@
     __slots__ = (
         "event_count",
         "job",
+        "on_under_way",
         "placement",
         "progress",
         "selector",
@@ -76,7 +80,9 @@
         progress: DeliveryProgress,
         watch: SilenceWatch,
         timeouts: AttemptTimeouts,
+        on_under_way: Callable[[], None],
     ) -> None:
+        self.on_under_way = on_under_way
         self.selector = selector
         self.statistics = statistics
         self.job = job
@@ -103,7 +109,7 @@
                 self._record_end(answer, str(error))
                 return AttemptFailed(reason=str(error), may_have_run=True)
             if events:
-                self.event_count += len(events)
+                self._count_events(len(events))
                 self.watch.expect_within(None)  # a slow caller may delay them
                 await self._forward_events(answer, events)
                 self.watch.expect_within(self.timeouts.gap_timeout_s())
@@ -133,6 +139,12 @@
             end_confirmed=end is AnswerEndKind.COMPLETE,
         )
 
+    def _count_events(self, count: int) -> None:
+        was_under_way = self.stage is AnswerStage.UNDER_WAY
+        self.event_count += count
+        if self.stage is AnswerStage.UNDER_WAY and not was_under_way:
+            self.on_under_way()
+
     def _broken(self, reason: str) -> AttemptFailed:
         """Returns the failure of an attempt whose connection has broken."""
         return AttemptFailed(
--- a/src/auburnswitch/schema/events.py
+++ b/src/auburnswitch/schema/events.py
@@ -39,6 +39,12 @@
     ENDPOINT_UNREACHABLE = 401
     ORPHAN_FREED = 402
     CRASH_STRIKE = 403
+    PARTS_SUSPECTED = 404
+    PARTS_REFUSED = 405
+    PARTS_CLEARED = 406
+    PARTS_TRIED = 407
+    CRASH_MEMORY_FULL = 408
+    PARTS_NOT_STORED = 409
     ORDER_SENT = 440
     TICKET_ACCEPTED = 500
     TICKET_REFUSED = 501
@@ -164,6 +170,30 @@
         text="A request was in flight when its endpoint crashed.",
         options={"level": "warning"},
     ),
+    EventId.PARTS_SUSPECTED: Description(
+        text="Prompt parts are suspected of crashing endpoints; peers may object.",
+        options={"level": "warning"},
+    ),
+    EventId.PARTS_REFUSED: Description(
+        text="Requests with these prompt parts are refused, as they crash endpoints.",
+        options={"level": "error"},
+    ),
+    EventId.PARTS_CLEARED: Description(
+        text="Prompt parts are no longer refused or suspected.",
+        options={"level": "info"},
+    ),
+    EventId.PARTS_TRIED: Description(
+        text="A request with refused prompt parts is tried again.",
+        options={"level": "warning"},
+    ),
+    EventId.CRASH_MEMORY_FULL: Description(
+        text="A limit on what is remembered of crashes was reached; the oldest is forgotten.",
+        options={"level": "warning"},
+    ),
+    EventId.PARTS_NOT_STORED: Description(
+        text="A refusal of prompt parts could not be written to or read from the store.",
+        options={"level": "warning"},
+    ),
     EventId.ORDER_SENT: Description(
         text="An order was sent to an engine.", options={"level": "info"}
     ),
--- a/src/auburnswitch/schema/gossip.py
+++ b/src/auburnswitch/schema/gossip.py
@@ -316,6 +316,202 @@
     }
 
 
+class CrashSuspect(Struct):
+    """A request whose answer had not got past its beginning when its endpoint crashed."""
+
+    __slots__ = (
+        "age_s",
+        "boot_ms",
+        "endpoint",
+        "parts",
+        "request",
+        "service_name",
+    )
+
+    service_name: str
+    endpoint: str
+    boot_ms: int
+    request: str
+    parts: list[str]
+    age_s: float
+
+    def __init__(
+        self,
+        *,
+        service_name: str = "",
+        endpoint: str = "",
+        boot_ms: int = 0,
+        request: str = "",
+        parts: list[str] | None = None,
+        age_s: float = 0.0,
+    ) -> None:
+        self.service_name = service_name
+        self.endpoint = endpoint
+        self.boot_ms = boot_ms
+        self.request = request
+        self.parts = [] if parts is None else parts
+        self.age_s = age_s
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.STRING, "service_name", False),
+        2: (TType.STRING, "endpoint", False),
+        3: (TType.I64, "boot_ms", False),
+        4: (TType.STRING, "request", False),
+        5: (TType.LIST, "parts", TType.STRING, False),
+        6: (TType.DOUBLE, "age_s", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("service_name", None),
+        ("endpoint", None),
+        ("boot_ms", None),
+        ("request", None),
+        ("parts", None),
+        ("age_s", None),
+    ]
+    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
+    descriptions: ClassVar[dict[str, Description]] = {
+        "service_name": Description(text="", options={}),
+        "endpoint": Description(text="", options={}),
+        "boot_ms": Description(
+            text="Start of the endpoint's process that crashed.",
+            options={"unit": "milliseconds since the epoch"},
+        ),
+        "request": Description(text="Fingerprint of the request.", options={}),
+        "parts": Description(
+            text="Fingerprints of the shared parts of its prompt.", options={}
+        ),
+        "age_s": Description(
+            text="Time since the crash.", options={"unit": "seconds"}
+        ),
+    }
+
+
+class PartRefusal(Struct):
+    """Prompt parts that crash endpoints: requests with all of them are refused."""
+
+    __slots__ = (
+        "confirmed",
+        "evidence_age_s",
+        "last_crash_age_s",
+        "parts",
+        "releases",
+        "service_name",
+        "stored_at_ms",
+        "trials",
+    )
+
+    service_name: str
+    parts: list[str]
+    evidence_age_s: float
+    last_crash_age_s: float
+    trials: int
+    releases: list[str]
+    confirmed: bool
+    stored_at_ms: int
+
+    def __init__(
+        self,
+        *,
+        service_name: str = "",
+        parts: list[str] | None = None,
+        evidence_age_s: float = 0.0,
+        last_crash_age_s: float = 0.0,
+        trials: int = 0,
+        releases: list[str] | None = None,
+        confirmed: bool = False,
+        stored_at_ms: int = 0,
+    ) -> None:
+        self.service_name = service_name
+        self.parts = [] if parts is None else parts
+        self.evidence_age_s = evidence_age_s
+        self.last_crash_age_s = last_crash_age_s
+        self.trials = trials
+        self.releases = [] if releases is None else releases
+        self.confirmed = confirmed
+        self.stored_at_ms = stored_at_ms
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.STRING, "service_name", False),
+        2: (TType.LIST, "parts", TType.STRING, False),
+        3: (TType.DOUBLE, "evidence_age_s", False),
+        4: (TType.DOUBLE, "last_crash_age_s", False),
+        5: (TType.I32, "trials", False),
+        6: (TType.LIST, "releases", TType.STRING, False),
+        7: (TType.BOOL, "confirmed", False),
+        8: (TType.I64, "stored_at_ms", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("service_name", None),
+        ("parts", None),
+        ("evidence_age_s", None),
+        ("last_crash_age_s", None),
+        ("trials", None),
+        ("releases", None),
+        ("confirmed", None),
+        ("stored_at_ms", None),
+    ]
+    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
+    descriptions: ClassVar[dict[str, Description]] = {
+        "service_name": Description(text="", options={}),
+        "parts": Description(text="Fingerprints of the parts.", options={}),
+        "evidence_age_s": Description(
+            text="Time since the first of the crashes that decided it.",
+            options={"unit": "seconds"},
+        ),
+        "last_crash_age_s": Description(
+            text="Time since the last crash under these parts.",
+            options={"unit": "seconds"},
+        ),
+        "trials": Description(
+            text="Number of requests that have been tried since.", options={}
+        ),
+        "releases": Description(
+            text="Releases of the service's endpoints under which the parts crashed them.",
+            options={},
+        ),
+        "confirmed": Description(
+            text="The decision is final; until then each daemon may object.",
+            options={},
+        ),
+        "stored_at_ms": Description(
+            text="Time of day to which the ages refer; 0 in messages.",
+            options={"unit": "milliseconds since the epoch"},
+        ),
+    }
+
+
+class PartStart(Struct):
+    """A prompt part in an answer that has got past its beginning."""
+
+    __slots__ = (
+        "age_s",
+        "part",
+    )
+
+    part: str
+    age_s: float
+
+    def __init__(self, *, part: str = "", age_s: float = 0.0) -> None:
+        self.part = part
+        self.age_s = age_s
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.STRING, "part", False),
+        2: (TType.DOUBLE, "age_s", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("part", None),
+        ("age_s", None),
+    ]
+    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
+    descriptions: ClassVar[dict[str, Description]] = {
+        "part": Description(text="Fingerprint of the part.", options={}),
+        "age_s": Description(
+            text="Time since then.", options={"unit": "seconds"}
+        ),
+    }
+
+
 class Gossip(Struct):
     """State that a daemon publishes to each peer when its work changes, and periodically."""
 
@@ -327,6 +523,7 @@
         "config_changes",
         "config_version",
         "crash_strikes",
+        "crash_suspects",
         "ended",
         "endpoints_revision",
         "failed_endpoints",
@@ -335,6 +532,8 @@
         "items",
         "leading",
         "link_mbps",
+        "part_refusals",
+        "part_starts",
         "port",
         "relayed",
         "reports",
@@ -368,6 +567,9 @@
     link_mbps: float
     config_changes: ConfigChanges | None
     cell: int
+    crash_suspects: list[CrashSuspect]
+    part_refusals: list[PartRefusal]
+    part_starts: list[PartStart]
 
     def __init__(
         self,
@@ -395,6 +597,9 @@
         link_mbps: float = 0.0,
         config_changes: ConfigChanges | None = None,
         cell: int = -1,
+        crash_suspects: list[CrashSuspect] | None = None,
+        part_refusals: list[PartRefusal] | None = None,
+        part_starts: list[PartStart] | None = None,
     ) -> None:
         self.sender = sender
         self.incarnation = incarnation
@@ -421,6 +626,9 @@
         self.link_mbps = link_mbps
         self.config_changes = config_changes
         self.cell = cell
+        self.crash_suspects = [] if crash_suspects is None else crash_suspects
+        self.part_refusals = [] if part_refusals is None else part_refusals
+        self.part_starts = [] if part_starts is None else part_starts
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "sender", False),
@@ -446,6 +654,9 @@
         21: (TType.DOUBLE, "link_mbps", False),
         22: (TType.STRUCT, "config_changes", ConfigChanges, False),
         23: (TType.I32, "cell", False),
+        24: (TType.LIST, "crash_suspects", (TType.STRUCT, CrashSuspect), False),
+        25: (TType.LIST, "part_refusals", (TType.STRUCT, PartRefusal), False),
+        26: (TType.LIST, "part_starts", (TType.STRUCT, PartStart), False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("sender", None),
@@ -471,6 +682,9 @@
         ("link_mbps", None),
         ("config_changes", None),
         ("cell", None),
+        ("crash_suspects", None),
+        ("part_refusals", None),
+        ("part_starts", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -538,6 +752,18 @@
             text="Number of the cell whose daemons receive the message; negative for all daemons.",
             options={},
         ),
+        "crash_suspects": Description(
+            text="Requests at crashes that the sender has just observed.",
+            options={},
+        ),
+        "part_refusals": Description(
+            text="Refusals in force at the sender, in heartbeats, or that it has just found.",
+            options={},
+        ),
+        "part_starts": Description(
+            text="Parts of refusals that the sender knows to be sound.",
+            options={},
+        ),
     }
 
 
@@ -721,11 +947,14 @@
 
 __all__ = [
     "ConfigChanges",
+    "CrashSuspect",
     "DaemonRecord",
     "EndpointChanges",
     "EngineReport",
     "Gossip",
     "GossipFrame",
+    "PartRefusal",
+    "PartStart",
     "StateFetch",
     "StateUpdate",
     "WorkItem",
--- a/src/auburnswitch/schema/installation.py
+++ b/src/auburnswitch/schema/installation.py
@@ -528,6 +528,7 @@
         "id",
         "port",
         "ready",
+        "release",
         "service_name",
         "slots",
         "zone",
@@ -542,6 +543,7 @@
     ready: bool
     cold_s: float
     boot_ms: int
+    release: str
 
     def __init__(
         self,
@@ -555,6 +557,7 @@
         ready: bool = False,
         cold_s: float = 0.0,
         boot_ms: int = 0,
+        release: str = "",
     ) -> None:
         self.id = id
         self.service_name = service_name
@@ -565,6 +568,7 @@
         self.ready = ready
         self.cold_s = cold_s
         self.boot_ms = boot_ms
+        self.release = release
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "id", False),
@@ -576,6 +580,7 @@
         7: (TType.BOOL, "ready", False),
         8: (TType.DOUBLE, "cold_s", False),
         9: (TType.I64, "boot_ms", False),
+        10: (TType.STRING, "release", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("id", None),
@@ -587,6 +592,7 @@
         ("ready", None),
         ("cold_s", None),
         ("boot_ms", None),
+        ("release", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -610,6 +616,10 @@
             text="Start of the endpoint's process, which distinguishes its restarts under the same id; 0 if unknown.",
             options={"unit": "milliseconds since the epoch"},
         ),
+        "release": Description(
+            text="Versions of the endpoint's software and models; empty if unknown.",
+            options={},
+        ),
     }
 
 
--- a/tests/routing/test_delivery.py
+++ b/tests/routing/test_delivery.py
@@ -7,12 +7,12 @@
 from unittest import mock
 
 from auburnswitch.platform.endpoint_client import PlatformEndpointClient
-from auburnswitch.routing.crash_registry import CrashRegistry
 from auburnswitch.routing.delivery import DeliveryRunner
 from auburnswitch.routing.outcomes import RetryAdvice
 from auburnswitch.routing.stop_deadline import StopDeadline
 from auburnswitch.routing.windowed_retry_budget import WindowedRetryBudget
 from auburnswitch.schema.entry import BoundSettings
+from tests.routing.crash_support import make_crash_guard
 from tests.routing.test_placement_wait import make_job, make_selector
 from tests.virtual_time import in_virtual_loop
 
@@ -29,7 +29,7 @@
                 bounds=BoundSettings(), count_daemons=lambda: 1
             ),
             memory=None,
-            crash_registry=CrashRegistry(),
+            crash_guard=make_crash_guard(),
             statistics=None,
             stop=self.stop,
         )
--- a/tests/routing/test_silence_watch.py
+++ b/tests/routing/test_silence_watch.py
@@ -28,6 +28,7 @@
 from auburnswitch.routing.windowed_retry_budget import WindowedRetryBudget
 from auburnswitch.schema.entry import BoundSettings
 from auburnswitch.schema.installation import RequestKind
+from tests.routing.crash_support import make_crash_guard
 from tests.routing.test_placement_wait import make_job, make_selector
 from tests.virtual_time import in_virtual_loop
 
@@ -90,7 +91,7 @@
         self.retries = NotifyingPermission(
             selector=self.selector,
             budget=self.budget,
-            crash_registry=self.registry,
+            crash_guard=make_crash_guard(self.registry),
             stop=self.stop,
             may_retry=lambda job, placement: self.may_send,
         )
@@ -294,7 +295,7 @@
             endpoint_client=PlatformEndpointClient(),
             budget=self.budget,
             memory=None,
-            crash_registry=self.registry,
+            crash_guard=make_crash_guard(self.registry),
             statistics=None,
             stop=self.stop,
         )
@@ -338,6 +339,7 @@
             progress=DeliveryProgress(last_event_id=None),
             watch=self.watch,
             timeouts=AttemptTimeouts(job=self.job, placement=self.placement),
+            on_under_way=lambda: None,
         )
         outcome = None
         async with self.watch.open(SILENCE_S):
