Keep refusals of prompt parts in the store

Each refusal is an object in the store, written by the daemon whose evidence decided it, read by each that starts, deleted when it ends. A daemon that knows an answer with the parts doesn't adopt a stale one.

Before: a daemon started after all others had ended knew of none.

--- a/src/auburnswitch/entry/entry_daemon.py
+++ b/src/auburnswitch/entry/entry_daemon.py
@@ -13,6 +13,7 @@
     WATCHED_KINDS,
     InstallationWatcher,
 )
+from auburnswitch.entry.refusal_store import RefusalStore
 from auburnswitch.entry.work_reporter import WorkReporter
 from auburnswitch.members.cells import Cells
 from auburnswitch.members.entry_directory import EntryDirectory
@@ -48,7 +49,6 @@
     from auburnswitch.members.gossip_peer import GossipPeer
     from auburnswitch.observe.tasks import TaskSet
     from auburnswitch.routing.part_evidence import Parts
-    from auburnswitch.routing.part_refusals import Refusal
     from auburnswitch.schema.entry import EntrySettings
     from auburnswitch.schema.gossip import Gossip
 
@@ -173,7 +173,14 @@
             releases_of=self.installation.releases_of,
             is_trial_owner=self._owns_trials,
             send=self.gossip.send_crash_evidence,
-            on_change=self._on_refusal_change,
+            on_change=lambda before, after: self.refusal_store.update(
+                before, after
+            ),
+        )
+        self.refusal_store = RefusalStore(
+            store=self.store,
+            tasks=tasks,
+            adopt=lambda refusal: self.part_watch.adopt(refusal, "the store"),
         )
         self.crash_guard = CrashGuard(
             requests=self.crash_registry,
@@ -227,6 +234,7 @@
             )
         self.tasks.start(self.installation_watcher.probe_store(), "probe store")
         self.tasks.start(self._join(), "join")
+        self.tasks.start(self.refusal_store.load(), "read refusals")
         self.tasks.start(self.gossip.run(), "gossip")
         self.tasks.start(self._expire_state(), "expire")
         self.tasks.start(self.load_observer.run(), "observe engines")
@@ -312,11 +320,6 @@
         instances = [self.gossip.local_record.instance, *live]
         return rendezvous_owner(min(parts), instances) == instances[0]
 
-    def _on_refusal_change(
-        self, before: Refusal | None, after: Refusal | None
-    ) -> None:
-        """Keeps the store's copy of the refusals up to date."""
-
     def _fill_state(self, message: Gossip) -> None:
         message.config_version = self.installation.config_version
         message.endpoints_revision = self.installation.endpoints_revision
--- a/src/auburnswitch/platform/store_client.py
+++ b/src/auburnswitch/platform/store_client.py
@@ -20,6 +20,7 @@
 
 _HTTP_OK: Final = 200
 _HTTP_CREATED: Final = 201
+_HTTP_NOT_FOUND: Final = 404
 _HTTP_CONFLICT: Final = 409
 _HTTP_GONE: Final = 410
 _MS_PER_S: Final = 1000
@@ -74,9 +75,11 @@
 
     Attributes:
         reason: Description of the failure.
+        is_missing: Whether the object does not exist.
     """
 
     reason: str
+    is_missing: bool = False
 
 
 class PlatformStoreClient:
@@ -195,7 +198,10 @@
             case (status, _) if status == _HTTP_CONFLICT:
                 return Conflict()
             case (status, _):
-                return StoreFailure(reason=f"status {status}")
+                return StoreFailure(
+                    reason=f"status {status}",
+                    is_missing=status == _HTTP_NOT_FOUND,
+                )
 
     async def _call(
         self, method: str, path: str, *, data: Any = None, wait_s: float = 0
