--- a/src/auburnswitch/standins/crashable_engine.py
+++ b/src/auburnswitch/standins/crashable_engine.py
@@ -40,6 +40,7 @@
         sends_head: Returns whether the head precedes such a crash.
         received_requests: All callers' requests that reached the process.
         crashed: Set when the process has crashed.
+        silent: Whether new connections get no answer.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         self.sends_head = sends_head
         self.received_requests: list[ReceivedRequest] = []
         self.crashed = asyncio.Event()
+        self.silent = False
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
@@ -91,6 +93,8 @@
         self._writers.add(writer)
         try:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                if self.silent:
+                    await self.crashed.wait()
                 await self._answer(await read_request(reader), writer)
         finally:
             self._writers.discard(writer)
--- a/tests/routing/test_crashing_parts.py
+++ b/tests/routing/test_crashing_parts.py
@@ -231,10 +231,24 @@
         fleet = Fleet()
         for _ in range(7):
             fleet.crash(("t", "d"), ("t", "e"))
+            await asyncio.sleep(0.01)
         fleet.go_on("other")
         fleet.crash(("t", "d"))
+        await asyncio.sleep(OBJECTION_PERIOD_S)
         self.assertEqual(fleet.groups(), [[], [], []])
 
+    # Requests that were on their way when the part was refused.
+    @in_virtual_loop
+    async def test_crashes_under_a_refused_part_condemn_no_other(self):
+        fleet = Fleet()
+        await fleet.crash_often("t", "bad", others=("t",))
+        for _ in range(6):
+            fleet.go_on("t")
+            fleet.crash(("t", "bad", "d"), ("t", "e"))
+            fleet.go_on("t")
+            await asyncio.sleep(STRIKE_GAP_S)
+        self.assertEqual(fleet.groups(), [[{"bad"}]] * 3)
+
     # A new version that crashes on everything.
     @in_virtual_loop
     async def test_template_of_all_requests_is_not_refused(self):
@@ -267,6 +281,9 @@
             fleet.go_on("t", daemon=0)
             fleet.go_on("other", daemon=0)
         self.assertEqual(fleet.verdicts("d"), ALLOWED)
+        self.assertEqual(fleet.changes, [])  # at no time was it refused
+        suspected = fleet.watches[0].statistics.part_refusals["suspected"]
+        self.assertGreater(suspected, 0)
 
     @in_virtual_loop
     async def test_same_crash_told_by_several_daemons_counts_once(self):
@@ -326,6 +343,23 @@
 
 
 class SpreadTest(unittest.TestCase):
+    # In a large fleet all daemons would ask their peers at once.
+    @in_virtual_loop
+    async def test_daemon_that_saw_no_crash_leaves_the_question_to_others(self):
+        fleet = Fleet(daemons=9)
+        for number in range(6):
+            for daemon in range(9):
+                fleet.go_on("t", daemon=daemon)
+            fleet.crash(("t", "bad"), daemon=number % 2)
+            await asyncio.sleep(0.05)
+            for daemon in range(9):
+                fleet.go_on("t", daemon=daemon)
+            await asyncio.sleep(STRIKE_GAP_S)
+        asked = [w.statistics.part_refusals["suspected"] for w in fleet.watches]
+        self.assertGreater(sum(asked[:2]), 0)
+        self.assertEqual(sum(asked[2:]), 0)
+        self.assertEqual(fleet.verdicts("bad"), REFUSED)
+
     @in_virtual_loop
     async def test_daemon_that_was_cut_off_learns_of_a_refusal(self):
         fleet = Fleet()
@@ -408,6 +442,13 @@
             await fleet.heartbeat()
         self.assertEqual(tried, part_refusals.MAX_TRIALS)
 
+    @in_virtual_loop
+    async def test_one_request_at_a_time_is_tried_after_a_long_pause(self):
+        fleet = await self.open()
+        await asyncio.sleep(10 * part_refusals.FIRST_TRIAL_AFTER_S)
+        self.assertEqual(len(self.tries(fleet)), 1)
+        self.assertEqual(self.tries(fleet), [])
+
     @in_virtual_loop
     async def test_success_of_a_tried_request_ends_the_refusal(self):
         fleet = await self.open()
