Ignore refusals of no parts; count crashes during answers that are no streams

A message that refuses no parts would have explained every crash, so that no part was found any more: red without the check. A broken answer of an engine that is no stream was never a crash: red without it. Plain services, whose answers may be cut short by a faulty endpoint that runs on, stay as they were.

--- a/src/auburnswitch/routing/attempt.py
+++ b/src/auburnswitch/routing/attempt.py
@@ -7,7 +7,7 @@
 from auburnswitch.platform.endpoint_responses import BrokenResponse
 from auburnswitch.routing.answer_end import record_answer_end
 from auburnswitch.routing.attempt_timeouts import AttemptTimeouts
-from auburnswitch.routing.outcomes import AttemptFailed
+from auburnswitch.routing.outcomes import AnswerStage, AttemptFailed
 from auburnswitch.routing.silence_watch import SILENCE_REASON, SilenceWatch
 from auburnswitch.routing.stream_relay import StreamRelay
 from auburnswitch.routing.whole_answer import deliver_whole
@@ -155,7 +155,13 @@
             record_answer_end(
                 self.statistics, self.job, answer, error=body.reason
             )
-            return AttemptFailed(reason=body.reason, may_have_run=True)
+            return AttemptFailed(
+                reason=body.reason,
+                may_have_run=True,
+                # A plain service can't be asked whether it has crashed.
+                connection_broken=self.job.service.engine is not None,
+                stage=AnswerStage.BEGUN,
+            )
         record_answer_end(self.statistics, self.job, answer)
         failed = answer.status >= _HTTP_SERVER_ERROR
         if self.writer.started or (failed and self.job.retryable):
--- a/src/auburnswitch/routing/part_watch.py
+++ b/src/auburnswitch/routing/part_watch.py
@@ -161,7 +161,8 @@
         for suspect in message.crash_suspects:
             self._add_peer_suspect(suspect, now)
         for encoded in message.part_refusals:
-            self._consider(decode_refusal(encoded), encoded.confirmed)
+            if encoded.parts:
+                self._consider(decode_refusal(encoded), encoded.confirmed)
 
     def adopt(self, refusal: Refusal, source: str) -> None:
         """Puts a refusal into force that is final elsewhere."""
--- a/tests/entry/test_crash_checks.py
+++ b/tests/entry/test_crash_checks.py
@@ -7,11 +7,13 @@
 import unittest
 
 from auburnswitch.experiments.installation import (
+    make_config,
     open_installation,
     wait_until,
 )
 from auburnswitch.observe.logs import LOGGER
 from auburnswitch.standins.crashable_engine import CrashableEngine
+from auburnswitch.standins.installation_objects import make_route
 from auburnswitch.standins.received_request import FIRST_BOOT_MS
 
 SHORT = "1000,400"
@@ -30,8 +32,13 @@
 
     @contextlib.asynccontextmanager
     async def open(self):
+        config = make_config()
+        whole = make_route("/whole/", "idempotent", "engines")
+        config["Routes"].append(whole)
         async with (
-            open_installation(engines=0, plain_services=0) as fleet,
+            open_installation(
+                engines=0, plain_services=0, initial_config=config
+            ) as fleet,
             contextlib.AsyncExitStack() as stack,
         ):
             self.fleet, self.stack = fleet, stack
@@ -56,11 +63,9 @@
         )
         return engine
 
-    async def call(self):
+    async def call(self, path="/chat/1"):
         try:
-            answer = await self.fleet.call(
-                "/chat/1", tokens=SHORT, headers=PARTS
-            )
+            answer = await self.fleet.call(path, tokens=SHORT, headers=PARTS)
         except OSError:
             return 0
         return answer.status
@@ -92,6 +97,15 @@
             self.assertEqual(engine.received_requests, [])
             self.assertEqual(len(daemon.part_watch.evidence.crashes), 3)
 
+    # Review of issue 35: a broken answer that is no stream was no crash.
+    async def test_crash_during_an_answer_that_is_no_stream_counts(self):
+        self.crashing = True
+        async with self.open() as daemon:
+            await self.start_engine()
+            self.assertNotEqual(await self.call("/whole/1"), 200)
+            (crash,) = daemon.part_watch.evidence.crashes.values()
+            self.assertEqual(len(crash.suspects), 1)
+
     # An engine that has started again at once answers, but not as itself.
     async def test_engine_that_is_back_at_its_address_has_crashed(self):
         self.crashing = True
--- a/tests/routing/test_crashing_parts.py
+++ b/tests/routing/test_crashing_parts.py
@@ -411,6 +411,9 @@
             fleet.send(0, Gossip(part_refusals=[refusal]))
         self.assertEqual(fleet.verdicts("t"), ALLOWED)
         await fleet.heartbeat()
+        # A refusal of no parts would explain every crash.
+        await fleet.crash_often("t", "bad", others=("t",))
+        self.assertEqual(fleet.verdicts("bad"), REFUSED)
 
 
 class WayBackTest(unittest.TestCase):
