--- a/src/auburnswitch/entry/entry_daemon.py
+++ b/src/auburnswitch/entry/entry_daemon.py
@@ -185,7 +185,14 @@
         self.crash_guard = CrashGuard(
             requests=self.crash_registry,
             parts=self.part_watch,
-            checker=CrashChecker(endpoint_client=endpoint_client, tasks=tasks),
+            checker=CrashChecker(
+                endpoint_client=endpoint_client,
+                # One that wants no requests gets no question either.
+                may_ask=lambda entry: (
+                    not self.availability.is_process_marked(entry)
+                ),
+                tasks=tasks,
+            ),
             tasks=tasks,
         )
         delivery_runner = DeliveryRunner(
--- a/src/auburnswitch/routing/crash_check.py
+++ b/src/auburnswitch/routing/crash_check.py
@@ -5,12 +5,13 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from auburnswitch.platform.endpoint_client import ProcessState
+
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from auburnswitch.observe.tasks import TaskSet
-    from auburnswitch.platform.endpoint_client import (
-        PlatformEndpointClient,
-        ProcessState,
-    )
+    from auburnswitch.platform.endpoint_client import PlatformEndpointClient
     from auburnswitch.schema.installation import EndpointEntry
 
 ProcessId = tuple[str, int]  # endpoint and start of its process
@@ -21,20 +22,28 @@
 
     Attributes:
         endpoint_client: Sends calls to endpoints.
+        may_ask: Returns whether an endpoint may be asked now.
         tasks: The running checks.
     """
 
-    __slots__ = ("_checks", "endpoint_client", "tasks")
+    __slots__ = ("_checks", "endpoint_client", "may_ask", "tasks")
 
     def __init__(
-        self, *, endpoint_client: PlatformEndpointClient, tasks: TaskSet
+        self,
+        *,
+        endpoint_client: PlatformEndpointClient,
+        may_ask: Callable[[EndpointEntry], bool],
+        tasks: TaskSet,
     ) -> None:
+        self.may_ask = may_ask
         self.endpoint_client = endpoint_client
         self.tasks = tasks
         self._checks: dict[ProcessId, asyncio.Task[ProcessState]] = {}
 
     async def check(self, endpoint: EndpointEntry) -> ProcessState:
         """Returns what is known about the process of an endpoint."""
+        if not self.may_ask(endpoint):
+            return ProcessState.UNKNOWN
         process = endpoint.id, endpoint.boot_ms
         check = self._checks.get(process)
         if check is None:
--- a/src/auburnswitch/routing/endpoint_availability.py
+++ b/src/auburnswitch/routing/endpoint_availability.py
@@ -105,7 +105,11 @@
 
     def is_marked(self, endpoint: TrackedEndpoint) -> bool:
         """Returns whether a mark of an endpoint is in force."""
-        mark = self._find_mark(endpoint.entry)
+        return self.is_process_marked(endpoint.entry)
+
+    def is_process_marked(self, entry: EndpointEntry) -> bool:
+        """Returns whether a mark of an entry's process is in force."""
+        mark = self._find_mark(entry)
         return mark is not None and mark.until > monotonic_s()
 
     def retry_after_s(self, service: str) -> float | None:
--- a/tests/routing/crash_support.py
+++ b/tests/routing/crash_support.py
@@ -32,7 +32,9 @@
         requests=requests or CrashRegistry(),
         parts=make_part_watch(),
         checker=CrashChecker(
-            endpoint_client=PlatformEndpointClient(), tasks=tasks
+            endpoint_client=PlatformEndpointClient(),
+            may_ask=lambda entry: True,
+            tasks=tasks,
         ),
         tasks=tasks,
     )
--- a/tests/routing/test_crash_guard.py
+++ b/tests/routing/test_crash_guard.py
@@ -86,6 +86,15 @@
         self.assertEqual(self.evidence.crashes, {})
         self.assertEqual(self.guard.requests.count("request"), 1)
 
+    # Issue 29: an endpoint that asked for time must get nothing before.
+    @in_virtual_loop
+    async def test_endpoint_that_wants_no_requests_is_not_asked(self):
+        self.prepare(ProcessState.ENDED)
+        self.guard.checker.may_ask = lambda entry: False
+        await self.guard.record_broken(make_request(), ENTRY, broken())
+        self.assertEqual(self.checks, 0)
+        self.assertEqual(self.evidence.crashes, {})
+
     # A plain service has no load report to ask for.
     @in_virtual_loop
     async def test_plain_service_is_not_asked(self):
