--- a/schema/entry.thrift
+++ b/schema/entry.thrift
@@ -58,6 +58,8 @@
   7: double lapsed_entry_grace_s = 2
   // Longest time for which memory is reserved at an engine. @unit milliseconds @min 100 @max 600000
   8: double reservation_max_ms = 20000
+  // Refuse requests with prompt parts that crash endpoints. If not, such parts are still found, logged and told to peers.
+  9: bool refuse_crashing_parts = 1
 }
 
 // Structured logs.
--- a/src/auburnswitch/entry/entry_daemon.py
+++ b/src/auburnswitch/entry/entry_daemon.py
@@ -169,6 +169,7 @@
         self.crash_registry = CrashRegistry()
         self.part_watch = PartWatch(
             statistics=self.statistics,
+            bounds=settings.bounds,
             rng=rng,
             releases_of=self.installation.releases_of,
             is_trial_owner=self._owns_trials,
--- a/src/auburnswitch/routing/part_refusals.py
+++ b/src/auburnswitch/routing/part_refusals.py
@@ -14,6 +14,7 @@
 
     from auburnswitch.routing.delivery_job import DeliveryJob
     from auburnswitch.routing.part_evidence import Parts
+    from auburnswitch.schema.entry import BoundSettings
 
 MAX_REFUSALS: Final = 64
 MAX_TRIALS: Final = 2  # of the same releases of a service
@@ -75,6 +76,7 @@
 
     Attributes:
         refusals: The refusals, oldest first.
+        bounds: Says whether requests are refused.
         releases_of: Returns the releases of a service's endpoints.
         is_trial_owner: Returns whether this daemon decides on the trials of
             parts, so that the fleet tries one request at a time.
@@ -84,6 +86,7 @@
 
     __slots__ = (
         "_by_part",
+        "bounds",
         "is_trial_owner",
         "on_limit",
         "on_trial",
@@ -94,12 +97,14 @@
     def __init__(
         self,
         *,
+        bounds: BoundSettings,
         releases_of: Callable[[str], set[str]],
         is_trial_owner: Callable[[Parts], bool],
         on_limit: Callable[[str], None],
         on_trial: Callable[[Refusal], None],
     ) -> None:
         self.refusals: list[Refusal] = []
+        self.bounds = bounds
         self.releases_of = releases_of
         self.is_trial_owner = is_trial_owner
         self.on_limit = on_limit
@@ -112,7 +117,7 @@
 
     def verdict(self, job: DeliveryJob) -> PartVerdict:
         """Returns whether a request may be sent now."""
-        if not self._by_part:  # the usual case
+        if not self._by_part or not self.bounds.refuse_crashing_parts:
             return PartVerdict.ALLOWED
         verdicts = {
             self._verdict_of(refusal, job) for refusal in self._find(job.parts)
@@ -126,6 +131,8 @@
         """Returns whether a request may be sent, and marks it as tried."""
         if self.verdict(job) is not PartVerdict.ALLOWED:
             return False
+        if not self.bounds.refuse_crashing_parts:
+            return True
         for refusal in self._find(job.parts):
             if refusal.tried_request:
                 continue
@@ -144,7 +151,8 @@
 
     def concerns(self, job: DeliveryJob) -> bool:
         """Returns whether a request has a part of any refusal."""
-        return bool(self._find(job.parts))
+        is_on = self.bounds.refuse_crashing_parts
+        return is_on and bool(self._find(job.parts))
 
     def add(self, refusal: Refusal) -> bool:
         """Adds a refusal or merges it with a known one.
--- a/src/auburnswitch/routing/part_watch.py
+++ b/src/auburnswitch/routing/part_watch.py
@@ -30,6 +30,7 @@
 
     from auburnswitch.observe.statistics import EntryStatistics
     from auburnswitch.routing.delivery_job import DeliveryJob
+    from auburnswitch.schema.entry import BoundSettings
     from auburnswitch.schema.installation import EndpointEntry
 
 OBJECTION_PERIOD_S: Final = 0.25
@@ -71,6 +72,7 @@
         self,
         *,
         statistics: EntryStatistics,
+        bounds: BoundSettings,
         rng: random.Random,
         releases_of: Callable[[str], set[str]],
         is_trial_owner: Callable[[Parts], bool],
@@ -83,6 +85,7 @@
         self.on_change = on_change
         self.evidence = PartEvidence(on_limit=self._record_limit)
         self.refusals = PartRefusals(
+            bounds=bounds,
             releases_of=releases_of,
             is_trial_owner=is_trial_owner,
             on_limit=self._record_limit,
@@ -128,7 +131,7 @@
         if not job.parts:
             return
         self.evidence.record_start(job.service.name, job.parts)
-        if self._suspected or self.refusals.concerns(job):
+        if self._suspected or self.refusals.refusals:
             self._object(part for part in job.parts if self._is_accused(part))
             self._clear("an answer went on")
 
--- a/src/auburnswitch/schema/entry.py
+++ b/src/auburnswitch/schema/entry.py
@@ -216,6 +216,7 @@
         "cold_extra",
         "cold_ratio",
         "lapsed_entry_grace_s",
+        "refuse_crashing_parts",
         "reservation_max_ms",
         "retry_extra",
         "retry_ratio",
@@ -231,6 +232,7 @@
     cold_extra: float
     lapsed_entry_grace_s: float
     reservation_max_ms: float
+    refuse_crashing_parts: bool
 
     def __init__(
         self,
@@ -243,6 +245,7 @@
         cold_extra: float = 0.0,
         lapsed_entry_grace_s: float = 2.0,
         reservation_max_ms: float = 20000.0,
+        refuse_crashing_parts: bool = True,
     ) -> None:
         self.stop_grace_s = stop_grace_s
         self.retry_ratio = retry_ratio
@@ -252,6 +255,7 @@
         self.cold_extra = cold_extra
         self.lapsed_entry_grace_s = lapsed_entry_grace_s
         self.reservation_max_ms = reservation_max_ms
+        self.refuse_crashing_parts = refuse_crashing_parts
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.DOUBLE, "stop_grace_s", False),
@@ -262,6 +266,7 @@
         6: (TType.DOUBLE, "cold_extra", False),
         7: (TType.DOUBLE, "lapsed_entry_grace_s", False),
         8: (TType.DOUBLE, "reservation_max_ms", False),
+        9: (TType.BOOL, "refuse_crashing_parts", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("stop_grace_s", None),
@@ -272,6 +277,7 @@
         ("cold_extra", None),
         ("lapsed_entry_grace_s", None),
         ("reservation_max_ms", None),
+        ("refuse_crashing_parts", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -307,6 +313,10 @@
             text="Longest time for which memory is reserved at an engine.",
             options={"unit": "milliseconds", "min": "100", "max": "600000"},
         ),
+        "refuse_crashing_parts": Description(
+            text="Refuse requests with prompt parts that crash endpoints. If not, such parts are still found, logged and told to peers.",
+            options={},
+        ),
     }
 
 
--- a/tests/routing/crash_support.py
+++ b/tests/routing/crash_support.py
@@ -11,12 +11,14 @@
 from auburnswitch.routing.crash_guard import CrashGuard
 from auburnswitch.routing.crash_registry import CrashRegistry
 from auburnswitch.routing.part_watch import PartWatch
+from auburnswitch.schema.entry import BoundSettings
 
 
 def make_part_watch(*, send=lambda message: None, seed: int = 1, **overrides):
     """Returns a watch that owns all trials of endpoints of one release."""
     options = {
         "statistics": EntryStatistics(),
+        "bounds": BoundSettings(),
         "rng": random.Random(seed),
         "releases_of": lambda service: {"1"},
         "is_trial_owner": lambda parts: True,
--- a/tests/routing/test_crashing_parts.py
+++ b/tests/routing/test_crashing_parts.py
@@ -18,6 +18,7 @@
     decode_refusal,
     encode_refusal,
 )
+from auburnswitch.schema.entry import BoundSettings
 from auburnswitch.schema.gossip import Gossip, PartRefusal
 from auburnswitch.schema.installation import EndpointEntry
 from tests.routing.crash_support import make_part_watch
@@ -489,6 +490,33 @@
         self.assertIn((refused, None), fleet.changes)
 
 
+class SwitchTest(unittest.TestCase):
+    @in_virtual_loop
+    async def test_switch_lets_refused_requests_pass_at_once(self):
+        bounds = BoundSettings()
+        fleet = Fleet(bounds=bounds)
+        await fleet.crash_often("t", "bad", others=("t",))
+        bounds.refuse_crashing_parts = False
+        self.assertEqual(fleet.verdicts("bad"), ALLOWED)
+        job = fleet.request("t", "bad")
+        self.assertTrue(fleet.watches[0].refusals.begin(job))
+        self.assertFalse(fleet.watches[0].refusals.concerns(job))
+        bounds.refuse_crashing_parts = True
+        self.assertEqual(fleet.verdicts("bad"), REFUSED)
+        self.assertEqual(fleet.watches[0].refusals.refusals[0].trials, 0)
+
+    # With the switch off, answers that go on still end refusals.
+    @in_virtual_loop
+    async def test_refusal_ends_while_the_switch_is_off(self):
+        bounds = BoundSettings()
+        fleet = Fleet(bounds=bounds)
+        await fleet.crash_often("t", "bad", others=("t",))
+        bounds.refuse_crashing_parts = False
+        fleet.go_on("t", "bad")
+        bounds.refuse_crashing_parts = True
+        self.assertEqual(fleet.verdicts("bad"), ALLOWED)
+
+
 class LimitsTest(unittest.TestCase):
     @in_virtual_loop
     async def test_memory_is_bounded(self):
