--- a/src/auburnswitch/daemon/daemon.py
+++ b/src/auburnswitch/daemon/daemon.py
@@ -90,6 +90,7 @@
         *,
         settings: Settings,
         session: aiohttp.ClientSession,
+        engine_session: aiohttp.ClientSession,
         tasks: TaskSet,
         invariants: Invariants,
         dial: Dialer = asyncio.open_connection,
@@ -147,7 +148,10 @@
         self.watcher.handlers[ROSTER_KEY] = self.roster_manager.handle_object
         self.cleanup_tasks = TaskSet()
         self._build_membership(dial)
-        self._build_endpoints(session)
+        self._build_endpoints(session, engine_session)
+        self.plain_client = EndpointClient(
+            session=session, settings=settings.endpoints
+        )
         self._build_routing(seed)
         self._build_apps()
         self._register_gauges()
@@ -184,7 +188,11 @@
         )
         self.membership.register(self.peer_server)
 
-    def _build_endpoints(self, session: aiohttp.ClientSession) -> None:
+    def _build_endpoints(
+        self,
+        session: aiohttp.ClientSession,
+        engine_session: aiohttp.ClientSession,
+    ) -> None:
         self.endpoint_manager = EndpointManager(
             settings=self.settings,
             view=self.view,
@@ -197,7 +205,7 @@
         )
         self.reservations.register(self.peer_server)
         self.endpoint_client = EndpointClient(
-            session=session, settings=self.settings.endpoints
+            session=engine_session, settings=self.settings.endpoints
         )
         self.engine_reconciler = EngineReconciler(
             endpoint_manager=self.endpoint_manager,
@@ -238,7 +246,7 @@
             endpoint_manager=self.endpoint_manager,
             reservations=self.reservations,
             orphans=self.orphan_collector,
-            session=session,
+            session=engine_session,
             tasks=self.tasks,
         )
 
@@ -304,7 +312,7 @@
         self.claim_forwarder.register(self.peer_server)
         self.plain_router = PlainRouter(
             placer=placer,
-            client=client,
+            client=self.plain_client,
             claims=self.claims,
             member_id=self.member.id,
             invariants=self.invariants,
--- a/src/auburnswitch/daemon/run.py
+++ b/src/auburnswitch/daemon/run.py
@@ -15,6 +15,7 @@
 
 from auburnswitch.daemon.daemon import Daemon
 from auburnswitch.daemon.stop import CUT_OFF_WAIT_S, drain
+from auburnswitch.http_client import open_client_session
 from auburnswitch.http_server import ListenError, open_http_server
 from auburnswitch.observe.invariants import Invariants
 from auburnswitch.observe.logs import configure_logs, log_event
@@ -39,7 +40,7 @@
 async def open_daemon(
     settings: Settings,
     *,
-    connector: Callable[[], aiohttp.BaseConnector] | None = None,
+    connector: Callable[..., aiohttp.BaseConnector] | None = None,
     strict_invariants: bool = False,
     dial: Dialer = asyncio.open_connection,
 ) -> AsyncIterator[Daemon]:
@@ -47,7 +48,8 @@
 
     Args:
         settings: Validated settings.
-        connector: Creates the connector of outgoing HTTP connections.
+        connector: Creates the connector of outgoing HTTP connections from its
+            options; None for the default one.
         strict_invariants: Whether an invariant violation raises an error.
         dial: Opens the connections to peers.
 
@@ -59,13 +61,18 @@
     """
     has_grace_time = settings.daemon.stop_grace_s > 0
     close_timeout_s = CUT_OFF_WAIT_S if has_grace_time else None
-    session = aiohttp.ClientSession(
-        connector=connector() if connector else aiohttp.TCPConnector(limit=0),
-    )
-    async with session, open_task_set() as tasks:
+    connector = connector or aiohttp.TCPConnector
+    async with (
+        open_client_session(connector, reuse_connections=False) as session,
+        open_client_session(
+            connector, reuse_connections=True
+        ) as engine_session,
+        open_task_set() as tasks,
+    ):
         daemon = Daemon(
             settings=settings,
             session=session,
+            engine_session=engine_session,
             tasks=tasks,
             invariants=Invariants(strict=strict_invariants),
             dial=dial,
--- a/src/auburnswitch/http_client.py
+++ b/src/auburnswitch/http_client.py
@@ -1,12 +1,15 @@
-"""Prevents automatic retries by the HTTP client library."""
+"""Opens the HTTP client of the product's daemon and prevents its retries."""
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING
 
 import aiohttp
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
     from aiohttp import ClientHandlerType, ClientRequest, ClientResponse
 
 
@@ -14,6 +17,28 @@
     """The connection broke when the server may have received the request."""
 
 
+@contextlib.asynccontextmanager
+async def open_client_session(
+    connector: Callable[..., aiohttp.BaseConnector] = aiohttp.TCPConnector,
+    *,
+    reuse_connections: bool,
+) -> AsyncIterator[aiohttp.ClientSession]:
+    """Opens a session of the client library.
+
+    The library takes whatever arrives on a kept connection for the answer to
+    the next request, also a late second copy of the last answer. So connections
+    may be reused only where answers name their request.
+
+    Args:
+        connector: Creates the connector from its options.
+        reuse_connections: Whether a connection may serve several requests.
+    """
+    async with aiohttp.ClientSession(
+        connector=connector(limit=0, force_close=not reuse_connections)
+    ) as session:
+        yield session
+
+
 async def send_at_most_once(
     request: ClientRequest, handler: ClientHandlerType
 ) -> ClientResponse:
@@ -34,4 +59,8 @@
         raise ConnectionLostError(str(error)) from error
 
 
-__all__ = ["ConnectionLostError", "send_at_most_once"]
+__all__ = [
+    "ConnectionLostError",
+    "open_client_session",
+    "send_at_most_once",
+]
