Remember the last event id also when an event without one follows

Found while looking for stalled streams. Events that arrive in one piece with a comment or another event without an id at their end left the last id as it was before the piece; when such a stream broke, the next endpoint was asked to continue from there and its events were passed on although the caller had them. Red: events 1 and 2 came twice. Events of the users' platform all have ids.

--- a/src/auburnswitch/routing/sse_events.py
+++ b/src/auburnswitch/routing/sse_events.py
@@ -54,6 +54,15 @@
     return found[1].decode("latin-1").strip() if found else None
 
 
+def find_last_id(events: list[bytes], previous_id: str | None) -> str | None:
+    """Returns the id of the last event that has one, else the previous id."""
+    for event in reversed(events):
+        event_id = parse_event_id(event)
+        if event_id:
+            return event_id
+    return previous_id
+
+
 def is_newer_event(event: bytes, last_id: str | None) -> bool:
     """Returns whether an event is newer than the last one delivered.
 
@@ -73,6 +82,7 @@
     "MAX_EVENT_BYTES",
     "EventTooLargeError",
     "SseEventSplitter",
+    "find_last_id",
     "is_newer_event",
     "parse_event_id",
 ]
--- a/src/auburnswitch/routing/stream_relay.py
+++ b/src/auburnswitch/routing/stream_relay.py
@@ -19,8 +19,8 @@
 from auburnswitch.routing.sse_events import (
     EventTooLargeError,
     SseEventSplitter,
+    find_last_id,
     is_newer_event,
-    parse_event_id,
 )
 from auburnswitch.schema.events import EventId
 
@@ -182,9 +182,7 @@
             return
         await self._start(answer)
         await self.writer.write(b"".join(newer_events))
-        self.progress.last_event_id = (
-            parse_event_id(newer_events[-1]) or last_event_id
-        )
+        self.progress.last_event_id = find_last_id(newer_events, last_event_id)
 
     def _record_first_event(self) -> None:
         self.selector.record_prefilled(self.placement)
--- a/src/auburnswitch/standins/raw_endpoint.py
+++ b/src/auburnswitch/standins/raw_endpoint.py
@@ -57,6 +57,7 @@
         endless_head: Whether the head never ends.
         ends_cut: Whether the last chunk follows although the answer is cut.
         padding: Added to the data of each event.
+        trailer: Sent after what is left of the body, in one piece with it.
         content_type: Type that a stream states.
     """
 
@@ -68,6 +69,7 @@
     endless_head: bool = False
     ends_cut: bool = False
     padding: str = ""
+    trailer: bytes = b""
     content_type: str = "text/event-stream"
 
 
@@ -174,7 +176,7 @@
 
 def _encode(body: bytes, answer: RawAnswer) -> bytes:
     """Returns the rest of the head and the bytes of the body that are sent."""
-    part = _cut_body(body, answer.cut)
+    part = _cut_body(body, answer.cut) + answer.trailer
     match answer.framing:
         case Framing.LENGTH:
             return f"Content-Length: {len(body)}\r\n\r\n".encode() + part
--- a/tests/entry/test_broken_off_answers.py
+++ b/tests/entry/test_broken_off_answers.py
@@ -116,6 +116,15 @@
                     framing is Framing.CONNECTION,
                 )
 
+    # Found with comments between events: the ids of all events that arrived with
+    # one at their end were forgotten, and a resumed stream began again.
+    async def test_events_that_arrive_before_a_comment_do_not_come_twice(self):
+        broken = RawAnswer(cut=Cut.BETWEEN_EVENTS, trailer=b": ping\n\n")
+        async with self.open("engines", broken, broken) as fleet:
+            response = await self.call_twice(fleet, broken, RawAnswer())
+        events = response.body.replace(broken.trailer, b"")
+        self.assertEqual(events, WHOLE_STREAM)
+
     # The end of a resumed stream was vouched for, though its second engine only
     # closed its connection.
     async def test_closed_end_of_a_resumed_stream_is_not_vouched_for(self):
