Ignore text of the store that is no UTF-8

One of the troubles that operators of similar systems named: a malformed message took a process down. JSON may name half of a surrogate pair; such text in an entry, a configuration or an object's name was adopted and couldn't be sent to peers, and the error ended the task that follows that kind. The daemon went on serving from what it knew, for ever: no endpoint that left or came was noticed. The store's stand-in answers in ASCII, as it failed on such text itself.

--- a/src/auburnswitch/platform/config_decoder.py
+++ b/src/auburnswitch/platform/config_decoder.py
@@ -106,7 +106,7 @@
     keys = fields.items(data, "ApiKeys")
     return CallerTeam(
         name=fields.text(data, "Name"),
-        caller_keys=[key for key in keys if isinstance(key, str)],
+        caller_keys=[key for key in keys if fields.is_text(key)],
         priority=fields.integer(data, "Priority", -1),
     )
 
@@ -162,7 +162,8 @@
     for model in models if isinstance(models, list) else []:
         if isinstance(model, dict):
             versions.append(f"{model.get('Name')}:{model.get('Version')}")
-    return " ".join(versions)[:MAX_RELEASE_LENGTH]
+    release = " ".join(versions)[:MAX_RELEASE_LENGTH]
+    return release.encode(errors="replace").decode()
 
 
 def _decode_boot_ms(data: Any) -> int:
--- a/src/auburnswitch/platform/fields.py
+++ b/src/auburnswitch/platform/fields.py
@@ -13,14 +13,28 @@
     """Returns a string.
 
     Raises:
-        FieldError: The field is missing or is not a string.
+        FieldError: The field is missing or is no text.
     """
     value = _field(data, name)
-    if not isinstance(value, str):
+    if not is_text(value):
         raise FieldError(f"{name} must be text")
     return value
 
 
+def is_text(value: Any) -> bool:
+    """Returns whether a value is a string that can be sent as UTF-8.
+
+    JSON may name half of a surrogate pair, which cannot.
+    """
+    if not isinstance(value, str):
+        return False
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def number(data: Any, name: str, default: float | None = None) -> float:
     """Returns a number, the default if the field is missing.
 
--- a/src/auburnswitch/platform/store_client.py
+++ b/src/auburnswitch/platform/store_client.py
@@ -13,6 +13,7 @@
     ExchangeError,
     open_exchange,
 )
+from auburnswitch.platform import fields
 from auburnswitch.platform.protocol import CLOSED_ZONES_KIND, OBJECTS_PATH
 
 if TYPE_CHECKING:
@@ -267,8 +268,8 @@
 def _decode_object(item: Any) -> StoredObject | None:
     meta = item.get("Metadata") if isinstance(item, dict) else None
     name = meta.get("Name") if isinstance(meta, dict) else None
-    if not isinstance(name, str):
-        return None  # an object without a name cannot be used
+    if not fields.is_text(name):
+        return None  # an object without a usable name cannot be used
     return StoredObject(
         name=name, body=item.get("Spec"), deleted=bool(meta.get("Deleting"))
     )
--- a/src/auburnswitch/standins/installation_store.py
+++ b/src/auburnswitch/standins/installation_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import copy
+import json
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
@@ -22,6 +23,14 @@
 _UNAVAILABLE: Final = 503
 
 
+class EscapedJSONResponse(JSONResponse):
+    """JSON in ASCII, which can carry text that is not UTF-8."""
+
+    def render(self, content: Any) -> bytes:
+        """Returns the encoded content."""
+        return json.dumps(content).encode("ascii")
+
+
 @dataclass(slots=True, kw_only=True)
 class _Event:
     revision: int
@@ -133,7 +142,7 @@
         found = sorted(self.objects.get(kind, {}).items())
         items = [stored for name, stored in found if name > after_name]
         page = items[: self.page_size]
-        return JSONResponse(
+        return EscapedJSONResponse(
             {
                 "Items": page,
                 "HasMore": len(page) < len(items),
@@ -164,7 +173,7 @@
         if self.unavailable:
             return Response(status_code=_UNAVAILABLE)
         changes = [{"Object": e.stored, "Deleted": e.deleted} for e in events]
-        return JSONResponse({"events": changes, "AsOf": self.revision})
+        return EscapedJSONResponse({"events": changes, "AsOf": self.revision})
 
     async def _create(self, request: Request) -> Response:
         if rejection := self._admit_call():
@@ -173,9 +182,9 @@
         data = await request.json()
         name = data["Metadata"]["Name"]
         if name in self.objects.get(kind, {}):
-            return JSONResponse(self.objects[kind][name], _CONFLICT)
+            return EscapedJSONResponse(self.objects[kind][name], _CONFLICT)
         self.put(kind, name, data["Spec"])
-        return JSONResponse(self.objects[kind][name])
+        return EscapedJSONResponse(self.objects[kind][name])
 
     async def _replace(self, request: Request) -> Response:
         if rejection := self._admit_call():
@@ -185,7 +194,7 @@
             return Response(status_code=_NOT_FOUND)
         data = await request.json()
         self.put(kind, name, data["Spec"])
-        return JSONResponse(self.objects[kind][name])
+        return EscapedJSONResponse(self.objects[kind][name])
 
     async def _delete(self, request: Request) -> Response:
         if rejection := self._admit_call():
