Let background duties begin again after an unexpected error

An unexpected error was logged and ended the task it occurred in: heartbeats, the election of store readers, the following of the store, polls of endpoints, links to peers. The process lived on without that duty until somebody restarted it. Both daemons restart duties after a second now. Ruled out: that a duty leaves something behind when it begins again (seed links would have been opened twice; mended here).

--- a/src/auburnswitch/daemon/daemon.py
+++ b/src/auburnswitch/daemon/daemon.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import secrets
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 from auburnswitch.callers.app import CallerApp
@@ -366,15 +367,19 @@
 
     def start(self) -> None:
         """Starts the background tasks."""
-        self.tasks.start(self.watcher.run(), "watcher")
-        self.tasks.start(self.roster_manager.run(), "roster")
-        self.tasks.start(self.membership.run(), "membership")
-        self.tasks.start(self.ticket_poller.run(), "ticket poller")
         refresh = self.watcher.refresh
-        self.tasks.start(self.isolation_detector.run(refresh), "store probe")
-        self.tasks.start(self.load_monitor.run(), "load monitor")
-        self.tasks.start(self.instance_list_reader.run(), "instance list")
-        self.tasks.start(self.engine_reconciler.run(), "orders")
+        duties = {
+            "watcher": self.watcher.run,
+            "roster": self.roster_manager.run,
+            "membership": self.membership.run,
+            "ticket poller": self.ticket_poller.run,
+            "store probe": partial(self.isolation_detector.run, refresh),
+            "load monitor": self.load_monitor.run,
+            "instance list": self.instance_list_reader.run,
+            "orders": self.engine_reconciler.run,
+        }
+        for name, run in duties.items():
+            self.tasks.start_duty(run, name)
 
 
 __all__ = ["Daemon"]
--- a/src/auburnswitch/endpoints/load_monitor.py
+++ b/src/auburnswitch/endpoints/load_monitor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -78,7 +79,9 @@
     def _update_pollers(self) -> None:
         owned = set(self.endpoint_manager.owned())
         for name in owned - self.pollers.keys():
-            task = self.tasks.start(self._poll(name), f"load {name}")
+            task = self.tasks.start_duty(
+                partial(self._poll, name), f"load {name}"
+            )
             self.pollers[name] = task
         for name in self.pollers.keys() - owned:
             self.pollers.pop(name).cancel()
--- a/src/auburnswitch/entry/entry_daemon.py
+++ b/src/auburnswitch/entry/entry_daemon.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 from auburnswitch.callers.entry_app import EntryApp
@@ -235,18 +236,21 @@
 
     def start(self) -> None:
         """Starts the background tasks."""
-        self.tasks.start(self.reader_election.run(), "elect store readers")
+        duties = {"elect store readers": self.reader_election.run}
         for kind in WATCHED_KINDS:
-            self.tasks.start(
-                self.installation_watcher.watch_kind(kind), f"follow {kind}"
-            )
-        self.tasks.start(self.installation_watcher.probe_store(), "probe store")
-        self.tasks.start(self._join(), "join")
-        self.tasks.start(self.refusal_store.load(), "read refusals")
-        self.tasks.start(self.gossip.run(), "gossip")
-        self.tasks.start(self._expire_state(), "expire")
-        self.tasks.start(self.load_observer.run(), "observe engines")
-        self.tasks.start(self._maintain_members(), "keep members")
+            follow = partial(self.installation_watcher.watch_kind, kind)
+            duties[f"follow {kind}"] = follow
+        duties |= {
+            "probe store": self.installation_watcher.probe_store,
+            "join": self._join,
+            "read refusals": self.refusal_store.load,
+            "gossip": self.gossip.run,
+            "expire": self._expire_state,
+            "observe engines": self.load_observer.run,
+            "keep members": self._maintain_members,
+        }
+        for name, run in duties.items():
+            self.tasks.start_duty(run, name)
 
     def gauges(self) -> dict[str, Callable[[], float]]:
         """Returns the gauges of the metrics and how to read them."""
--- a/src/auburnswitch/members/membership.py
+++ b/src/auburnswitch/members/membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING, Any, Final
 
 from auburnswitch.clock import monotonic_s
@@ -168,7 +169,8 @@
             seed = Member(
                 id=SEED_ID_PREFIX + address.strip(), host=host, port=int(port)
             )
-            self._open_link(seed)
+            if seed.id not in self.links:
+                self._open_link(seed)
 
     def _update_links(self) -> None:
         for peer_id, status in list(self.view.peers.items()):
@@ -190,8 +192,10 @@
         )
         self.links[member.id] = link
         self.link_tasks[member.id] = [
-            self.tasks.start(link.run(), f"link {member.id}"),
-            self.tasks.start(self._send_heartbeats(link), f"beat {member.id}"),
+            self.tasks.start_duty(link.run, f"link {member.id}"),
+            self.tasks.start_duty(
+                partial(self._send_heartbeats, link), f"beat {member.id}"
+            ),
         ]
 
     def _close_link(self, peer_id: str) -> None:
--- a/src/auburnswitch/observe/tasks.py
+++ b/src/auburnswitch/observe/tasks.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import contextlib
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Final
 
 from auburnswitch.observe.logs import log_event
 from auburnswitch.schema.events import EventId
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Coroutine
+    from collections.abc import AsyncIterator, Callable, Coroutine
+
+DUTY_RESTART_DELAY_S: Final = 1.0
+MAX_ERRORS: Final = 100
 
 
 class TaskSet:
@@ -18,7 +21,7 @@
 
     Attributes:
         tasks: Running tasks.
-        errors: Unexpected errors that ended tasks.
+        errors: Newest unexpected errors of tasks.
         cancelled: Whether the set has been cancelled; a task that is started
             later is cancelled before it runs.
     """
@@ -41,15 +44,33 @@
             task.cancel()
         return task
 
+    def start_duty(
+        self, run: Callable[[], Coroutine[Any, Any, None]], name: str
+    ) -> asyncio.Task[None]:
+        """Starts a task that begins again after each unexpected error."""
+        return self.start(self._run_duty(run, name), name)
+
+    async def _run_duty(
+        self, run: Callable[[], Coroutine[Any, Any, None]], name: str
+    ) -> None:
+        while True:
+            try:
+                return await run()
+            except Exception as error:
+                self._record_error(name, error)
+            await asyncio.sleep(DUTY_RESTART_DELAY_S)
+
+    def _record_error(self, name: str, error: BaseException) -> None:
+        self.errors.append(error)
+        del self.errors[:-MAX_ERRORS]
+        log_event(EventId.TASK_FAILED, task=name, error=repr(error))
+
     def _on_task_done(self, task: asyncio.Task[Any]) -> None:
         self.tasks.discard(task)
         if task.cancelled():
             return
         if error := task.exception():
-            self.errors.append(error)
-            log_event(
-                EventId.TASK_FAILED, task=task.get_name(), error=repr(error)
-            )
+            self._record_error(task.get_name(), error)
 
     async def cancel(self) -> None:
         """Cancels all tasks and waits until they have ended."""
@@ -76,4 +97,4 @@
         await tasks.cancel()
 
 
-__all__ = ["TaskSet", "open_task_set"]
+__all__ = ["DUTY_RESTART_DELAY_S", "TaskSet", "open_task_set"]
--- a/tests/entry/test_unexpected_errors.py
+++ b/tests/entry/test_unexpected_errors.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from auburnswitch.experiments.installation import (
     make_config,
@@ -72,5 +73,53 @@
                 await self.check_follows_store(fleet)
 
 
+class UnexpectedErrorTest(unittest.IsolatedAsyncioTestCase):
+    # Operators of similar systems: an unexpected error took a process down. It
+    # ended a background task for good here; the daemon went on without it.
+    async def test_duties_go_on_after_an_error(self):
+        duties = {
+            "gossip": ("work_reporter", "list_work"),
+            "elect store readers": ("reader_election", "check"),
+            "expire": ("availability", "sweep"),
+            "follow servers": ("installation", "adopt_endpoint_changes"),
+            "follow config": ("installation", "adopt_config"),
+            "observe engines": ("load_observer", "_due_engines"),
+        }
+        for name, (part, method) in duties.items():
+            with self.subTest(name):
+                async with open_installation(daemons=2) as fleet:
+                    daemon = fleet.daemons[0]
+                    owner = getattr(daemon, part)
+                    await self.check_goes_on(fleet, owner, method)
+
+    async def check_goes_on(self, fleet, owner, method):
+        """Lets a method fail once; checks that it is called again."""
+        original = getattr(owner, method)
+        calls = []
+
+        def fail_once(*args, **options):
+            calls.append(method)
+            if len(calls) == 1:
+                raise RuntimeError("unexpected")
+            return original(*args, **options)
+
+        with mock.patch.object(type(owner), method, autospec=True) as patched:
+            patched.side_effect = lambda self_, *args, **options: (
+                fail_once(*args, **options)
+                if self_ is owner
+                else original.__func__(self_, *args, **options)
+            )
+            put_config(fleet.store, make_config(version=91))
+            fleet.put_endpoint("engine-1", "engines", State="draining")
+            await wait_until(lambda: len(calls) > 1, timeout_s=8)
+            await wait_until(
+                lambda: all(
+                    d.installation.config_version == 91 for d in fleet.daemons
+                )
+            )
+        result = await fleet.call("/chat/1", tokens=SHORT)
+        self.assertEqual(result.status, 200)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/observe/test_tasks.py
+++ b/tests/observe/test_tasks.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
+from auburnswitch.observe import tasks as tasks_module
 from auburnswitch.observe.tasks import TaskSet
 
 
@@ -32,6 +34,28 @@
         self.assertTrue(late.cancelled())
         self.assertEqual(ran, [])
 
+    async def test_duty_begins_again_after_an_error_until_it_returns(self):
+        tasks = TaskSet()
+        begun = []
+
+        async def run():
+            begun.append(True)
+            if len(begun) < 3:
+                raise ValueError(len(begun))
+
+        with mock.patch.object(tasks_module, "DUTY_RESTART_DELAY_S", 0.01):
+            duty = tasks.start_duty(run, "duty")
+            await duty
+        self.assertEqual(len(begun), 3)
+        self.assertEqual([str(e) for e in tasks.errors], ["1", "2"])
+
+    async def test_duty_ends_when_it_is_cancelled(self):
+        tasks = TaskSet()
+        tasks.start_duty(asyncio.Event().wait, "duty")
+        await asyncio.sleep(0)
+        await tasks.cancel()
+        self.assertEqual((tasks.tasks, tasks.errors), (set(), []))
+
 
 if __name__ == "__main__":
     unittest.main()
