--- a/src/auburnswitch/routing/part_refusals.py
+++ b/src/auburnswitch/routing/part_refusals.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import enum
-import math
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 from auburnswitch.clock import monotonic_s
+from auburnswitch.routing.part_refusal import Refusal, merge
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -17,10 +16,6 @@
     from auburnswitch.schema.entry import BoundSettings
 
 MAX_REFUSALS: Final = 64
-MAX_TRIALS: Final = 2  # of the same releases of a service
-FIRST_TRIAL_AFTER_S: Final = 900.0
-NEXT_TRIAL_FACTOR: Final = 6.0
-REFUSAL_TTL_S: Final = 24 * 3600.0
 
 
 class PartVerdict(enum.Enum):
@@ -31,46 +26,6 @@
     REFUSED = "refused"
 
 
-@dataclass(slots=True, kw_only=True, eq=False)
-class Refusal:
-    """Parts that crash endpoints.
-
-    A request with all of them is refused. One with only some of them is tried,
-    one at a time, as it shows which of them is to blame.
-
-    Attributes:
-        service: Service whose endpoints crash.
-        parts: The parts.
-        evidence_at: Loop time of the first crash that decided it, in seconds.
-        last_crash_at: Loop time of the last crash, in seconds.
-        releases: Releases of the service's endpoints that crashed.
-        trials: Number of refused requests that were tried again.
-        tried_request: Id of the request that is tried at this daemon, empty if
-            none is.
-    """
-
-    service: str
-    parts: Parts
-    evidence_at: float
-    last_crash_at: float
-    releases: set[str] = field(default_factory=set)
-    trials: int = 0
-    tried_request: str = ""
-
-    @property
-    def next_trial_at(self) -> float:
-        """Loop time from which a request may be tried again, in seconds."""
-        if self.trials >= MAX_TRIALS:
-            return math.inf
-        delay_s = FIRST_TRIAL_AFTER_S * NEXT_TRIAL_FACTOR**self.trials
-        return self.last_crash_at + delay_s
-
-    @property
-    def expires_at(self) -> float:
-        """Loop time at which it ends, in seconds."""
-        return self.last_crash_at + REFUSAL_TTL_S
-
-
 class PartRefusals:
     """The refusals in force at this daemon.
 
@@ -162,11 +117,11 @@
         """
         for known in list(self.refusals):
             if known.parts <= refusal.parts:
-                _merge(known, refusal)
+                merge(known, refusal)
                 return False
             if refusal.parts < known.parts:
                 self._remove(known)
-                _merge(refusal, known)
+                merge(refusal, known)
         self.refusals.append(refusal)
         for part in refusal.parts:
             self._by_part.setdefault(part, []).append(refusal)
@@ -286,19 +241,4 @@
                 del self._by_part[part]
 
 
-def _merge(known: Refusal, other: Refusal) -> None:
-    known.last_crash_at = max(known.last_crash_at, other.last_crash_at)
-    known.evidence_at = max(known.evidence_at, other.evidence_at)
-    known.trials = max(known.trials, other.trials)
-    known.releases |= other.releases
-
-
-__all__ = [
-    "FIRST_TRIAL_AFTER_S",
-    "MAX_REFUSALS",
-    "MAX_TRIALS",
-    "REFUSAL_TTL_S",
-    "PartRefusals",
-    "PartVerdict",
-    "Refusal",
-]
+__all__ = ["MAX_REFUSALS", "PartRefusals", "PartVerdict"]
--- a/src/auburnswitch/routing/part_watch.py
+++ b/src/auburnswitch/routing/part_watch.py
@@ -15,12 +15,21 @@
 from auburnswitch.clock import monotonic_s
 from auburnswitch.observe.logs import log_event
 from auburnswitch.routing.part_evidence import Culprits, PartEvidence, Parts
-from auburnswitch.routing.part_refusals import PartRefusals, Refusal
+from auburnswitch.routing.part_objections import (
+    MAX_PARTS_PER_MESSAGE,
+    PartObjections,
+)
+from auburnswitch.routing.part_refusal import (
+    Refusal,
+    decode_refusal,
+    encode_refusal,
+    log_refusal,
+)
+from auburnswitch.routing.part_refusals import PartRefusals
 from auburnswitch.schema.events import EventId
 from auburnswitch.schema.gossip import (
     CrashSuspect,
     Gossip,
-    PartRefusal,
     PartStart,
 )
 
@@ -34,11 +43,9 @@
     from auburnswitch.schema.installation import EndpointEntry
 
 OBJECTION_PERIOD_S: Final = 0.25
-MAX_OBJECTION_DELAY_S: Final = 0.05  # most objections are heard before it
 ANNOUNCE_DURATION_S: Final = 1.5
 LIMIT_LOG_INTERVAL_S: Final = 60.0
 MAX_SUSPECTS_PER_MESSAGE: Final = 24
-MAX_PARTS_PER_MESSAGE: Final = 400  # fit into one datagram
 MAX_REFUSALS_PER_MESSAGE: Final = 16
 
 
@@ -47,9 +54,10 @@
 
     Attributes:
         evidence: The crashes and the answers that went on.
+        objections: Tells the peers which parts are sound.
         refusals: The refusals in force.
         statistics: Counts refusals by what became of them, and limits reached.
-        rng: Random generator for the delay of objections.
+        rng: Random generator for delays and samples.
         send: Sends a message with these fields to all peers.
         on_change: Called with a refusal that this daemon's own evidence has
             ended or replaced, or None, and the one now in force, or None.
@@ -57,10 +65,10 @@
 
     __slots__ = (
         "_limits_logged_at",
-        "_objections",
         "_own_suspects",
         "_suspected",
         "evidence",
+        "objections",
         "on_change",
         "refusals",
         "rng",
@@ -84,6 +92,9 @@
         self.send = send
         self.on_change = on_change
         self.evidence = PartEvidence(on_limit=self._record_limit)
+        self.objections = PartObjections(
+            evidence=self.evidence, rng=rng, send=send
+        )
         self.refusals = PartRefusals(
             bounds=bounds,
             releases_of=releases_of,
@@ -92,7 +103,6 @@
             on_trial=self._record_trial,
         )
         self._suspected: dict[Parts, asyncio.TimerHandle] = {}
-        self._objections: dict[str, asyncio.TimerHandle] = {}
         self._own_suspects: list[tuple[float, CrashSuspect]] = []
         self._limits_logged_at: dict[str, float] = {}
 
@@ -132,7 +142,9 @@
             return
         self.evidence.record_start(job.service.name, job.parts)
         if self._suspected or self.refusals.refusals:
-            self._object(part for part in job.parts if self._is_accused(part))
+            self.objections.object_to(
+                part for part in job.parts if self._is_accused(part)
+            )
             self._clear("an answer went on")
 
     def fill_heartbeat(self, message: Gossip) -> None:
@@ -171,10 +183,10 @@
         """Puts a refusal into force that is final elsewhere."""
         sound = self._find_sound(refusal)
         if sound:
-            self._schedule_objections(sound)
+            self.objections.schedule(sound)
         elif self.refusals.add(refusal):
             self.statistics.part_refusals["adopted"] += 1
-            _log_refusal(EventId.PARTS_REFUSED, refusal, reason=source)
+            log_refusal(EventId.PARTS_REFUSED, refusal, reason=source)
 
     def _add_peer_suspect(self, suspect: CrashSuspect, now: float) -> None:
         parts = frozenset(suspect.parts)
@@ -197,7 +209,7 @@
             return
         refusal = self._make_refusal(culprits)
         self.statistics.part_refusals["suspected"] += 1
-        _log_refusal(EventId.PARTS_SUSPECTED, refusal)
+        log_refusal(EventId.PARTS_SUSPECTED, refusal)
         self._suspected[culprits.parts] = asyncio.get_running_loop().call_later(
             OBJECTION_PERIOD_S, self._confirm, culprits.parts
         )
@@ -208,13 +220,15 @@
     def _confirm(self, parts: Parts) -> None:
         """Refuses suspected parts to which no peer has objected."""
         del self._suspected[parts]
+        if parts in self.refusals.groups():
+            return  # a peer was faster
         culprits = self._find_culprits(parts)
         if culprits is None:
             self.statistics.part_refusals["cleared"] += 1
             log_event(
                 EventId.PARTS_CLEARED,
                 parts=sorted(parts),
-                reason="a peer or another refusal explains the crashes",
+                reason="an answer went on, or other parts are to blame",
             )
             return
         refusal = self._make_refusal(culprits)
@@ -240,7 +254,7 @@
         if confirmed:
             self.adopt(refusal, "a peer")
         else:
-            self._schedule_objections(self._find_sound(refusal))
+            self.objections.schedule(self._find_sound(refusal))
 
     def _find_sound(self, refusal: Refusal) -> list[str]:
         return [
@@ -255,34 +269,10 @@
             for parts in (*self._suspected, *self.refusals.groups())
         )
 
-    def _schedule_objections(self, parts: Iterable[str]) -> None:
-        loop = asyncio.get_running_loop()
-        for part in parts:
-            if part not in self._objections:
-                self._objections[part] = loop.call_later(
-                    self.rng.uniform(0.0, MAX_OBJECTION_DELAY_S),
-                    self._object,
-                    (part,),
-                )
-
-    def _object(self, parts: Iterable[str]) -> None:
-        """Tells the peers when answers with these parts last went on."""
-        starts = []
-        now = monotonic_s()
-        for part in parts:
-            if timer := self._objections.pop(part, None):
-                timer.cancel()
-            started_at = self.evidence.started_at.get(part)
-            if started_at is not None:
-                starts.append(PartStart(part=part, age_s=now - started_at))
-        if starts:
-            self.send(Gossip(part_starts=starts[:MAX_PARTS_PER_MESSAGE]))
-
     def _apply_objection(self, start: PartStart, now: float) -> None:
         started_at = now - max(0.0, start.age_s)
         self.evidence.record_part_start(start.part, started_at)
-        if timer := self._objections.pop(start.part, None):
-            timer.cancel()
+        self.objections.drop(start.part)
         if self.refusals.groups():
             self._clear("an answer went on at a peer")
 
@@ -293,7 +283,7 @@
 
     def _record_trial(self, refusal: Refusal) -> None:
         self.statistics.part_refusals["tried"] += 1
-        _log_refusal(EventId.PARTS_TRIED, refusal)
+        log_refusal(EventId.PARTS_TRIED, refusal)
         self.send(Gossip(part_refusals=[encode_refusal(refusal)]))
         self.on_change(refusal, refusal)
 
@@ -302,10 +292,10 @@
     ) -> None:
         if before is not None:
             self.statistics.part_refusals["cleared"] += 1
-            _log_refusal(EventId.PARTS_CLEARED, before, reason=reason)
+            log_refusal(EventId.PARTS_CLEARED, before, reason=reason)
         if after is not None:
             self.statistics.part_refusals["refused"] += 1
-            _log_refusal(EventId.PARTS_REFUSED, after, reason=reason)
+            log_refusal(EventId.PARTS_REFUSED, after, reason=reason)
             self.send(Gossip(part_refusals=[encode_refusal(after)]))
         self.on_change(before, after)
 
@@ -318,54 +308,4 @@
             log_event(EventId.CRASH_MEMORY_FULL, limit=name)
 
 
-def encode_refusal(refusal: Refusal) -> PartRefusal:
-    """Returns a final refusal as peers receive it."""
-    now = monotonic_s()
-    return PartRefusal(
-        service_name=refusal.service,
-        parts=sorted(refusal.parts),
-        evidence_age_s=now - refusal.evidence_at,
-        last_crash_age_s=now - refusal.last_crash_at,
-        trials=refusal.trials,
-        releases=sorted(refusal.releases),
-        confirmed=True,
-    )
-
-
-def decode_refusal(encoded: PartRefusal, age_s: float = 0.0) -> Refusal:
-    """Returns the refusal that a message or an object of the store describes.
-
-    Args:
-        encoded: The message or object.
-        age_s: Time since it was written, in seconds.
-    """
-    written_at = monotonic_s() - max(0.0, age_s)
-    return Refusal(
-        service=encoded.service_name,
-        parts=frozenset(encoded.parts),
-        evidence_at=written_at - max(0.0, encoded.evidence_age_s),
-        last_crash_at=written_at - max(0.0, encoded.last_crash_age_s),
-        releases=set(encoded.releases),
-        trials=encoded.trials,
-    )
-
-
-def _log_refusal(event: EventId, refusal: Refusal, **fields: str) -> None:
-    now = monotonic_s()
-    log_event(
-        event,
-        service=refusal.service,
-        parts=sorted(refusal.parts),
-        evidence_age_s=round(now - refusal.evidence_at, 3),
-        last_crash_age_s=round(now - refusal.last_crash_at, 3),
-        trials=refusal.trials,
-        **fields,
-    )
-
-
-__all__ = [
-    "OBJECTION_PERIOD_S",
-    "PartWatch",
-    "decode_refusal",
-    "encode_refusal",
-]
+__all__ = ["OBJECTION_PERIOD_S", "PartWatch"]
