Take a lost connection for a crash only if the engine is known to have ended

An engine that answers had been left out already; one that can't be reached shows nothing either, as the daemon itself may be cut off.

--- a/src/auburnswitch/routing/crash_guard.py
+++ b/src/auburnswitch/routing/crash_guard.py
@@ -104,14 +104,14 @@
     async def _record(
         self, job: DeliveryJob, endpoint: EndpointEntry, stage: AnswerStage
     ) -> None:
-        state = ProcessState.UNKNOWN
-        if job.service.engine is not None:
-            state = await self.checker.check(endpoint)
-        if state is ProcessState.RUNNING:
-            return  # only the connection was lost
         crash_id = f"{endpoint.id}@{endpoint.boot_ms}"
+        if job.service.engine is None:  # a plain service can't be asked
+            self.requests.record_crash(job.fingerprint, crash_id)
+            return
+        if await self.checker.check(endpoint) is not ProcessState.ENDED:
+            return  # as far as is known, only the connection was lost
         self.requests.record_crash(job.fingerprint, crash_id)
-        if state is ProcessState.ENDED and stage is not AnswerStage.UNDER_WAY:
+        if stage is not AnswerStage.UNDER_WAY:
             self.parts.record_crash(job, endpoint)
 
 
--- a/tests/entry/test_crash_checks.py
+++ b/tests/entry/test_crash_checks.py
@@ -140,6 +140,7 @@
                 )
             )
             self.assertEqual(daemon.part_watch.evidence.crashes, {})
+        self.assertEqual(self.events("crash_strike"), [])
 
 
 if __name__ == "__main__":
