--- a/src/auburnswitch/entry/entry_daemon.py
+++ b/src/auburnswitch/entry/entry_daemon.py
@@ -14,7 +14,7 @@
     WATCHED_KINDS,
     InstallationWatcher,
 )
-from auburnswitch.entry.refusal_store import RefusalStore
+from auburnswitch.entry.crash_protection import build_crash_guard
 from auburnswitch.entry.work_reporter import WorkReporter
 from auburnswitch.members.cells import Cells
 from auburnswitch.members.entry_directory import EntryDirectory
@@ -26,9 +26,6 @@
 from auburnswitch.observe.statistics import EntryStatistics
 from auburnswitch.platform.endpoint_client import PlatformEndpointClient
 from auburnswitch.platform.store_client import PlatformStoreClient
-from auburnswitch.routing.crash_check import CrashChecker
-from auburnswitch.routing.crash_guard import CrashGuard
-from auburnswitch.routing.crash_registry import CrashRegistry
 from auburnswitch.routing.delivery import DeliveryRunner
 from auburnswitch.routing.endpoint_availability import EndpointAvailability
 from auburnswitch.routing.endpoint_health import EndpointHealth
@@ -36,7 +33,6 @@
 from auburnswitch.routing.fleet_load import FleetLoad
 from auburnswitch.routing.load_observer import LoadObserver
 from auburnswitch.routing.memory_reservations import MemoryReservations
-from auburnswitch.routing.part_watch import PartWatch
 from auburnswitch.routing.send_rate_limiter import SendRateLimiter
 from auburnswitch.routing.stop_deadline import StopDeadline
 from auburnswitch.routing.windowed_retry_budget import WindowedRetryBudget
@@ -49,7 +45,6 @@
 
     from auburnswitch.members.gossip_peer import GossipPeer
     from auburnswitch.observe.tasks import TaskSet
-    from auburnswitch.routing.part_evidence import Parts
     from auburnswitch.schema.entry import EntrySettings
     from auburnswitch.schema.gossip import Gossip
 
@@ -167,36 +162,19 @@
             availability=self.availability,
             prefix=f"{record.instance}-{self.gossip.incarnation}",
         )
-        self.crash_registry = CrashRegistry()
-        self.part_watch = PartWatch(
-            statistics=self.statistics,
-            bounds=settings.bounds,
+        self.crash_guard, self.refusal_store = build_crash_guard(
+            settings=settings,
+            tasks=tasks,
             rng=rng,
-            releases_of=self.installation.releases_of,
-            is_trial_owner=self._owns_trials,
-            send=self.gossip.send_crash_evidence,
-            on_change=lambda before, after: self.refusal_store.update(
-                before, after
-            ),
-        )
-        self.refusal_store = RefusalStore(
+            installation=self.installation,
+            availability=self.availability,
+            statistics=self.statistics,
             store=self.store,
-            tasks=tasks,
-            adopt=lambda refusal: self.part_watch.adopt(refusal, "the store"),
-        )
-        self.crash_guard = CrashGuard(
-            requests=self.crash_registry,
-            parts=self.part_watch,
-            checker=CrashChecker(
-                endpoint_client=endpoint_client,
-                # One that wants no requests gets no question either.
-                may_ask=lambda entry: (
-                    not self.availability.is_process_marked(entry)
-                ),
-                tasks=tasks,
-            ),
-            tasks=tasks,
+            gossip=self.gossip,
+            endpoint_client=endpoint_client,
         )
+        self.crash_registry = self.crash_guard.requests
+        self.part_watch = self.crash_guard.parts
         delivery_runner = DeliveryRunner(
             statistics=self.statistics,
             crash_guard=self.crash_guard,
@@ -326,12 +304,6 @@
             else max(daemon_count, ASSUMED_DAEMON_COUNT)
         )
 
-    def _owns_trials(self, parts: Parts) -> bool:
-        """Returns whether this daemon tries requests with refused parts."""
-        live = [p.record.instance for p in self.gossip.peers.live_peers()]
-        instances = [self.gossip.local_record.instance, *live]
-        return rendezvous_owner(min(parts), instances) == instances[0]
-
     def _fill_state(self, message: Gossip) -> None:
         message.config_version = self.installation.config_version
         message.endpoints_revision = self.installation.endpoints_revision
