Record a failed attempt before its endpoint is asked whether it crashed; bound the parts

Reading the diff: a caller that left or a deadline that passed during the check (up to 0.1 s) left the failure out of the endpoint's health, the count of attempts and the log. Red in the new test with the old order. A header of 64 KB may name 32,000 parts, each of which costs a hash: the first 1,000 count, and a limit that was reached is counted and logged at a crash.

--- a/src/auburnswitch/platform/requests.py
+++ b/src/auburnswitch/platform/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
@@ -40,6 +41,7 @@
         "content-length",
     }
 )
+MAX_SHARED_PARTS: Final = 1000  # bounds the work for a request
 _MS_PER_S: Final = 1000.0
 
 Headers = list[tuple[str, str]]
@@ -78,7 +80,8 @@
         last_event_id: Id of the last event that the caller received, None if
             not given.
         shared_parts: Ids of the parts of the prompt that other requests may
-            have as well, in order and each once.
+            have as well, in order and each once; the first ones if there are
+            very many.
     """
 
     id: str
@@ -165,7 +168,8 @@
         return ()
     entries = ",".join(values).split(",")[:-1]
     ids = (entry.partition(":")[0].strip().lower() for entry in entries)
-    return tuple(dict.fromkeys(part_id for part_id in ids if part_id))
+    unique_ids = dict.fromkeys(part_id for part_id in ids if part_id)
+    return tuple(itertools.islice(unique_ids, MAX_SHARED_PARTS))
 
 
 def _parse_non_negative(value: str) -> int:
@@ -221,6 +225,7 @@
 
 __all__ = [
     "HOP_BY_HOP_HEADERS",
+    "MAX_SHARED_PARTS",
     "CallerRequest",
     "Headers",
     "PrefillHelper",
--- a/src/auburnswitch/routing/delivery.py
+++ b/src/auburnswitch/routing/delivery.py
@@ -294,11 +294,11 @@
         match outcome:
             case AttemptFailed():
                 progress.successor = outcome.successor
+                self._record_failure(job, progress, placement, outcome)
                 if outcome.connection_broken:
                     await self.crash_guard.record_broken(
                         job, placement.endpoint.entry, outcome
                     )
-                self._record_failure(job, progress, placement, outcome)
             case Delivered():
                 self._record_delivery(job, placement, outcome, started_at)
         return outcome
--- a/src/auburnswitch/routing/part_watch.py
+++ b/src/auburnswitch/routing/part_watch.py
@@ -14,6 +14,7 @@
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.observe.logs import log_event
+from auburnswitch.platform.requests import MAX_SHARED_PARTS
 from auburnswitch.routing.part_evidence import Culprits, PartEvidence, Parts
 from auburnswitch.routing.part_objections import (
     MAX_PARTS_PER_MESSAGE,
@@ -110,6 +111,8 @@
         """Records a request that was in flight at a crash, not under way."""
         if not job.parts:
             return
+        if len(job.parts) >= MAX_SHARED_PARTS:
+            self._record_limit("parts of a prompt")
         now = monotonic_s()
         parts = self.evidence.select_parts(job.parts)
         self.refusals.record_crash(parts, now)
--- a/tests/platform/test_prompt_parts.py
+++ b/tests/platform/test_prompt_parts.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from auburnswitch.platform.requests import decode_request
+from auburnswitch.platform.requests import MAX_SHARED_PARTS, decode_request
 
 
 def shared_parts(*values: str) -> tuple[str, ...]:
@@ -33,6 +33,11 @@
         value = ",".join(f"{n:x}:1" for n in range(500))
         self.assertEqual(len(shared_parts(value)), 499)
 
+    # A header of 64 KB holds 32,000 parts, each of which costs a hash.
+    def test_number_of_parts_is_bounded(self):
+        parts = shared_parts(",".join(f"{n:x}" for n in range(20_000)))
+        self.assertEqual(len(parts), MAX_SHARED_PARTS)
+
     @given(st.text(st.characters(max_codepoint=255), max_size=40))
     def test_unreadable_lists_have_only_named_parts(self, value):
         for part in shared_parts(value):
--- a/tests/routing/test_crashing_parts.py
+++ b/tests/routing/test_crashing_parts.py
@@ -561,6 +561,8 @@
         watch.fill_heartbeat(heartbeat)
         for message in (*messages, heartbeat):
             self.assertLess(len(encode_signed(KEY, message)), 12_000)
+        limits = watch.statistics.crash_limits
+        self.assertEqual(limits["parts of a prompt"], 50)
 
     @in_virtual_loop
     async def test_number_of_refusals_is_bounded(self):
--- a/tests/routing/test_delivery.py
+++ b/tests/routing/test_delivery.py
@@ -6,9 +6,16 @@
 import unittest
 from unittest import mock
 
+from auburnswitch.observe.statistics import EntryStatistics
 from auburnswitch.platform.endpoint_client import PlatformEndpointClient
+from auburnswitch.routing.attempt import AttemptRunner
+from auburnswitch.routing.crash_guard import CrashGuard
 from auburnswitch.routing.delivery import DeliveryRunner
-from auburnswitch.routing.outcomes import RetryAdvice
+from auburnswitch.routing.outcomes import (
+    AttemptFailed,
+    DeliveryProgress,
+    RetryAdvice,
+)
 from auburnswitch.routing.stop_deadline import StopDeadline
 from auburnswitch.routing.windowed_retry_budget import WindowedRetryBudget
 from auburnswitch.schema.entry import BoundSettings
@@ -72,6 +79,35 @@
         self.assertEqual(failure.reason, "deadline")
         self.assertIs(failure.retry, RetryAdvice.SOON)
 
+    # Review of issue 35: when a caller left during the check of a crash, the
+    # failure of its endpoint was not recorded.
+    @in_virtual_loop
+    async def test_failure_is_recorded_before_the_check_of_a_crash(self):
+        self.prepare()
+        self.runner.statistics = EntryStatistics()
+        job = make_job(1_000)
+        placement = self.runner.selector.select(job)
+        failure = AttemptFailed(
+            reason="reset", may_have_run=True, connection_broken=True
+        )
+
+        async def check(*_):
+            await asyncio.Event().wait()
+
+        with (
+            mock.patch.object(AttemptRunner, "run", return_value=failure),
+            mock.patch.object(CrashGuard, "record_broken", check),
+        ):
+            attempt = asyncio.create_task(
+                self.runner._attempt(
+                    job, placement, None, DeliveryProgress(last_event_id=None)
+                )
+            )
+            await asyncio.sleep(1)
+            attempt.cancel()
+        self.assertEqual(job.attempts, 1)
+        self.assertIn(placement.endpoint.entry.id, job.excluded)
+
 
 if __name__ == "__main__":
     unittest.main()
