--- a/src/auburnswitch/members/message_validation.py
+++ b/src/auburnswitch/members/message_validation.py
@@ -1,4 +1,4 @@
-"""Checks that an encoded message is as long as its item counts require.
+"""Checks that an encoded message is as long as stated, and its strings UTF-8.
 
 The decoder loops as often as a list's count states, even if its items take no
 bytes, so a message of a few bytes can cause two billion iterations. Therefore
@@ -40,7 +40,7 @@
 
     Raises:
         MalformedMessageError: The data is not a complete struct of known
-            types.
+            types, or has a string that is no UTF-8.
     """
     try:
         _skip_struct(data, 0, MAX_NESTING_DEPTH)
@@ -66,7 +66,10 @@
     """Returns the offset after a value, which may lie beyond the end."""
     if type_code == _STRING:
         (size,) = _LENGTH.unpack_from(data, offset)
-        return offset + _LENGTH.size + _check_size(size)
+        start = offset + _LENGTH.size
+        end = start + _check_size(size)
+        _check_text(data[start:end])
+        return end
     if type_code == _STRUCT:
         return _skip_struct(data, offset, depth - 1)
     if type_code in _LISTS:
@@ -109,6 +112,14 @@
     return offset
 
 
+def _check_text(text: bytes) -> None:
+    """Checks a string, which the decoder leaves as bytes if it is no UTF-8."""
+    try:
+        text.decode()
+    except UnicodeDecodeError as error:
+        raise MalformedMessageError("a string is not UTF-8") from error
+
+
 def _check_size(size: int) -> int:
     if size < 0:
         raise MalformedMessageError("size is negative")
--- a/tests/members/test_message_validation.py
+++ b/tests/members/test_message_validation.py
@@ -17,6 +17,7 @@
     ConfigChanges,
     Gossip,
     GossipFrame,
+    PartRefusal,
     WorkItem,
 )
 from tests.members import malformed_messages
@@ -38,6 +39,17 @@
 
 
 class MessageValidationTest(unittest.TestCase):
+    # The decoder left such a string as bytes; a daemon that passed it on in its
+    # heartbeats could not send any more of them.
+    def test_string_that_is_no_utf8_is_rejected(self):
+        refusal = PartRefusal(parts=["good", "XXXX"])
+        message = encode(
+            GossipFrame(messages=[Gossip(part_refusals=[refusal])])
+        )
+        validate_message(message)
+        with self.assertRaises(MalformedMessageError):
+            validate_message(message.replace(b"XXXX", b"\xff\xfe\xfd\xfc"))
+
     def test_complete_messages(self):
         for message in (GossipFrame(), Gossip(sender="a")):
             validate_message(encode(message))
