Notice a vanished engine of a long request after 3 s, as of others

Cause: large requests switch off the limit for unacknowledged data, which also shortens the wait for lost probes, so that only the probes' own 2 + 2 x 1 s were left; meanwhile the daemon renewed the memory that the request held at another engine. Ruled out: that the check for a crash holds the memory (it follows the release).

--- a/src/auburnswitch/keepalive_socket.py
+++ b/src/auburnswitch/keepalive_socket.py
@@ -6,7 +6,8 @@
 from typing import Final
 
 USER_TIMEOUT_MS: Final = 1500  # limit for unacknowledged data
-KEEPALIVE_IDLE_S: Final = 2
+KEEPALIVE_IDLE_S: Final = 2  # the limit above applies to the first probe
+LATE_READS_KEEPALIVE_IDLE_S: Final = 1  # all probes have to be lost
 KEEPALIVE_INTERVAL_S: Final = 1
 KEEPALIVE_PROBES: Final = 2
 
@@ -41,6 +42,9 @@
     reachable but reads nothing while its receive buffer is full.
     """
     tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
+    tcp_socket.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, LATE_READS_KEEPALIVE_IDLE_S
+    )
 
 
 __all__ = ["allow_late_reads", "open_keepalive_socket"]
