--- a/src/auburnswitch/daemon/daemon.py
+++ b/src/auburnswitch/daemon/daemon.py
@@ -368,7 +368,7 @@
     def start(self) -> None:
         """Starts the background tasks."""
         refresh = self.watcher.refresh
-        duties = {
+        loops = {
             "watcher": self.watcher.run,
             "roster": self.roster_manager.run,
             "membership": self.membership.run,
@@ -378,8 +378,8 @@
             "instance list": self.instance_list_reader.run,
             "orders": self.engine_reconciler.run,
         }
-        for name, run in duties.items():
-            self.tasks.start_duty(run, name)
+        for name, run in loops.items():
+            self.tasks.supervise(run, name)
 
 
 __all__ = ["Daemon"]
--- a/src/auburnswitch/endpoints/load_monitor.py
+++ b/src/auburnswitch/endpoints/load_monitor.py
@@ -79,7 +79,7 @@
     def _update_pollers(self) -> None:
         owned = set(self.endpoint_manager.owned())
         for name in owned - self.pollers.keys():
-            task = self.tasks.start_duty(
+            task = self.tasks.supervise(
                 partial(self._poll, name), f"load {name}"
             )
             self.pollers[name] = task
--- a/src/auburnswitch/entry/entry_daemon.py
+++ b/src/auburnswitch/entry/entry_daemon.py
@@ -214,11 +214,11 @@
 
     def start(self) -> None:
         """Starts the background tasks."""
-        duties = {"elect store readers": self.reader_election.run}
+        loops = {"elect store readers": self.reader_election.run}
         for kind in WATCHED_KINDS:
             follow = partial(self.installation_watcher.watch_kind, kind)
-            duties[f"follow {kind}"] = follow
-        duties |= {
+            loops[f"follow {kind}"] = follow
+        loops |= {
             "probe store": self.installation_watcher.probe_store,
             "join": self._join,
             "read refusals": self.refusal_store.load,
@@ -227,8 +227,8 @@
             "observe engines": self.load_observer.run,
             "keep members": self._maintain_members,
         }
-        for name, run in duties.items():
-            self.tasks.start_duty(run, name)
+        for name, run in loops.items():
+            self.tasks.supervise(run, name)
 
     def gauges(self) -> dict[str, Callable[[], float]]:
         """Returns the gauges of the metrics and how to read them."""
--- a/src/auburnswitch/members/membership.py
+++ b/src/auburnswitch/members/membership.py
@@ -192,8 +192,8 @@
         )
         self.links[member.id] = link
         self.link_tasks[member.id] = [
-            self.tasks.start_duty(link.run, f"link {member.id}"),
-            self.tasks.start_duty(
+            self.tasks.supervise(link.run, f"link {member.id}"),
+            self.tasks.supervise(
                 partial(self._send_heartbeats, link), f"beat {member.id}"
             ),
         ]
--- a/src/auburnswitch/observe/tasks.py
+++ b/src/auburnswitch/observe/tasks.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Coroutine
 
-DUTY_RESTART_DELAY_S: Final = 1.0
+RESTART_DELAY_S: Final = 1.0
 MAX_ERRORS: Final = 100
 
 
@@ -44,13 +44,13 @@
             task.cancel()
         return task
 
-    def start_duty(
+    def supervise(
         self, run: Callable[[], Coroutine[Any, Any, None]], name: str
     ) -> asyncio.Task[None]:
         """Starts a task that begins again after each unexpected error."""
-        return self.start(self._run_duty(run, name), name)
+        return self.start(self._run_supervised(run, name), name)
 
-    async def _run_duty(
+    async def _run_supervised(
         self, run: Callable[[], Coroutine[Any, Any, None]], name: str
     ) -> None:
         while True:
@@ -58,7 +58,7 @@
                 return await run()
             except Exception as error:
                 self._record_error(name, error)
-            await asyncio.sleep(DUTY_RESTART_DELAY_S)
+            await asyncio.sleep(RESTART_DELAY_S)
 
     def _record_error(self, name: str, error: BaseException) -> None:
         self.errors.append(error)
@@ -97,4 +97,4 @@
         await tasks.cancel()
 
 
-__all__ = ["DUTY_RESTART_DELAY_S", "TaskSet", "open_task_set"]
+__all__ = ["RESTART_DELAY_S", "TaskSet", "open_task_set"]
--- a/src/auburnswitch/routing/part_evidence.py
+++ b/src/auburnswitch/routing/part_evidence.py
@@ -62,7 +62,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class Culprits:
+class CrashCause:
     """Parts that crash endpoints; which of them does can't be told.
 
     Attributes:
@@ -159,9 +159,9 @@
         started_at = self.started_at.get(part, -math.inf)
         return started_at + START_GRACE_S > evidence_at
 
-    def find_culprits(
+    def find_cause(
         self, candidates: Iterable[str], refused: Collection[Parts]
-    ) -> Culprits | None:
+    ) -> CrashCause | None:
         """Returns the candidates that explain the most crashes, if any do.
 
         Args:
@@ -180,7 +180,7 @@
         strikes = max(by_crashes, key=len)
         crashes = [self.crashes[crash_id] for crash_id in strikes]
         times = _spaced_times(crashes)
-        return Culprits(
+        return CrashCause(
             service=crashes[0].service,
             parts=frozenset(by_crashes[strikes]),
             evidence_at=times[-STRIKES_TO_REFUSE],
@@ -268,7 +268,7 @@
     "START_GRACE_S",
     "STRIKES_TO_REFUSE",
     "CrashId",
-    "Culprits",
+    "CrashCause",
     "PartEvidence",
     "Parts",
 ]
--- a/src/auburnswitch/routing/part_watch.py
+++ b/src/auburnswitch/routing/part_watch.py
@@ -1,7 +1,7 @@
 """Shares what is known of prompt parts that crash endpoints with the peers.
 
 Each daemon tells its peers the requests that were in flight at a crash it has
-observed, and each judges the evidence of all. A daemon that finds culprits asks
+observed, and each judges the evidence of all. A daemon that finds a cause asks
 its peers first: one whose answers with such a part go on objects. Without an
 objection the refusal is final. Heartbeats repeat it, so that daemons that
 started or were cut off learn of it; a daemon that knows better objects again.
@@ -15,7 +15,7 @@
 from auburnswitch.clock import monotonic_s
 from auburnswitch.observe.logs import log_event
 from auburnswitch.platform.requests import MAX_SHARED_PARTS
-from auburnswitch.routing.part_evidence import Culprits, PartEvidence, Parts
+from auburnswitch.routing.part_evidence import CrashCause, PartEvidence, Parts
 from auburnswitch.routing.part_objections import (
     MAX_PARTS_PER_MESSAGE,
     PartObjections,
@@ -146,7 +146,7 @@
         self.evidence.record_start(job.service.name, job.parts)
         if self._suspected or self.refusals.refusals:
             self.objections.object_to(
-                part for part in job.parts if self._is_accused(part)
+                part for part in job.parts if self._is_in_question(part)
             )
             self._clear("an answer went on")
 
@@ -207,14 +207,14 @@
 
     def _judge(self, parts: Parts) -> None:
         """Suspects the parts that the evidence speaks against."""
-        culprits = self._find_culprits(parts)
-        if culprits is None or culprits.parts in self._suspected:
+        cause = self._find_cause(parts)
+        if cause is None or cause.parts in self._suspected:
             return
-        refusal = self._make_refusal(culprits)
+        refusal = self._make_refusal(cause)
         self.statistics.part_refusals["suspected"] += 1
         log_refusal(EventId.PARTS_SUSPECTED, refusal)
-        self._suspected[culprits.parts] = asyncio.get_running_loop().call_later(
-            OBJECTION_PERIOD_S, self._confirm, culprits.parts
+        self._suspected[cause.parts] = asyncio.get_running_loop().call_later(
+            OBJECTION_PERIOD_S, self._confirm, cause.parts
         )
         encoded = encode_refusal(refusal)
         encoded.confirmed = False
@@ -225,8 +225,8 @@
         del self._suspected[parts]
         if parts in self.refusals.groups():
             return  # a peer was faster
-        culprits = self._find_culprits(parts)
-        if culprits is None:
+        cause = self._find_cause(parts)
+        if cause is None:
             self.statistics.part_refusals["cleared"] += 1
             log_event(
                 EventId.PARTS_CLEARED,
@@ -234,22 +234,22 @@
                 reason="an answer went on, or other parts are to blame",
             )
             return
-        refusal = self._make_refusal(culprits)
+        refusal = self._make_refusal(cause)
         if not self.refusals.add(refusal):
             return
         self._report_change(None, refusal, "own evidence")
         self._judge(parts)  # what this one doesn't explain
 
-    def _find_culprits(self, parts: Iterable[str]) -> Culprits | None:
-        return self.evidence.find_culprits(parts, self.refusals.groups())
+    def _find_cause(self, parts: Iterable[str]) -> CrashCause | None:
+        return self.evidence.find_cause(parts, self.refusals.groups())
 
-    def _make_refusal(self, culprits: Culprits) -> Refusal:
+    def _make_refusal(self, cause: CrashCause) -> Refusal:
         return Refusal(
-            service=culprits.service,
-            parts=culprits.parts,
-            evidence_at=culprits.evidence_at,
-            last_crash_at=culprits.last_crash_at,
-            releases=self.refusals.releases_of(culprits.service),
+            service=cause.service,
+            parts=cause.parts,
+            evidence_at=cause.evidence_at,
+            last_crash_at=cause.last_crash_at,
+            releases=self.refusals.releases_of(cause.service),
         )
 
     def _consider(self, refusal: Refusal, confirmed: bool) -> None:
@@ -266,7 +266,7 @@
             if self.evidence.is_sound_since(part, refusal.evidence_at)
         ]
 
-    def _is_accused(self, part: str) -> bool:
+    def _is_in_question(self, part: str) -> bool:
         return any(
             part in parts
             for parts in (*self._suspected, *self.refusals.groups())
--- a/tests/entry/test_unexpected_errors.py
+++ b/tests/entry/test_unexpected_errors.py
@@ -1,4 +1,4 @@
-"""Tests that unexpected input or errors stop no duty of an entry daemon."""
+"""Tests that unexpected input or errors stop no task of an entry daemon."""
 
 from __future__ import annotations
 
@@ -77,7 +77,7 @@
     # Operators of similar systems: an unexpected error took a process down. It
     # ended a background task for good here; the daemon went on without it.
     async def test_duties_go_on_after_an_error(self):
-        duties = {
+        tasks = {
             "gossip": ("work_reporter", "list_work"),
             "elect store readers": ("reader_election", "check"),
             "expire": ("availability", "sweep"),
@@ -85,7 +85,7 @@
             "follow config": ("installation", "adopt_config"),
             "observe engines": ("load_observer", "_due_engines"),
         }
-        for name, (part, method) in duties.items():
+        for name, (part, method) in tasks.items():
             with self.subTest(name):
                 async with open_installation(daemons=2) as fleet:
                     daemon = fleet.daemons[0]
--- a/tests/observe/test_tasks.py
+++ b/tests/observe/test_tasks.py
@@ -34,7 +34,9 @@
         self.assertTrue(late.cancelled())
         self.assertEqual(ran, [])
 
-    async def test_duty_begins_again_after_an_error_until_it_returns(self):
+    async def test_supervised_task_is_restarted_until_it_returns(
+        self,
+    ):
         tasks = TaskSet()
         begun = []
 
@@ -43,15 +45,15 @@
             if len(begun) < 3:
                 raise ValueError(len(begun))
 
-        with mock.patch.object(tasks_module, "DUTY_RESTART_DELAY_S", 0.01):
-            duty = tasks.start_duty(run, "duty")
-            await duty
+        with mock.patch.object(tasks_module, "RESTART_DELAY_S", 0.01):
+            task = tasks.supervise(run, "task")
+            await task
         self.assertEqual(len(begun), 3)
         self.assertEqual([str(e) for e in tasks.errors], ["1", "2"])
 
-    async def test_duty_ends_when_it_is_cancelled(self):
+    async def test_supervised_task_ends_when_it_is_cancelled(self):
         tasks = TaskSet()
-        tasks.start_duty(asyncio.Event().wait, "duty")
+        tasks.supervise(asyncio.Event().wait, "task")
         await asyncio.sleep(0)
         await tasks.cancel()
         self.assertEqual((tasks.tasks, tasks.errors), (set(), []))
