--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers of the scripts."""
--- /dev/null
+++ b/review/common/system.py
@@ -0,0 +1,289 @@
+"""Entry daemons as processes, their callers, and the record of a case."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import os
+import re
+import socket
+import subprocess
+import tempfile
+import time
+import tomllib
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from common.http import call
+from common.runner import Run, Runner
+from common.store import Store
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+ROOT = Path(__file__).resolve().parents[2]
+HOST = "entry.example"
+KEY = "key-of-the-tenant"
+# The bounds of the site gadeuk-booking, as SYSTEM.md prints them.
+BOUNDS = {
+    "GraceS": 8,
+    "RetryBudgetRatio": 0.2,
+    "RetryBudgetExtra": 106,
+    "BudgetWindowS": 10,
+    "ColdOver": 1.5,
+    "ColdSlack": 5,
+    "HoldMaxMs": 20000,
+}
+HEARTBEAT_MS = 1200
+STABILITY_WINDOW_S = 3.0
+DEADLINE_MS = 1000
+READY_TIMEOUT_S = 15.0
+
+EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
+
+
+class CaseError(Exception):
+    """The case could not run."""
+
+
+def make_config(version: int) -> dict[str, Any]:
+    """Returns a configuration with one idempotent route."""
+    route = {
+        "Name": "r-look",
+        "Host": HOST,
+        "PathPrefix": "/look/",
+        "Kind": "idempotent",
+        "TimeoutMs": DEADLINE_MS,
+        "TargetLatencyMs": 150,
+        "Priority": 2,
+        "Service": "booking-api",
+        "MaxAttempts": 2,
+        "AllowAnonymous": False,
+    }
+    idle = {**route, "Name": f"r-idle-{version}"}
+    idle["PathPrefix"] = f"/idle-{version}/"
+    service = {
+        "Name": "booking-api",
+        "HealthPath": "/health",
+        "MaxConnections": 110,
+        "ColdStartS": 0.0,
+        "ColdPerS": 0.0,
+    }
+    return {
+        "Version": version,
+        "Routes": [route, idle],
+        "Services": [service],
+        "Limits": {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 4194304,
+            "HeaderTimeoutMs": 3000,
+            "IdleTimeoutMs": 15000,
+        },
+        "Tenants": [{"Name": "salon", "ApiKeys": [KEY], "Priority": 1}],
+    }
+
+
+def _fill(template: str, values: dict[str, Any]) -> str:
+    """Fills the placeholders of the deploy file's template of the settings."""
+
+    def value(found: re.Match[str]) -> str:
+        current: Any = values
+        for part in found[1].split("."):
+            key: Any = int(part) if part.isdigit() else part
+            current = current[key]
+        return str(current)
+
+    return re.sub(r"\{\{([A-Za-z0-9_.]+)\}\}", value, template)
+
+
+def _free_port() -> int:
+    """Returns a port that is free for TCP and UDP."""
+    while True:
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as u:
+            tcp.bind(("127.0.0.1", 0))
+            port = tcp.getsockname()[1]
+            with contextlib.suppress(OSError):
+                u.bind(("127.0.0.1", port))
+                return port
+
+
+class Daemon:
+    """One entry daemon, started with the command of the deploy file."""
+
+    def __init__(self, *, name: str, zone: str, folder: Path) -> None:
+        self.name = name
+        self.zone = zone
+        self.folder = folder
+        self.callers = ("127.0.0.1", _free_port())
+        self.ready = ("127.0.0.1", _free_port())
+        self.peer_port = _free_port()
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def start(self, store_address: tuple[str, int]) -> None:
+        """Writes the settings from the template and starts the process."""
+        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+        role = deploy["roles"]["entry"]
+        values = {
+            "NodeName": self.name,
+            "Zone": self.zone,
+            "Ip": "127.0.0.1",
+            "Limits": {"LinkMbps": 1000.0},
+            "ListenAddrs": {
+                "Front": f"127.0.0.1:{self.callers[1]}",
+                "Ready": f"127.0.0.1:{self.ready[1]}",
+            },
+            "InternalPortRange": [self.peer_port, self.peer_port],
+            "Platform": {"Address": f"127.0.0.1:{store_address[1]}"},
+            "Bounds": BOUNDS,
+            "HeartbeatMs": HEARTBEAT_MS,
+        }
+        text = _fill((ROOT / role["template"]).read_text(), values)
+        # Several daemons share one address here.
+        text = text.replace(":9464", f":{_free_port()}")
+        settings = self.folder / f"{self.name}.ini"
+        settings.write_text(text)
+        command = role["run"].split()
+        command[-1] = str(settings)
+        kept = {
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
+        }
+        environment = {**kept, "PYTHONPATH": str(ROOT / "target/deps")}
+        with (self.folder / f"{self.name}.log").open("ab") as log:
+            self.process = subprocess.Popen(
+                command, cwd=ROOT, env=environment, stdout=log, stderr=log
+            )
+
+    async def wait_until_ready(self) -> None:
+        """Waits until the daemon says that it is ready."""
+        headers = {"Host": "ready"}
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                while True:
+                    if self.process is None or self.process.poll() is not None:
+                        break
+                    with contextlib.suppress(OSError, EOFError):
+                        answer = await call(
+                            self.ready, "GET /v1/readiness", headers
+                        )
+                        if answer.status == 200:
+                            return
+                    await asyncio.sleep(0.05)
+        raise CaseError(f"{self.name} is not ready")
+
+    def end(self) -> None:
+        """Kills the process."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+
+
+class System:
+    """The store, the runners, the daemons and what was seen of them."""
+
+    def __init__(self, *, folder: Path, record: Path) -> None:
+        self.folder = folder
+        self.store = Store()
+        self.runners: list[Runner] = []
+        self.daemons: list[Daemon] = []
+        self.runs: list[Run] = []
+        self.sent_to: dict[str, str] = {}
+        self.statuses: dict[int, int] = {}
+        self.started_at = time.monotonic()
+        self._record = record.open("w")
+        self._numbers = itertools.count(1)
+
+    def note(self, text: str, at: float | None = None) -> None:
+        """Writes a line to the record until that is closed."""
+        if self._record.closed:
+            return
+        after_s = (at or time.monotonic()) - self.started_at
+        self._record.write(f"{after_s:8.3f}  {text}\n")
+        self._record.flush()
+
+    def _on_run(self, run: Run) -> None:
+        self.runs.append(run)
+        self.note(f"run   {run.attempt} at {run.runner} in {run.zone}", run.at)
+
+    async def add_runner(self, name: str, zone: str) -> Runner:
+        """Starts a runner and writes its entry."""
+        runner = Runner(
+            name=name, service="booking-api", zone=zone, on_run=self._on_run
+        )
+        await runner.start()
+        self.runners.append(runner)
+        self.write_entry(runner)
+        return runner
+
+    def write_entry(self, runner: Runner) -> None:
+        """Writes a runner's entry as the runner does."""
+        self.store.put("servers", runner.name, runner.entry())
+
+    async def add_daemon(self, name: str, zone: str) -> Daemon:
+        """Starts a daemon."""
+        daemon = Daemon(name=name, zone=zone, folder=self.folder)
+        self.daemons.append(daemon)
+        daemon.start(self.store.address)
+        return daemon
+
+    async def request(self, daemon: Daemon) -> int:
+        """Sends one request of a caller; returns the status, 0 without one."""
+        attempt = f"{next(self._numbers):016x}"
+        self.sent_to[attempt] = daemon.name
+        self.note(f"sent  {attempt} to {daemon.name}")
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": attempt,
+            "X-Deadline-Ms": str(DEADLINE_MS),
+            "Authorization": f"Bearer {KEY}",
+        }
+        status = 0
+        with contextlib.suppress(OSError, EOFError, TimeoutError):
+            async with asyncio.timeout(DEADLINE_MS / 1000 + 0.5):
+                answer = await call(daemon.callers, "GET /look/slot", headers)
+                status = answer.status
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+        self.note(f"ended {attempt} with {status or 'no answer'}")
+        return status
+
+    async def keep_sending(self, daemon: Daemon, interval_s: float) -> None:
+        """Sends requests at intervals until cancelled."""
+        while True:
+            await self.request(daemon)
+            await asyncio.sleep(interval_s)
+
+    def close(self) -> None:
+        """Ends the processes."""
+        for daemon in self.daemons:
+            daemon.end()
+        self._record.close()
+
+
+@contextlib.asynccontextmanager
+async def open_system(case: Path) -> AsyncIterator[System]:
+    """Runs a store; ends everything on exit."""
+    with tempfile.TemporaryDirectory() as folder:
+        system = System(folder=Path(folder), record=case / "record.txt")
+        try:
+            await system.store.start()
+            yield system
+        finally:
+            system.close()
+            if kept := os.environ.get("KEEP_LOGS"):
+                for log in Path(folder).glob("*.log"):
+                    (Path(kept) / log.name).write_bytes(log.read_bytes())
+
+
+__all__ = [
+    "EXIT_BROKEN",
+    "EXIT_HELD",
+    "EXIT_NOT_RUN",
+    "STABILITY_WINDOW_S",
+    "CaseError",
+    "Daemon",
+    "System",
+    "make_config",
+    "open_system",
+]
