--- a/review/common/runner.py
+++ b/review/common/runner.py
@@ -15,6 +15,8 @@
     from collections.abc import Callable
 
 WORK_S = 0.03
+CRASHED_S = 2.0
+CRASHING_PATH = "/look/crashes-its-runner"
 
 
 @dataclass(slots=True, kw_only=True)
@@ -49,13 +51,27 @@
         self.leaving = False
         self.born = int(time.time() * 1000)
         self.address = ("127.0.0.1", 0)
+        self.on_start: Callable[[Runner], None] = lambda runner: None
         self._server: asyncio.Server | None = None
+        self._connections: set[asyncio.StreamWriter] = set()
+        self._restart: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
-        """Listens on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        """Listens on a free port, on the same one after a crash."""
+        self._server = await asyncio.start_server(self._serve, *self.address)
         self.address = self._server.sockets[0].getsockname()
 
+    async def _crash(self) -> None:
+        """Ends as a process that crashes, and starts again after a while."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._connections):
+            writer.transport.abort()
+        await asyncio.sleep(CRASHED_S)
+        self.born = int(time.time() * 1000)
+        await self.start()
+        self.on_start(self)
+
     def entry(self) -> dict[str, Any]:
         """Returns the entry that the runner writes to the store."""
         host, port = self.address
@@ -74,6 +90,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._connections.add(writer)
         try:
             while True:
                 request = await read_message(reader)
@@ -81,6 +98,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self._connections.discard(writer)
             writer.close()
 
     async def _answer(self, request: Message) -> bytes:
@@ -106,10 +124,14 @@
         )
         self.on_run(run)
         await asyncio.sleep(WORK_S)
+        if request.target == CRASHING_PATH:
+            self._restart = asyncio.create_task(self._crash())
+            await asyncio.sleep(CRASHED_S)
+            raise ConnectionAbortedError
         body = f"{self.name} ran {attempt}\n".encode()
         headers["X-Attempt-Id"] = attempt
         headers["X-Response-Seal"] = hashlib.sha256(body).hexdigest()[:16]
         return encode("HTTP/1.1 200 OK", headers, body)
 
 
-__all__ = ["Run", "Runner"]
+__all__ = ["CRASHING_PATH", "Run", "Runner"]
--- a/review/common/system.py
+++ b/review/common/system.py
@@ -6,6 +6,7 @@
 import contextlib
 import itertools
 import os
+import random
 import re
 import socket
 import subprocess
@@ -39,6 +40,8 @@
 STABILITY_WINDOW_S = 3.0
 DEADLINE_MS = 1000
 READY_TIMEOUT_S = 15.0
+PORT_RANGE = (16_000, 30_000)
+_used_ports: set[int] = set()
 
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
@@ -98,14 +101,23 @@
 
 
 def _free_port() -> int:
-    """Returns a port that is free for TCP and UDP."""
+    """Returns a port that is free for TCP and UDP.
+
+    It lies below those that the system gives to outgoing connections.
+    """
     while True:
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as u:
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
-            with contextlib.suppress(OSError):
-                u.bind(("127.0.0.1", port))
-                return port
+        port = random.randrange(*PORT_RANGE)
+        if port in _used_ports:
+            continue
+        with (
+            socket.socket() as tcp,
+            socket.socket(type=socket.SOCK_DGRAM) as udp,
+            contextlib.suppress(OSError),
+        ):
+            tcp.bind(("127.0.0.1", port))
+            udp.bind(("127.0.0.1", port))
+            _used_ports.add(port)
+            return port
 
 
 class Daemon:
@@ -119,6 +131,7 @@
         self.ready = ("127.0.0.1", _free_port())
         self.peer_port = _free_port()
         self.process: subprocess.Popen[bytes] | None = None
+        self.disturbed_at: list[float] = []
 
     def start(self, store_address: tuple[str, int]) -> None:
         """Writes the settings from the template and starts the process."""
@@ -155,6 +168,7 @@
             self.process = subprocess.Popen(
                 command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
+        self.disturbed_at.append(time.monotonic())
 
     async def wait_until_ready(self) -> None:
         """Waits until the daemon says that it is ready."""
@@ -171,7 +185,30 @@
                         if answer.status == 200:
                             return
                     await asyncio.sleep(0.05)
-        raise CaseError(f"{self.name} is not ready")
+        status = self.process.poll() if self.process else None
+        log = (self.folder / f"{self.name}.log").read_text()
+        raise CaseError(
+            f"{self.name} is not ready, exit status {status}: {log[-300:]}"
+        )
+
+    def was_in_touch(self, at: float) -> bool:
+        """Returns whether it ran undisturbed for the stability window."""
+        began_at = at - STABILITY_WINDOW_S
+        return not any(
+            began_at <= disturbed_at <= at for disturbed_at in self.disturbed_at
+        )
+
+    async def stop(self) -> None:
+        """Sends SIGTERM, and SIGKILL after the grace time."""
+        if self.process is None:
+            return
+        self.disturbed_at.append(time.monotonic())
+        self.process.terminate()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(BOUNDS["GraceS"]):
+                while self.process.poll() is None:
+                    await asyncio.sleep(0.02)
+        self.end()
 
     def end(self) -> None:
         """Kills the process."""
@@ -228,7 +265,7 @@
         daemon.start(self.store.address)
         return daemon
 
-    async def request(self, daemon: Daemon) -> int:
+    async def request(self, daemon: Daemon, path: str = "/look/slot") -> int:
         """Sends one request of a caller; returns the status, 0 without one."""
         attempt = f"{next(self._numbers):016x}"
         self.sent_to[attempt] = daemon.name
@@ -242,7 +279,7 @@
         status = 0
         with contextlib.suppress(OSError, EOFError, TimeoutError):
             async with asyncio.timeout(DEADLINE_MS / 1000 + 0.5):
-                answer = await call(daemon.callers, "GET /look/slot", headers)
+                answer = await call(daemon.callers, f"GET {path}", headers)
                 status = answer.status
         self.statuses[status] = self.statuses.get(status, 0) + 1
         self.note(f"ended {attempt} with {status or 'no answer'}")
