--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,12 +12,11 @@
 from common.system import (
     EXIT_BROKEN,
     EXIT_HELD,
-    EXIT_NOT_RUN,
     STABILITY_WINDOW_S,
     CaseError,
     System,
     make_config,
-    open_system,
+    run_case,
 )
 
 CASE = Path(__file__).resolve().parent
@@ -100,16 +99,5 @@
     return EXIT_BROKEN if late else EXIT_HELD
 
 
-async def main() -> int:
-    """Runs the case."""
-    async with open_system(CASE) as system:
-        try:
-            return await play(system)
-        except CaseError as error:
-            system.note(f"not run: {error}")
-            print(f"not run: {error}")
-            return EXIT_NOT_RUN
-
-
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(run_case(CASE, play))
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -26,6 +26,9 @@
         self.revision = 100
         self.era = 1
         self.away = False
+        self.lost_kind = ""
+        self.lost = 0
+        self.answered = 0
         self.history: list[tuple[int, str, dict[str, Any], bool]] = []
         self.address = ("127.0.0.1", 0)
         self._changed = asyncio.Event()
@@ -97,6 +100,9 @@
             while True:
                 request = await read_message(reader)
                 status, data = await self._answer(request)
+                if self._loses(request, data):
+                    await asyncio.Event().wait()  # nothing further comes
+                self.answered += 1
                 headers = {
                     "Content-Type": "application/json",
                     "Store-Era": str(self.era),
@@ -108,6 +114,15 @@
         finally:
             writer.close()
 
+    def _loses(self, request: Message, data: Any) -> bool:
+        """Returns whether the answer of a watch with events is lost."""
+        if not self.lost_kind or "Watch=" not in request.target:
+            return False
+        if f"/{self.lost_kind}?" not in request.target or not data["events"]:
+            return False
+        self.lost += 1
+        return True
+
     async def _answer(self, request: Message) -> tuple[int, Any]:
         await asyncio.sleep(0.004)
         if self.away:
--- a/review/common/system.py
+++ b/review/common/system.py
@@ -21,7 +21,7 @@
 from common.store import Store
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "entry.example"
@@ -41,6 +41,7 @@
 DEADLINE_MS = 1000
 READY_TIMEOUT_S = 15.0
 PORT_RANGE = (16_000, 30_000)
+EXIT_CANNOT_LISTEN = 3  # of a daemon
 _used_ports: set[int] = set()
 
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
@@ -50,8 +51,13 @@
     """The case could not run."""
 
 
-def make_config(version: int) -> dict[str, Any]:
-    """Returns a configuration with one idempotent route."""
+def make_config(version: int, keys: tuple[str, ...] = (KEY,)) -> dict[str, Any]:
+    """Returns a configuration with one idempotent route.
+
+    Args:
+        version: Version of the configuration.
+        keys: The tenant's keys.
+    """
     route = {
         "Name": "r-look",
         "Host": HOST,
@@ -83,7 +89,7 @@
             "HeaderTimeoutMs": 3000,
             "IdleTimeoutMs": 15000,
         },
-        "Tenants": [{"Name": "salon", "ApiKeys": [KEY], "Priority": 1}],
+        "Tenants": [{"Name": "salon", "ApiKeys": [*keys], "Priority": 1}],
     }
 
 
@@ -127,14 +133,21 @@
         self.name = name
         self.zone = zone
         self.folder = folder
+        self.take_ports()
+        self.process: subprocess.Popen[bytes] | None = None
+        self.was_ready = False
+        self.disturbed_at: list[float] = []
+
+    def take_ports(self) -> None:
+        """Chooses the ports."""
         self.callers = ("127.0.0.1", _free_port())
         self.ready = ("127.0.0.1", _free_port())
+        self.metrics_port = _free_port()
         self.peer_port = _free_port()
-        self.process: subprocess.Popen[bytes] | None = None
-        self.disturbed_at: list[float] = []
 
     def start(self, store_address: tuple[str, int]) -> None:
         """Writes the settings from the template and starts the process."""
+        self.store_address = store_address
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         role = deploy["roles"]["entry"]
         values = {
@@ -153,7 +166,7 @@
         }
         text = _fill((ROOT / role["template"]).read_text(), values)
         # Several daemons share one address here.
-        text = text.replace(":9464", f":{_free_port()}")
+        text = text.replace(":9464", f":{self.metrics_port}")
         settings = self.folder / f"{self.name}.ini"
         settings.write_text(text)
         command = role["run"].split()
@@ -176,13 +189,18 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(READY_TIMEOUT_S):
                 while True:
-                    if self.process is None or self.process.poll() is not None:
+                    status = self.process.poll() if self.process else None
+                    if status == EXIT_CANNOT_LISTEN and not self.was_ready:
+                        self.take_ports()  # another process has taken one
+                        self.start(self.store_address)
+                    elif status is not None:
                         break
                     with contextlib.suppress(OSError, EOFError):
                         answer = await call(
                             self.ready, "GET /v1/readiness", headers
                         )
                         if answer.status == 200:
+                            self.was_ready = True
                             return
                     await asyncio.sleep(0.05)
         status = self.process.poll() if self.process else None
@@ -227,6 +245,7 @@
         self.daemons: list[Daemon] = []
         self.runs: list[Run] = []
         self.sent_to: dict[str, str] = {}
+        self.sent_at: dict[str, float] = {}
         self.statuses: dict[int, int] = {}
         self.started_at = time.monotonic()
         self._record = record.open("w")
@@ -265,16 +284,19 @@
         daemon.start(self.store.address)
         return daemon
 
-    async def request(self, daemon: Daemon, path: str = "/look/slot") -> int:
+    async def request(
+        self, daemon: Daemon, path: str = "/look/slot", key: str = KEY
+    ) -> int:
         """Sends one request of a caller; returns the status, 0 without one."""
         attempt = f"{next(self._numbers):016x}"
         self.sent_to[attempt] = daemon.name
+        self.sent_at[attempt] = time.monotonic()
         self.note(f"sent  {attempt} to {daemon.name}")
         headers = {
             "Host": HOST,
             "X-Attempt-Id": attempt,
             "X-Deadline-Ms": str(DEADLINE_MS),
-            "Authorization": f"Bearer {KEY}",
+            "Authorization": f"Bearer {key}",
         }
         status = 0
         with contextlib.suppress(OSError, EOFError, TimeoutError):
@@ -285,10 +307,12 @@
         self.note(f"ended {attempt} with {status or 'no answer'}")
         return status
 
-    async def keep_sending(self, daemon: Daemon, interval_s: float) -> None:
+    async def keep_sending(
+        self, daemon: Daemon, interval_s: float, key: str = KEY
+    ) -> None:
         """Sends requests at intervals until cancelled."""
         while True:
-            await self.request(daemon)
+            await self.request(daemon, key=key)
             await asyncio.sleep(interval_s)
 
     def close(self) -> None:
@@ -313,14 +337,34 @@
                     (Path(kept) / log.name).write_bytes(log.read_bytes())
 
 
+def run_case(case: Path, play: Callable[[System], Awaitable[int]]) -> int:
+    """Runs a case and returns its exit status.
+
+    Args:
+        case: Folder of the case, which receives the record.
+        play: Plays the case.
+    """
+
+    async def run() -> int:
+        async with open_system(case) as system:
+            try:
+                return await play(system)
+            except Exception as error:  # whatever it is, nothing was shown
+                system.note(f"not run: {error!r}")
+                print(f"not run: {error!r}")
+                return EXIT_NOT_RUN
+
+    return asyncio.run(run())
+
+
 __all__ = [
     "EXIT_BROKEN",
     "EXIT_HELD",
-    "EXIT_NOT_RUN",
     "STABILITY_WINDOW_S",
+    "KEY",
     "CaseError",
     "Daemon",
     "System",
     "make_config",
-    "open_system",
+    "run_case",
 ]
