--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,8 +10,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from common.store import NESTED
-from common.system import (
+from metadata_store import NESTED
+from small_system import (
     EXIT_BROKEN,
     EXIT_HELD,
     CaseError,
@@ -60,6 +60,8 @@
         system.note("another writer's entry is in the list")
     await asyncio.sleep(5)
 
+    store.put("config", "main", make_config(8))
+    system.note("config 8 is confirmed")
     killed_at = time.monotonic()
     for daemon in system.daemons:
         daemon.end()
@@ -69,14 +71,19 @@
         daemon.start(store.address)
     back_at = time.monotonic()
     system.note("all daemons are started again")
+    system.statuses.clear()
     await asyncio.sleep(RECOVER_S + WATCHED_S)
+    for daemon in system.daemons:
+        status = await daemon.readiness()
+        system.note(f"{daemon.name} answers the readiness check with {status}")
     for sender in senders:
         sender.cancel()
     await asyncio.gather(*senders, return_exceptions=True)
 
-    system.note(f"answers by status: {system.statuses}")
-    before = system.share_run(0.0, killed_at)
-    after = system.share_run(back_at + RECOVER_S, time.monotonic() - 1)
+    system.note(f"answers by status since then: {system.statuses}")
+    system.note_logs("task_failed", "error")
+    before = system.share_served(0.0, killed_at)
+    after = system.share_served(back_at + RECOVER_S, time.monotonic() - 1)
     if before < MIN_SHARE:
         raise CaseError("too little was served before the daemons were killed")
     broken = after < MIN_SHARE
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,7 +9,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from common.system import (
+from small_system import (
     EXIT_BROKEN,
     EXIT_HELD,
     STABILITY_WINDOW_S,
@@ -85,8 +85,11 @@
     served = [run for run in system.runs if run.at > evacuated_at + EVAC_S]
     system.note(f"answers by status: {system.statuses}")
     for daemon in system.daemons:
-        count = sum(system.sent_to[run.attempt] == daemon.name for run in late)
-        system.note(f"{daemon.name}: {count} requests to daejeon-b too late")
+        mine = [r for r in served if system.sent_to[r.attempt] == daemon.name]
+        count = sum(run.zone == "daejeon-b" for run in mine)
+        system.note(f"{daemon.name}: {count} of {len(mine)} ran there too late")
+    system.note_logs("closed_zones_changed", "zones")
+    system.note_logs("task_failed", "error")
     if not served:
         raise CaseError("nothing was served after the evacuation")
     result = (
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,7 +9,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from common.system import (
+from small_system import (
     EXIT_BROKEN,
     EXIT_HELD,
     KEY,
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,8 +9,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from common.runner import CRASHING_PATH
-from common.system import (
+from runner import CRASHING_PATH
+from small_system import (
     EXIT_BROKEN,
     EXIT_HELD,
     STABILITY_WINDOW_S,
@@ -50,6 +50,7 @@
         stopped.add(daemon)
         system.note(f"SIGTERM to {daemon.name}")
         await daemon.stop()
+        system.note(f"{daemon.name} exited with {daemon.stop_status}")
         daemon.start(system.store.address)
         await daemon.wait_until_ready()
         system.note(f"{daemon.name} is ready again")
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,7 @@
 #!/bin/sh
-# Compiles the stand-ins of the scripts; they need the standard library only.
+# The stand-ins need no build: this checks that this Python reads all of them.
 set -eu
 cd "$(dirname "$0")"
-python3 -m compileall -q common
+for file in *.py */case.py; do
+    python3 -B -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
+done
--- a/review/common/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins and helpers of the scripts."""
--- a/review/common/store.py
+++ b/review/metadata_store.py
@@ -10,9 +10,12 @@
 import copy
 import json
 import urllib.parse
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from common.http import Message, encode, read_message
+from wire import Message, encode, read_message
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 PAGE_SIZE = 500
 # A text that stands for nested lists, which json.dumps can't write.
@@ -24,7 +27,8 @@
 class Store:
     """Objects by kind and name, with the history of their changes."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, note: Callable[[str], None]) -> None:
+        self.note = note
         self.objects: dict[str, dict[str, dict[str, Any]]] = {}
         self.revision = 100
         self.era = 1
@@ -106,6 +110,8 @@
                 if self._loses(request, data):
                     await asyncio.Event().wait()  # nothing further comes
                 self.answered += 1
+                if status == 410 or (status == 200 and data.get("events")):
+                    self.note(f"store answers {status}: {request.target}")
                 headers = {
                     "Content-Type": "application/json",
                     "Store-Era": str(self.era),
@@ -124,6 +130,7 @@
         if f"/{self.lost_kind}?" not in request.target or not data["events"]:
             return False
         self.lost += 1
+        self.note(f"store loses its answer: {request.target}")
         return True
 
     async def _answer(self, request: Message) -> tuple[int, Any]:
--- a/review/common/runner.py
+++ b/review/runner.py
@@ -1,4 +1,8 @@
-"""Stand-in of a runner of a plain service, as PROTOCOL.md describes it."""
+"""Stand-in of a runner of a plain service, as PROTOCOL.md describes it.
+
+It writes its entry when it starts. Later writes would change nothing, and the
+store makes no revision and no event of those.
+"""
 
 from __future__ import annotations
 
@@ -9,7 +13,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from common.http import Message, encode, read_message
+from wire import Message, encode, read_message
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -19,6 +23,18 @@
 CRASHING_PATH = "/look/crashes-its-runner"
 
 
+def seal(body: bytes) -> str:
+    """Returns the seal of an answer's body."""
+    return hashlib.sha256(body).hexdigest()[:16]
+
+
+def is_whole(answer: Message, attempt: str) -> bool:
+    """Returns whether an answer is a runner's whole answer to an attempt."""
+    return answer.headers.get("x-attempt-id") == attempt and answer.headers.get(
+        "x-response-seal"
+    ) == seal(answer.body)
+
+
 @dataclass(slots=True, kw_only=True)
 class Run:
     """A request that a runner has run.
@@ -130,8 +146,8 @@
             raise ConnectionAbortedError
         body = f"{self.name} ran {attempt}\n".encode()
         headers["X-Attempt-Id"] = attempt
-        headers["X-Response-Seal"] = hashlib.sha256(body).hexdigest()[:16]
+        headers["X-Response-Seal"] = seal(body)
         return encode("HTTP/1.1 200 OK", headers, body)
 
 
-__all__ = ["CRASHING_PATH", "Run", "Runner"]
+__all__ = ["CRASHING_PATH", "Run", "Runner", "is_whole"]
--- a/review/common/system.py
+++ b/review/small_system.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import itertools
+import json
 import os
 import random
 import re
@@ -16,14 +18,14 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from common.http import call
-from common.runner import Run, Runner
-from common.store import Store
+from metadata_store import Store
+from runner import Run, Runner, is_whole
+from wire import call
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 HOST = "entry.example"
 KEY = "key-of-the-tenant"
 # The bounds of the site gadeuk-booking, as SYSTEM.md prints them.
@@ -40,6 +42,7 @@
 STABILITY_WINDOW_S = 3.0
 DEADLINE_MS = 1000
 READY_TIMEOUT_S = 15.0
+READINESS_CALL = "GET /v1/readiness"
 PORT_RANGE = (16_000, 30_000)
 EXIT_CANNOT_LISTEN = 3  # of a daemon
 _used_ports: set[int] = set()
@@ -136,6 +139,7 @@
         self.take_ports()
         self.process: subprocess.Popen[bytes] | None = None
         self.was_ready = False
+        self.stop_status: int | None = None  # None if it had to be killed
         self.disturbed_at: list[float] = []
 
     def take_ports(self) -> None:
@@ -183,9 +187,15 @@
             )
         self.disturbed_at.append(time.monotonic())
 
+    async def readiness(self) -> int:
+        """Returns the status of the readiness check, 0 without an answer."""
+        with contextlib.suppress(OSError, EOFError):
+            headers = {"Host": "ready"}
+            return (await call(self.ready, READINESS_CALL, headers)).status
+        return 0
+
     async def wait_until_ready(self) -> None:
         """Waits until the daemon says that it is ready."""
-        headers = {"Host": "ready"}
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(READY_TIMEOUT_S):
                 while True:
@@ -195,13 +205,9 @@
                         self.start(self.store_address)
                     elif status is not None:
                         break
-                    with contextlib.suppress(OSError, EOFError):
-                        answer = await call(
-                            self.ready, "GET /v1/readiness", headers
-                        )
-                        if answer.status == 200:
-                            self.was_ready = True
-                            return
+                    if await self.readiness() == 200:
+                        self.was_ready = True
+                        return
                     await asyncio.sleep(0.05)
         status = self.process.poll() if self.process else None
         log = (self.folder / f"{self.name}.log").read_text()
@@ -221,11 +227,13 @@
         if self.process is None:
             return
         self.disturbed_at.append(time.monotonic())
+        self.stop_status = None
         self.process.terminate()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(BOUNDS["GraceS"]):
-                while self.process.poll() is None:
+                while (status := self.process.poll()) is None:
                     await asyncio.sleep(0.02)
+                self.stop_status = status
         self.end()
 
     def end(self) -> None:
@@ -240,13 +248,14 @@
 
     def __init__(self, *, folder: Path, record: Path) -> None:
         self.folder = folder
-        self.store = Store()
+        self.store = Store(note=self.note)
         self.runners: list[Runner] = []
         self.daemons: list[Daemon] = []
         self.runs: list[Run] = []
         self.sent_to: dict[str, str] = {}
         self.sent_at: dict[str, float] = {}
         self.statuses: dict[int, int] = {}
+        self.served: set[str] = set()
         self.started_at = time.monotonic()
         self._record = record.open("w")
         self._numbers = itertools.count(1)
@@ -303,6 +312,8 @@
             async with asyncio.timeout(DEADLINE_MS / 1000 + 0.5):
                 answer = await call(daemon.callers, f"GET {path}", headers)
                 status = answer.status
+                if status == 200 and is_whole(answer, attempt):
+                    self.served.add(attempt)
         self.statuses[status] = self.statuses.get(status, 0) + 1
         self.note(f"ended {attempt} with {status or 'no answer'}")
         return status
@@ -315,11 +326,22 @@
             await self.request(daemon, key=key)
             await asyncio.sleep(interval_s)
 
-    def share_run(self, since: float, until: float) -> float:
-        """Returns the share of the requests sent in a time that ran."""
+    def share_served(self, since: float, until: float) -> float:
+        """Returns the share of the requests sent in a time that was served."""
         sent = {a for a, at in self.sent_at.items() if since <= at <= until}
-        ran = {run.attempt for run in self.runs}
-        return len(sent & ran) / len(sent) if sent else 0.0
+        return len(sent & self.served) / len(sent) if sent else 0.0
+
+    def note_logs(self, event: str, field: str) -> None:
+        """Notes how often each daemon has logged an event, by a field."""
+        for daemon in self.daemons:
+            counts: collections.Counter[str] = collections.Counter()
+            log = self.folder / f"{daemon.name}.log"
+            for line in log.read_text("utf-8", "replace").splitlines():
+                with contextlib.suppress(ValueError):
+                    entry = json.loads(line)
+                    if entry.get("event_name") == event:
+                        counts[str(entry.get(field))[:90]] += 1
+            self.note(f"{daemon.name} logged {event}: {dict(counts)}")
 
     def close(self) -> None:
         """Ends the processes."""
