--- a/src/auburnswitch/callers/request_parser.py
+++ b/src/auburnswitch/callers/request_parser.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import hashlib
-import json
 import math
 import secrets
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
 from auburnswitch.clock import monotonic_s
+from auburnswitch.json_values import JsonError, decode_json
 from auburnswitch.results import RefusalError, refusal
 from auburnswitch.routing.length_classes import (
     classify_length,
@@ -302,8 +302,8 @@
 
 def _parse_json_object(raw_body: bytes) -> dict[str, Any]:
     try:
-        body = json.loads(raw_body)
-    except (ValueError, RecursionError) as error:
+        body = decode_json(raw_body)
+    except JsonError as error:
         raise RefusalError(refusal(ResultCode.BAD_JSON)) from error
     if not isinstance(body, dict):
         raise _make_field_error("body", "must be an object")
--- a/src/auburnswitch/endpoints/client.py
+++ b/src/auburnswitch/endpoints/client.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import contextlib
-import json
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
 import aiohttp
 
+from auburnswitch.json_values import decode_json
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
@@ -315,7 +316,7 @@
     payload: bytes, attempt: Attempt
 ) -> StreamFrame | MisroutedFrame:
     try:
-        data = json.loads(payload)
+        data = decode_json(payload)
         if (
             data["id"] != attempt.request_id
             or data["attempt"] != attempt.number
--- a/src/auburnswitch/platform/load_reports.py
+++ b/src/auburnswitch/platform/load_reports.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 
+from auburnswitch.json_values import JsonError, decode_json
 from auburnswitch.platform import fields
 from auburnswitch.platform.fields import FieldError
 
@@ -31,8 +31,8 @@
         FieldError: The body is no report.
     """
     try:
-        data = json.loads(body)
-    except (ValueError, RecursionError) as error:
+        data = decode_json(body)
+    except JsonError as error:
         raise FieldError("the load report is no JSON") from error
     return EngineLoadReport(
         requests=fields.integer(data, "Running", 0)
--- a/src/auburnswitch/platform/process_statements.py
+++ b/src/auburnswitch/platform/process_statements.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from auburnswitch.json_values import JsonError, decode_json
 from auburnswitch.platform import fields, protocol
 from auburnswitch.platform.fields import FieldError
 
@@ -66,8 +66,8 @@
 def decode_boot_ms(body: bytes) -> int:
     """Returns when a process says that it started, 0 if it does not."""
     try:
-        boot_ms = fields.integer(json.loads(body), "born", 0)
-    except (FieldError, ValueError, RecursionError):
+        boot_ms = fields.integer(decode_json(body), "born", 0)
+    except (FieldError, JsonError):
         return 0
     return boot_ms if 0 < boot_ms < MAX_BOOT_MS else 0
 
--- a/src/auburnswitch/platform/store_client.py
+++ b/src/auburnswitch/platform/store_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import urllib.parse
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
@@ -13,6 +14,7 @@
     ExchangeError,
     open_exchange,
 )
+from auburnswitch.json_values import decode_readable_json
 from auburnswitch.platform import fields
 from auburnswitch.platform.protocol import CLOSED_ZONES_KIND, OBJECTS_PATH
 
@@ -29,6 +31,7 @@
 CONNECT_TIMEOUT_S: Final = 0.6
 MAX_RESPONSE_BYTES: Final = 16 * 2**20  # a page has about 1 MB
 MAX_BUFFERED_BYTES: Final = 4 * MAX_RESPONSE_BYTES  # one for each kind
+MAX_REVISION: Final = 2**63 - 1  # fits into messages to peers
 _JSON_HEADER: Final = ("content-type", "application/json")
 
 
@@ -124,7 +127,8 @@
                 return Listing(revision=revision, objects=objects)
             if not page:
                 return StoreFailure(reason=_INCOMPLETE)
-            query = f"?AfterRev={page[-1].name}"  # takes a name, not a revision
+            after_name = urllib.parse.quote(page[-1].name, safe="")
+            query = f"?AfterRev={after_name}"  # takes a name, not a revision
 
     async def watch(
         self, kind: str, revision: int
@@ -236,24 +240,32 @@
 
 
 def _decode_body(body: bytes) -> dict[str, Any]:
-    data = json.loads(body) if body.strip() else {}
+    """Decodes the body of an answer.
+
+    Raises:
+        JsonError: Nothing of it can be read.
+    """
+    data = decode_readable_json(body) if body.strip() else {}
     return data if isinstance(data, dict) else {}
 
 
 def _decode_revision(body: dict[str, Any]) -> int | None:
     """Returns the revision of an answer, None if the answer is incomplete."""
     revision = body.get("AsOf")
-    return revision if isinstance(revision, int) else None
+    is_revision = isinstance(revision, int) and 0 <= revision <= MAX_REVISION
+    return revision if is_revision else None
 
 
 def _decode_objects(items: Any) -> list[StoredObject]:
-    decoded = [_decode_object(item) for item in items or []]
+    if not isinstance(items, list):
+        return []
+    decoded = [_decode_object(item) for item in items]
     return [item for item in decoded if item is not None]
 
 
 def _decode_events(events: Any) -> list[StoredObject]:
     changed = []
-    for event in events or []:
+    for event in events if isinstance(events, list) else []:
         decoded = (
             _decode_object(event.get("Object"))
             if isinstance(event, dict)
--- a/src/auburnswitch/standins/installation_store.py
+++ b/src/auburnswitch/standins/installation_store.py
@@ -21,14 +21,36 @@
 _CONFLICT: Final = 409
 _GONE: Final = 410
 _UNAVAILABLE: Final = 503
+_RAW_MARK: Final = "raw value "
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RawJson:
+    """A value that another writer encoded, whether it can be read or not.
+
+    Attributes:
+        data: The encoded value.
+    """
+
+    data: bytes
 
 
 class EscapedJSONResponse(JSONResponse):
     """JSON in ASCII, which can carry text that is not UTF-8."""
 
     def render(self, content: Any) -> bytes:
-        """Returns the encoded content."""
-        return json.dumps(content).encode("ascii")
+        """Returns the encoded content, with raw values as they are."""
+        raw_values: list[bytes] = []
+
+        def insert_raw(value: Any) -> str:
+            raw_values.append(value.data)
+            return f"{_RAW_MARK}{len(raw_values) - 1}"
+
+        encoded = json.dumps(content, default=insert_raw).encode("ascii")
+        for number, data in enumerate(raw_values):
+            mark = f'"{_RAW_MARK}{number}"'.encode("ascii")
+            encoded = encoded.replace(mark, data)
+        return encoded
 
 
 @dataclass(slots=True, kw_only=True)
@@ -203,4 +225,4 @@
         return Response(status_code=_OK)
 
 
-__all__ = ["InstallationStore"]
+__all__ = ["InstallationStore", "RawJson"]
