--- a/schema/events.thrift
+++ b/schema/events.thrift
@@ -71,6 +71,12 @@
   STORE_UNAVAILABLE = 600
   // The platform's store responds again. @level info
   STORE_RECOVERED = 601
+  // The platform's store came back from an older copy; what was read before is read again. @level warning
+  STORE_RESTORED = 602
+  // Records of daemons or the shared key, lost with the store's last seconds, were written again. @level warning
+  DIRECTORY_RESTORED = 603
+  // The daemons agreed on another shared key. @level warning
+  SHARED_KEY_CHANGED = 604
   // An invariant does not hold. @level error
   INVARIANT_VIOLATED = 900
   // The entry daemon has started and its listeners are open. @level info
--- a/schema/gossip.thrift
+++ b/schema/gossip.thrift
@@ -49,6 +49,8 @@
   3: list<installation.EndpointEntry> changed = []
   // Ids of endpoints whose entries were removed.
   4: list<string> removed = []
+  // Generation of the store that the revisions belong to; 0 if unknown.
+  5: i64 generation = 0
 }
 
 // Difference between the load that an engine reports and the work that daemons have there.
@@ -151,6 +153,11 @@
   25: list<PartRefusal> part_refusals = []
   // Parts of refusals that the sender knows to be sound.
   26: list<PartStart> part_starts = []
+  // Newest generation of the store known to the sender; 0 if unknown, as for the following.
+  27: i64 store_generation = 0
+  // Generations that the sender's revisions belong to.
+  28: i64 endpoints_generation = 0
+  29: i64 closed_zones_generation = 0
 }
 
 // One datagram.
@@ -165,6 +172,8 @@
   1: i64 config_version = 0
   2: i64 endpoints_revision = 0
   3: i64 closed_zones_revision = 0
+  4: i64 endpoints_generation = 0
+  5: i64 closed_zones_generation = 0
 }
 
 // State that a peer has in a newer version than the requester.
--- a/schema/installation.thrift
+++ b/schema/installation.thrift
@@ -125,10 +125,14 @@
 struct EndpointList {
   1: i64 revision = 0
   2: list<EndpointEntry> endpoints = []
+  // Generation of the store that the revision belongs to; 0 if unknown.
+  3: i64 generation = 0
 }
 
 // Availability zones that receive no new requests, at one revision of the store.
 struct ClosedZones {
   1: i64 revision = 0
   2: list<string> zones = []
+  // Generation of the store that the revision belongs to; 0 if unknown.
+  3: i64 generation = 0
 }
--- a/src/auburnswitch/callers/entry_app.py
+++ b/src/auburnswitch/callers/entry_app.py
@@ -29,10 +29,8 @@
 
     from starlette.types import Receive, Scope, Send
 
-    from auburnswitch.configuration.installation import (
-        Installation,
-        RouteTable,
-    )
+    from auburnswitch.configuration.installation import Installation
+    from auburnswitch.configuration.route_table import RouteTable
     from auburnswitch.observe.statistics import EntryStatistics
     from auburnswitch.platform.requests import CallerRequest, Headers
     from auburnswitch.routing.availability.endpoint_availability import (
--- a/src/auburnswitch/configuration/installation.py
+++ b/src/auburnswitch/configuration/installation.py
@@ -9,6 +9,13 @@
     apply_config_changes,
     diff_configs,
 )
+from auburnswitch.configuration.restored_state import RestoredState
+from auburnswitch.configuration.route_table import RouteTable
+from auburnswitch.configuration.store_revision import (
+    NO_REVISION,
+    StoreRevision,
+)
+from auburnswitch.configuration.tracked_endpoint import TrackedEndpoint
 from auburnswitch.observe.logs import log_event
 from auburnswitch.schema.events import EventId
 from auburnswitch.schema.installation import (
@@ -18,112 +25,24 @@
 )
 
 if TYPE_CHECKING:
-    import random
     from collections.abc import Callable
 
     from auburnswitch.schema.gossip import ConfigChanges, EndpointChanges
-    from auburnswitch.schema.installation import (
-        CallerTeam,
-        EndpointEntry,
-        Route,
-        Service,
-    )
+    from auburnswitch.schema.installation import EndpointEntry
 
 STORE_SOURCE: Final = "store"
 
 
-class RouteTable:
-    """Looks up the route, the service and the team of a request.
-
-    Attributes:
-        config: Configuration that the table is built from.
-    """
-
-    __slots__ = ("_by_host", "_services", "_teams", "config")
-
-    def __init__(self, *, config: InstallationConfig) -> None:
-        self.config = config
-        self._by_host: dict[str, dict[str, Route]] = {}
-        for route in config.routes:
-            by_prefix = self._by_host.setdefault(route.host, {})
-            by_prefix[route.path_prefix] = route
-        self._services = {service.name: service for service in config.services}
-        self._teams = {
-            key: team for team in config.teams for key in team.caller_keys
-        }
-
-    def route(self, host: str, path: str) -> Route | None:
-        """Returns the route with the longest prefix that matches a path."""
-        by_prefix = self._by_host.get(host)
-        if by_prefix is None:
-            return None
-        end = path.rfind("/")
-        while end >= 0:
-            found = by_prefix.get(path[: end + 1])
-            if found is not None:
-                return found
-            end = path.rfind("/", 0, end)
-        return None
-
-    def service(self, name: str) -> Service | None:
-        """Returns the service with a name."""
-        return self._services.get(name)
-
-    def team(self, caller_key: str) -> CallerTeam | None:
-        """Returns the team that a caller's key belongs to."""
-        return self._teams.get(caller_key)
-
-    def choose_service(self, route: Route, rng: random.Random) -> str:
-        """Chooses a service at random by weight; empty if all weights are 0."""
-        shares = [share for share in route.shares if share.weight > 0]
-        if not shares:
-            return ""
-        if len(shares) == 1:
-            return shares[0].service_name
-        weights = [share.weight for share in shares]
-        return rng.choices(shares, weights)[0].service_name
-
-
-class TrackedEndpoint:
-    """An endpoint with its newest entry and the times derived from it.
-
-    Attributes:
-        entry: Newest entry of the endpoint.
-        cold_until: Loop time until which the endpoint is cold and tolerates
-            little load, in seconds.
-        removal_due_at: Loop time from which the endpoint counts as removed, in
-            seconds; None while its entry is present.
-    """
-
-    __slots__ = ("cold_until", "entry", "removal_due_at")
-
-    def __init__(self, *, entry: EndpointEntry) -> None:
-        self.entry = entry
-        self.cold_until = monotonic_s() + entry.cold_s
-        self.removal_due_at: float | None = None
-
-    def update(self, entry: EndpointEntry) -> None:
-        """Applies a newer entry."""
-        if entry.cold_s > 0:
-            self.cold_until = monotonic_s() + entry.cold_s
-        self.entry = entry
-        self.removal_due_at = None
-
-    @property
-    def cold(self) -> bool:
-        """Whether the endpoint is cold and tolerates only little load."""
-        return monotonic_s() < self.cold_until
-
-
 class Installation:
     """Newest known state of the installation; older versions are ignored.
 
     Attributes:
         table: Routes of the configuration in force, None before the first one.
         endpoints: Endpoints by id.
-        endpoints_revision: Store revision of the endpoints, 0 before the first.
+        endpoints_revision: Store revision of the endpoints.
         closed_zones: Availability zones that get no new requests.
         closed_zones_revision: Store revision of the closed zones.
+        restored: What is kept although the store has forgotten it.
         lapsed_grace_until: Loop time until which endpoints without an entry
             are kept, in seconds, as entries may come back after a store
             outage.
@@ -143,17 +62,19 @@
         "lapsed_grace_until",
         "listeners",
         "process_listeners",
+        "restored",
         "table",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, *, restored: RestoredState | None = None) -> None:
+        self.restored = restored or RestoredState()
         self.table: RouteTable | None = None
         self.endpoints: dict[str, TrackedEndpoint] = {}
-        self.endpoints_revision = 0
+        self.endpoints_revision = NO_REVISION
         self._by_service: dict[str, list[TrackedEndpoint]] = {}
-        self._grouped_revision = 0
+        self._grouped_revision = NO_REVISION
         self.closed_zones: frozenset[str] = frozenset()
-        self.closed_zones_revision = 0
+        self.closed_zones_revision = NO_REVISION
         self.lapsed_grace_until = 0.0
         self.listeners: list[
             Callable[[EndpointChanges | ConfigChanges | None], None]
@@ -168,7 +89,7 @@
     @property
     def complete(self) -> bool:
         """Whether requests can be routed."""
-        return self.table is not None and self.endpoints_revision > 0
+        return self.table is not None and self.endpoints_revision.revision > 0
 
     def adopt_config(self, config: InstallationConfig, source: str) -> bool:
         """Adopts a configuration if it is newer."""
@@ -192,16 +113,27 @@
 
     def adopt_endpoints(self, endpoint_list: EndpointList, source: str) -> bool:
         """Adopts a whole list of endpoints if it is newer."""
-        if endpoint_list.revision <= self.endpoints_revision:
+        previous = self.endpoints_revision
+        revision = StoreRevision(
+            generation=endpoint_list.generation, revision=endpoint_list.revision
+        )
+        if revision <= previous:
             return False
-        self.endpoints_revision = endpoint_list.revision
+        self.endpoints_revision = revision
+        is_copy = revision.is_restored_from(previous)
         present = {entry.id for entry in endpoint_list.endpoints}
         if not self.endpoints:
             self._adopt_first(endpoint_list, source)
         for entry in endpoint_list.endpoints:
-            self._adopt_entry(entry, source)
+            if is_copy:
+                self._adopt_copied_entry(entry, source)
+            else:
+                self._adopt_entry(entry, source)
+        # Those that a copy lacks are written again if they are sound.
+        keep_until = self.restored.retained_until if is_copy else 0.0
         for endpoint_id in self.endpoints.keys() - present:
-            self._remove(endpoint_id, source)
+            due_at = self.endpoints[endpoint_id].removal_due_at or keep_until
+            self._remove(endpoint_id, source, keep_until=due_at)
         self._notify(source)
         return True
 
@@ -209,12 +141,16 @@
         self, changes: EndpointChanges, source: str
     ) -> bool:
         """Adopts changes since the current revision or an earlier one."""
-        current = self.endpoints_revision
-        if not changes.since_revision <= current < changes.revision:
+        since, newest = (
+            StoreRevision(generation=changes.generation, revision=revision)
+            for revision in (changes.since_revision, changes.revision)
+        )
+        if not since <= self.endpoints_revision < newest:
             return False
-        self.endpoints_revision = changes.revision
+        self.endpoints_revision = newest
         for entry in changes.changed:
             self._adopt_entry(entry, source)
+            self.endpoints[entry.id].withheld_until = 0.0
         for endpoint_id in changes.removed:
             self._remove(endpoint_id, source)
         if changes.changed or changes.removed:
@@ -223,16 +159,24 @@
 
     def adopt_closed_zones(self, closed: ClosedZones, source: str) -> bool:
         """Adopts the closed zones if they are newer."""
-        if closed.revision <= self.closed_zones_revision:
+        previous = self.closed_zones_revision
+        revision = StoreRevision(
+            generation=closed.generation, revision=closed.revision
+        )
+        if revision <= previous:
             return False
-        self.closed_zones_revision = closed.revision
+        self.closed_zones_revision = revision
         zones = frozenset(closed.zones)
+        if revision.is_restored_from(previous):
+            self.restored.retain_zones(self.closed_zones)
+        self.restored.release_zones(zones)
         if zones != self.closed_zones:
             self.closed_zones = zones
             log_event(
                 EventId.CLOSED_ZONES_CHANGED,
                 zones=sorted(zones),
                 revision=closed.revision,
+                generation=closed.generation,
                 source=source,
             )
             self._notify(source)
@@ -246,7 +190,23 @@
             if endpoint.removal_due_at is None:
                 endpoint.entry.cold_s = max(0.0, endpoint.cold_until - now)
                 entries.append(endpoint.entry)
-        return EndpointList(revision=self.endpoints_revision, endpoints=entries)
+        return EndpointList(
+            revision=self.endpoints_revision.revision,
+            endpoints=entries,
+            generation=self.endpoints_revision.generation,
+        )
+
+    def list_closed_zones(self) -> ClosedZones:
+        """Returns the closed zones in a form that a peer can adopt."""
+        return ClosedZones(
+            revision=self.closed_zones_revision.revision,
+            zones=sorted(self.closed_zones),
+            generation=self.closed_zones_revision.generation,
+        )
+
+    def is_closed(self, zone: str) -> bool:
+        """Returns whether a zone gets no new requests now."""
+        return zone in self.closed_zones or self.restored.is_zone_retained(zone)
 
     def endpoints_of(self, service: str) -> list[TrackedEndpoint]:
         """Returns all endpoints of a service, open or not."""
@@ -264,13 +224,10 @@
 
     def is_open(self, endpoint: TrackedEndpoint) -> bool:
         """Returns whether an endpoint may get new requests now."""
-        if self.endpoints.get(endpoint.entry.id) is not endpoint:
-            return False
-        if not endpoint.entry.ready or endpoint.entry.zone in self.closed_zones:
-            return False
         return (
-            endpoint.removal_due_at is None
-            or monotonic_s() < endpoint.removal_due_at
+            self.endpoints.get(endpoint.entry.id) is endpoint
+            and endpoint.accepts_requests
+            and not self.is_closed(endpoint.entry.zone)
         )
 
     def _adopt_first(self, endpoint_list: EndpointList, source: str) -> None:
@@ -281,11 +238,31 @@
             EventId.ENDPOINTS_ADOPTED,
             endpoints=len(endpoint_list.endpoints),
             revision=endpoint_list.revision,
+            generation=endpoint_list.generation,
             source=source,
         )
         for entry in endpoint_list.endpoints:
             self._notify_process(entry.id)
 
+    def _adopt_copied_entry(self, entry: EndpointEntry, source: str) -> None:
+        """Adopts an entry of an older copy, which may be out of date.
+
+        What was known of the endpoint's leaving holds until it has had time to
+        write its entry again.
+        """
+        known = self.endpoints.get(entry.id)
+        if known is not None and entry.boot_ms < known.entry.boot_ms:
+            return  # the entry names an earlier process
+        has_left = (
+            self.restored.is_removed(entry)
+            if known is None
+            else known.entry.boot_ms == entry.boot_ms and not known.entry.ready
+        )
+        self._adopt_entry(entry, source)
+        if has_left:
+            withheld_until = self.restored.retained_until
+            self.endpoints[entry.id].withheld_until = withheld_until
+
     def _adopt_entry(self, entry: EndpointEntry, source: str) -> None:
         endpoint = self.endpoints.get(entry.id)
         if endpoint is None:
@@ -302,16 +279,18 @@
         if is_other_process:
             self._notify_process(entry.id)
 
-    def _remove(self, endpoint_id: str, source: str) -> None:
+    def _remove(
+        self, endpoint_id: str, source: str, *, keep_until: float = 0.0
+    ) -> None:
         endpoint = self.endpoints.get(endpoint_id)
         if endpoint is None:
             return
-        if monotonic_s() < self.lapsed_grace_until:
-            endpoint.removal_due_at = (
-                endpoint.removal_due_at or self.lapsed_grace_until
-            )
+        keep_until = max(keep_until, self.lapsed_grace_until)
+        if monotonic_s() < keep_until:
+            endpoint.removal_due_at = endpoint.removal_due_at or keep_until
             return
         del self.endpoints[endpoint_id]
+        self.restored.record_removed(endpoint.entry)
         self._log_endpoint(endpoint.entry, "removed", source)
 
     def _log_endpoint(
@@ -323,7 +302,8 @@
             service=entry.service_name,
             zone=entry.zone,
             change=change,
-            revision=self.endpoints_revision,
+            revision=self.endpoints_revision.revision,
+            generation=self.endpoints_revision.generation,
             source=source,
         )
 
@@ -342,4 +322,4 @@
             listener(changes)
 
 
-__all__ = ["STORE_SOURCE", "Installation", "TrackedEndpoint", "RouteTable"]
+__all__ = ["STORE_SOURCE", "Installation"]
--- a/src/auburnswitch/configuration/installation_watcher.py
+++ b/src/auburnswitch/configuration/installation_watcher.py
@@ -8,6 +8,7 @@
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.configuration.installation import STORE_SOURCE
+from auburnswitch.configuration.store_revision import StoreRevision
 from auburnswitch.observe.logs import log_event
 from auburnswitch.platform import protocol
 from auburnswitch.platform.config_decoder import decode_config, decode_endpoint
@@ -91,8 +92,9 @@
         self._read_at: dict[str, float] = {}
         self._probed_at: float | None = None
         self._answered_at = -math.inf  # the latest sign of the store
-        self._revisions: dict[str, int] = {}
+        self._revisions: dict[str, StoreRevision] = {}
         self._watch_timeouts: dict[str, asyncio.Timeout] = {}
+        store.generation_listeners.append(self._on_new_generation)
 
     @property
     def read_at(self) -> float | None:
@@ -122,19 +124,36 @@
             else:
                 self._end_watches()
 
+    def _on_new_generation(self, previous: int, source: str) -> None:
+        """Reads everything again, as revisions mean other states now."""
+        if previous:
+            log_event(
+                EventId.STORE_RESTORED,
+                previous=previous,
+                generation=self.store.generation,
+                source=source,
+                dropped=sorted(self._revisions),
+            )
+        self._revisions.clear()
+        self._read_at.clear()
+        self._probed_at = None
+        self._end_watches()
+
     def _end_watches(self) -> None:
         for timeout in self._watch_timeouts.values():
             if timeout.when() is None:  # not ending already
                 timeout.reschedule(monotonic_s())
 
     async def _watch(
-        self, kind: str, revision: int
+        self, kind: str, revision: StoreRevision
     ) -> Listing | RevisionExpired | StoreFailure:
         try:
             async with asyncio.timeout(None) as timeout:
                 self._watch_timeouts[kind] = timeout
-                return await self.store.watch(kind, revision)
+                return await self.store.watch(kind, revision.revision)
         except TimeoutError:
+            if revision.generation < self.store.generation:
+                return RevisionExpired()
             return StoreFailure(reason="the store does not answer probes")
         finally:
             self._watch_timeouts.pop(kind, None)
@@ -167,6 +186,9 @@
         else:
             result = await self._watch(kind, revision)
         match result:
+            case _ if self._is_outdated(revision, result):
+                self._revisions.pop(kind, None)
+                return True
             case StoreFailure(reason=reason):
                 self._record_failure(kind, reason)
                 self._revisions.pop(kind, None)
@@ -180,11 +202,25 @@
             self._adopt_list(kind, result)
         else:
             self._adopt_changes(kind, result)
-        self._revisions[kind] = result.revision
+        self._revisions[kind] = _revision_of(result)
         if result.objects and kind == protocol.ENDPOINTS_KIND:
             await asyncio.sleep(ENDPOINT_BATCH_DELAY_S)
         return True
 
+    def _is_outdated(
+        self,
+        since: StoreRevision | None,
+        result: Listing | RevisionExpired | StoreFailure,
+    ) -> bool:
+        """Returns whether the store has come back from a copy meanwhile.
+
+        It may answer a watch of a revision that means another state now.
+        """
+        generation = self.store.generation
+        if since is not None and since.generation != generation:
+            return True
+        return isinstance(result, Listing) and result.generation != generation
+
     def _record_failure(self, kind: str, reason: str) -> None:
         if self.failed_at is None:
             self.failed_at = monotonic_s()
@@ -210,11 +246,13 @@
                 self._adopt_config(listing.objects)
             case protocol.CLOSED_ZONES_KIND:
                 zones = [o.name for o in listing.objects if not o.deleted]
-                self._adopt_zones(listing.revision, zones)
+                self._adopt_zones(listing, zones)
             case protocol.ENDPOINTS_KIND:
                 entries, _ = _partition_entries(listing.objects)
                 endpoint_list = EndpointList(
-                    revision=listing.revision, endpoints=entries
+                    revision=listing.revision,
+                    endpoints=entries,
+                    generation=listing.generation,
                 )
                 self.installation.adopt_endpoints(endpoint_list, STORE_SOURCE)
 
@@ -229,22 +267,26 @@
                         zones.discard(changed.name)
                     else:
                         zones.add(changed.name)
-                self._adopt_zones(changes.revision, sorted(zones))
+                self._adopt_zones(changes, sorted(zones))
             case protocol.ENDPOINTS_KIND:
                 entries, removed = _partition_entries(changes.objects)
-                since = self._revisions[kind]
                 endpoint_changes = EndpointChanges(
-                    since_revision=since,
+                    since_revision=self._revisions[kind].revision,
                     revision=changes.revision,
                     changed=entries,
                     removed=removed,
+                    generation=changes.generation,
                 )
                 self.installation.adopt_endpoint_changes(
                     endpoint_changes, STORE_SOURCE
                 )
 
-    def _adopt_zones(self, revision: int, zones: list[str]) -> None:
-        closed = ClosedZones(revision=revision, zones=zones)
+    def _adopt_zones(self, listing: Listing, zones: list[str]) -> None:
+        closed = ClosedZones(
+            revision=listing.revision,
+            zones=zones,
+            generation=listing.generation,
+        )
         self.installation.adopt_closed_zones(closed, STORE_SOURCE)
 
     def _adopt_config(self, objects: list[StoredObject]) -> None:
@@ -259,6 +301,12 @@
             self.installation.adopt_config(config, STORE_SOURCE)
 
 
+def _revision_of(listing: Listing) -> StoreRevision:
+    return StoreRevision(
+        generation=listing.generation, revision=listing.revision
+    )
+
+
 def _partition_entries(
     objects: list[StoredObject],
 ) -> tuple[list[EndpointEntry], list[str]]:
--- a/src/auburnswitch/entry/entry_daemon.py
+++ b/src/auburnswitch/entry/entry_daemon.py
@@ -14,10 +14,12 @@
     WATCHED_KINDS,
     InstallationWatcher,
 )
+from auburnswitch.configuration.restored_state import RestoredState
 from auburnswitch.entry.crash_protection import build_crash_guard
 from auburnswitch.entry.endpoint_access import build_endpoint_client
 from auburnswitch.entry.work_reporter import WorkReporter
 from auburnswitch.members.cells import Cells
+from auburnswitch.members.directory_keeper import DirectoryKeeper
 from auburnswitch.members.entry_directory import EntryDirectory
 from auburnswitch.members.gossip import GossipNode
 from auburnswitch.members.rendezvous import rendezvous_owner
@@ -57,6 +59,7 @@
 EXPIRY_INTERVAL_S: Final = 0.5
 DAEMONS_PER_GROUP: Final = 8
 MEMBER_CHECK_INTERVAL_S: Final = 15.0
+RETENTION_HEARTBEATS: Final = 4  # an entry lapses after three of them
 MISSED_INTERVALS_BEFORE_REMOVAL: Final = 6  # member check intervals
 ASSUMED_DAEMON_COUNT: Final = 20  # used until the peers are known
 _MS_PER_S: Final = 1000.0
@@ -85,7 +88,13 @@
     ) -> None:
         self.settings = settings
         self.tasks = tasks
-        self.installation = Installation()
+        self.installation = Installation(
+            restored=RestoredState(
+                retention_s=RETENTION_HEARTBEATS
+                * settings.bounds.endpoint_heartbeat_ms
+                / _MS_PER_S
+            )
+        )
         self.fleet_load = FleetLoad()
         self.stop = StopDeadline()
         self.member_check_interval_s = MEMBER_CHECK_INTERVAL_S
@@ -128,6 +137,12 @@
             peers=self.gossip.peers,
             has_joined=lambda: bool(self.gossip.key),
         )
+        self.directory_keeper = DirectoryKeeper(
+            directory=self.directory,
+            gossip=self.gossip,
+            is_reader=lambda: self.reader_election.is_reader,
+            rng=rng,
+        )
         self.state_exchange = StateExchange(
             installation=self.installation,
             get_key=lambda: self.gossip.key,
@@ -213,6 +228,7 @@
             has_live_peers=lambda: bool(self.gossip.peers.live_peers()),
         )
         self.installation.listeners.append(self.gossip.send_state)
+        self.store.generation_listeners.append(self._on_new_generation)
 
     @property
     def ready(self) -> bool:
@@ -233,6 +249,7 @@
             "expire": self._expire_state,
             "observe engines": self.load_observer.run,
             "keep members": self._maintain_members,
+            "keep directory": self.directory_keeper.run,
         }
         for name, run in loops.items():
             self.tasks.supervise(run, name)
@@ -244,6 +261,7 @@
             "stopping": lambda: self.stop.stopping,
             "live_peers": lambda: len(self.gossip.peers.live_peers()),
             "store_calls": lambda: self.store.call_count,
+            "store_generation": lambda: self.store.generation,
             "config_version": lambda: self.installation.config_version,
             "endpoints": lambda: len(self.installation.endpoints),
             "marked_endpoints": lambda: len(self.availability.marks),
@@ -313,13 +331,23 @@
 
     def _fill_state(self, message: Gossip) -> None:
         message.config_version = self.installation.config_version
-        message.endpoints_revision = self.installation.endpoints_revision
-        message.closed_zones_revision = self.installation.closed_zones_revision
+        message.store_generation = self.store.generation
+        endpoints_revision = self.installation.endpoints_revision
+        message.endpoints_revision = endpoints_revision.revision
+        message.endpoints_generation = endpoints_revision.generation
+        closed_zones_revision = self.installation.closed_zones_revision
+        message.closed_zones_revision = closed_zones_revision.revision
+        message.closed_zones_generation = closed_zones_revision.generation
         message.crash_strikes = self.crash_registry.recent_announcements()
         read_at = self.installation_watcher.read_at
         if read_at is not None:
             message.store_read_age_ms = (monotonic_s() - read_at) * _MS_PER_S
 
+    def _on_new_generation(self, previous: int, source: str) -> None:
+        self.gossip.peers.store_generation = self.store.generation
+        if previous and self.reader_election.is_reader:
+            self.refusal_store.restore(self.part_watch.refusals.refusals)
+
     def _live_cell_instances(self) -> list[str]:
         return [
             peer.record.instance
@@ -330,6 +358,9 @@
     def _on_gossip(self, peer: GossipPeer, message: Gossip) -> None:
         """Applies a peer's message to the local state."""
         instance = peer.record.instance
+        self.store.observe_generation(
+            message.store_generation, f"peer {instance}"
+        )
         if message.complete:
             self.fleet_load.replace(instance, message.items)
         else:
--- a/src/auburnswitch/entry/refusal_store.py
+++ b/src/auburnswitch/entry/refusal_store.py
@@ -24,7 +24,7 @@
 from auburnswitch.schema.gossip import PartRefusal
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from auburnswitch.observe.tasks import TaskSet
     from auburnswitch.platform.store_client import (
@@ -90,6 +90,11 @@
         if after is not None:
             self._write_later(object_name(after.parts), after)
 
+    def restore(self, refusals: Iterable[Refusal]) -> None:
+        """Writes the refusals in force again, which the store may have lost."""
+        for refusal in refusals:
+            self._write_later(object_name(refusal.parts), refusal)
+
     def _write_later(self, name: str, refusal: Refusal | None) -> None:
         self.wanted[name] = refusal
         if name not in self._writing:
--- a/src/auburnswitch/members/cells.py
+++ b/src/auburnswitch/members/cells.py
@@ -20,10 +20,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
-    from auburnswitch.configuration.installation import (
-        Installation,
-        TrackedEndpoint,
-    )
+    from auburnswitch.configuration.installation import Installation
+    from auburnswitch.configuration.store_revision import StoreRevision
+    from auburnswitch.configuration.tracked_endpoint import TrackedEndpoint
 
 ENDPOINTS_PER_CELL: Final = 32
 MAX_SINGLE_CELL_ENDPOINTS: Final = 128
@@ -68,7 +67,7 @@
         self.installation = installation
         self.instance = instance
         self.list_instances = list_instances
-        self._revision = -1
+        self._revision: StoreRevision | None = None
         self._count = 1
         self._endpoint_counts: collections.Counter[str] = collections.Counter()
         self._cell_by_endpoint: dict[str, int] = {}
@@ -133,7 +132,7 @@
         self._known_instances = known
         self._cell_by_instance = assign_to_cells(known, self._count)
         if self._cell_by_instance[self.instance] != previous_cell:
-            self._revision = -1  # the local endpoints are others now
+            self._revision = None  # the local endpoints are others now
 
     def _refresh_endpoints(self) -> None:
         revision = self.installation.endpoints_revision
--- a/src/auburnswitch/members/gossip.py
+++ b/src/auburnswitch/members/gossip.py
@@ -65,6 +65,7 @@
         is_reader: Returns whether this daemon reads the store for its peers.
         stopping: Whether this daemon is stopping.
         fill_heartbeat: Adds what only heartbeats carry.
+        rejected_count: Number of received frames that were rejected.
     """
 
     def __init__(
@@ -89,6 +90,7 @@
         self.list_work = list_work
         self.on_gossip = on_gossip
         self.stopping = False
+        self.rejected_count = 0
         self._sequence = 0
         self._ended_work: dict[int, list[int]] = {}
         self._flush_timer: asyncio.TimerHandle | None = None
@@ -332,6 +334,7 @@
         try:
             frame = decode_signed(self.key, data, GossipFrame())
         except SignedFrameError as error:
+            self.rejected_count += 1
             log_event(
                 EventId.PEER_FRAME_REJECTED, peer=addr[0], reason=str(error)
             )
--- a/src/auburnswitch/members/peer_table.py
+++ b/src/auburnswitch/members/peer_table.py
@@ -28,6 +28,7 @@
         cell_of: Returns the number of the cell of an instance.
         latest_store_read_at: Loop time of the newest store read that a peer
             has reported, in seconds; None before the first report.
+        store_generation: Generation of the store that a read must be of.
     """
 
     __slots__ = (
@@ -38,12 +39,14 @@
         "by_instance",
         "cell_of",
         "latest_store_read_at",
+        "store_generation",
     )
 
     def __init__(self, *, cell_of: Callable[[str], int]) -> None:
         self.cell_of = cell_of
         self.by_instance: dict[str, GossipPeer] = {}
         self.latest_store_read_at: float | None = None
+        self.store_generation = 0
         self._live: list[GossipPeer] = []
         self._live_valid_until = math.inf
         self._cells: dict[int, list[GossipPeer]] = {}
@@ -80,7 +83,8 @@
             self._live_valid_until = -math.inf
         self._live_valid_until = min(self._live_valid_until, peer.live_until)
         read_at = peer.store_read_at()
-        if read_at is not None:
+        is_current = message.store_generation >= self.store_generation
+        if read_at is not None and is_current:
             self.latest_store_read_at = max(
                 read_at, self.latest_store_read_at or read_at
             )
--- a/src/auburnswitch/members/state_exchange.py
+++ b/src/auburnswitch/members/state_exchange.py
@@ -7,6 +7,7 @@
 import struct
 from typing import TYPE_CHECKING, Final
 
+from auburnswitch.configuration.store_revision import StoreRevision
 from auburnswitch.http_server import ListenError
 from auburnswitch.members.signed_frames import (
     SignedFrameError,
@@ -17,7 +18,6 @@
 from auburnswitch.observe.tasks import open_task_set
 from auburnswitch.schema.events import EventId
 from auburnswitch.schema.gossip import StateFetch, StateUpdate
-from auburnswitch.schema.installation import ClosedZones
 
 if TYPE_CHECKING:
     import random
@@ -103,10 +103,18 @@
     def is_behind(self, message: Gossip) -> bool:
         """Returns whether a peer's message reports newer state."""
         state = self.installation
+        closed_zones_revision = StoreRevision(
+            generation=message.closed_zones_generation,
+            revision=message.closed_zones_revision,
+        )
+        endpoints_revision = StoreRevision(
+            generation=message.endpoints_generation,
+            revision=message.endpoints_revision,
+        )
         return (
             message.config_version > state.config_version
-            or message.closed_zones_revision > state.closed_zones_revision
-            or message.endpoints_revision > state.endpoints_revision
+            or closed_zones_revision > state.closed_zones_revision
+            or endpoints_revision > state.endpoints_revision
         )
 
     async def catch_up(self) -> None:
@@ -159,8 +167,10 @@
             state = self.installation
             fetch = StateFetch(
                 config_version=state.config_version,
-                endpoints_revision=state.endpoints_revision,
-                closed_zones_revision=state.closed_zones_revision,
+                endpoints_revision=state.endpoints_revision.revision,
+                closed_zones_revision=state.closed_zones_revision.revision,
+                endpoints_generation=state.endpoints_revision.generation,
+                closed_zones_generation=state.closed_zones_revision.generation,
             )
             _write_frame(writer, self.get_key(), fetch)
             frame = await _read_frame(reader)
@@ -195,13 +205,18 @@
         update = StateUpdate()
         if state.table and state.config_version > fetch.config_version:
             update.config = state.table.config
-        if state.endpoints_revision > fetch.endpoints_revision:
+        endpoints_revision = StoreRevision(
+            generation=fetch.endpoints_generation,
+            revision=fetch.endpoints_revision,
+        )
+        if state.endpoints_revision > endpoints_revision:
             update.endpoints = state.list_endpoints()
-        if state.closed_zones_revision > fetch.closed_zones_revision:
-            update.closed_zones = ClosedZones(
-                revision=state.closed_zones_revision,
-                zones=sorted(state.closed_zones),
-            )
+        closed_zones_revision = StoreRevision(
+            generation=fetch.closed_zones_generation,
+            revision=fetch.closed_zones_revision,
+        )
+        if state.closed_zones_revision > closed_zones_revision:
+            update.closed_zones = state.list_closed_zones()
         return update
 
 
--- a/src/auburnswitch/platform/protocol.py
+++ b/src/auburnswitch/platform/protocol.py
@@ -32,6 +32,7 @@
 ORDER_PATH: Final = "/v1/order"
 REPORT_PATH: Final = "/v1/report"
 OBJECTS_PATH: Final = "/v1/objects"
+STORE_GENERATION_HEADER: Final = "store-era"  # on every response of the store
 
 CONFIG_KIND: Final = "config"
 CONFIG_NAME: Final = "main"
@@ -66,6 +67,7 @@
     "REPORT_PATH",
     "RETRY_AFTER_HEADER",
     "SIGNATURE_HEADER",
+    "STORE_GENERATION_HEADER",
     "TEAM_HEADER",
     "TOKEN_COUNTS_HEADER",
 ]
--- a/src/auburnswitch/platform/store_client.py
+++ b/src/auburnswitch/platform/store_client.py
@@ -16,22 +16,33 @@
 )
 from auburnswitch.json_values import decode_readable_json
 from auburnswitch.platform import fields
-from auburnswitch.platform.protocol import CLOSED_ZONES_KIND, OBJECTS_PATH
+from auburnswitch.platform.protocol import (
+    CLOSED_ZONES_KIND,
+    OBJECTS_PATH,
+    STORE_GENERATION_HEADER,
+)
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import h11
+
     from auburnswitch.schema.entry import StoreSettings
 
 _HTTP_OK: Final = 200
 _HTTP_CREATED: Final = 201
+_HTTP_WRITTEN: Final = (_HTTP_OK, _HTTP_CREATED)
 _HTTP_NOT_FOUND: Final = 404
 _HTTP_CONFLICT: Final = 409
 _HTTP_GONE: Final = 410
 _MS_PER_S: Final = 1000
 _INCOMPLETE: Final = "the answer is incomplete"
+_OUTDATED: Final = "the store has come back from a copy since"
 CONNECT_TIMEOUT_S: Final = 0.6
 MAX_RESPONSE_BYTES: Final = 16 * 2**20  # a page has about 1 MB
 MAX_BUFFERED_BYTES: Final = 4 * MAX_RESPONSE_BYTES  # one for each kind
 MAX_REVISION: Final = 2**63 - 1  # fits into messages to peers
+MAX_GENERATION_DIGITS: Final = 18
 _JSON_HEADER: Final = ("content-type", "application/json")
 
 
@@ -57,10 +68,13 @@
     Attributes:
         revision: Revision of the store, from which a watch continues.
         objects: The objects.
+        generation: Generation of the store that the revision belongs to, 0 if
+            the store does not say.
     """
 
     revision: int
     objects: list[StoredObject]
+    generation: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -86,45 +100,86 @@
     is_missing: bool = False
 
 
+@dataclass(slots=True, kw_only=True)
+class _Answer:
+    """A complete answer of the store.
+
+    Attributes:
+        status: HTTP status.
+        body: The decoded body, empty if there is none.
+        generation: Generation of the store that answered, 0 if unknown.
+    """
+
+    status: int
+    body: dict[str, Any]
+    generation: int
+
+
 class PlatformStoreClient:
     """Calls the store, each call on its own connection and without retries.
 
+    A store that comes back from an older copy gives its revisions out again.
+    It is then in its next generation, which every answer states.
+
     Attributes:
         call_count: Number of calls made.
+        generation: Newest known generation of the store, 0 if unknown.
+            Answers of an older one count as failures.
+        generation_listeners: Called with the last known generation and with
+            where the new one was seen, after each change.
     """
 
-    __slots__ = ("_body_budget", "call_count", "settings")
+    __slots__ = (
+        "_body_budget",
+        "call_count",
+        "generation",
+        "generation_listeners",
+        "settings",
+    )
 
     def __init__(self, *, settings: StoreSettings) -> None:
         self.settings = settings
         self.call_count = 0
+        self.generation = 0
+        self.generation_listeners: list[Callable[[int, str], None]] = []
         self._body_budget = BodyBudget(
             max_body_bytes=MAX_RESPONSE_BYTES,
             max_total_bytes=MAX_BUFFERED_BYTES,
         )
 
+    def observe_generation(self, generation: int, source: str) -> None:
+        """Notes that the store is in a generation, whoever tells it."""
+        if generation <= self.generation:
+            return
+        previous, self.generation = self.generation, generation
+        for listener in self.generation_listeners:
+            listener(previous, source)
+
     async def list_kind(self, kind: str) -> Listing | StoreFailure:
         """Reads all objects of a kind, page by page."""
-        objects: list[StoredObject] = []
-        revision: int | None = None
+        listing: Listing | None = None
         query = ""
         while True:
             result = await self._call("GET", f"/{kind}{query}")
             match result:
                 case StoreFailure():
                     return result
-                case (status, body) if status == _HTTP_OK:
-                    page = _decode_objects(body.get("Items"))
-                case (status, _):
+                case _Answer(status=status) if status != _HTTP_OK:
                     return StoreFailure(reason=f"status {status}")
-            page_revision = _decode_revision(body)
-            if page_revision is None:
-                return StoreFailure(reason=_INCOMPLETE)
+            body = result.body
+            page = _decode_objects(body.get("Items"))
+            revision = _decode_revision(body)
             if revision is None:
-                revision = page_revision  # its objects may have changed since
-            objects += page
+                return StoreFailure(reason=_INCOMPLETE)
+            if listing is None:  # its objects may have changed since
+                listing = Listing(
+                    revision=revision, objects=[], generation=result.generation
+                )
+            if result.generation != listing.generation:
+                return StoreFailure(reason=_OUTDATED)
+            listing.objects += page
             if not body.get("HasMore"):
-                return Listing(revision=revision, objects=objects)
+                return listing
             if not page:
                 return StoreFailure(reason=_INCOMPLETE)
             after_name = urllib.parse.quote(page[-1].name, safe="")
@@ -144,18 +199,18 @@
         match result:
             case StoreFailure():
                 return result
-            case (status, _) if status == _HTTP_GONE:
+            case _Answer(status=status) if status == _HTTP_GONE:
                 return RevisionExpired()
-            case (status, body) if status == _HTTP_OK:
-                new_revision = _decode_revision(body)
-                if new_revision is None:
-                    return StoreFailure(reason=_INCOMPLETE)
-                return Listing(
-                    revision=new_revision,
-                    objects=_decode_events(body.get("events")),
-                )
-            case (status, _):
+            case _Answer(status=status) if status != _HTTP_OK:
                 return StoreFailure(reason=f"status {status}")
+        new_revision = _decode_revision(result.body)
+        if new_revision is None:
+            return StoreFailure(reason=_INCOMPLETE)
+        return Listing(
+            revision=new_revision,
+            objects=_decode_events(result.body.get("events")),
+            generation=result.generation,
+        )
 
     async def probe(self) -> StoreFailure | None:
         """Checks that the store answers, by a list that may be out of date.
@@ -166,10 +221,9 @@
         match result:
             case StoreFailure():
                 return result
-            case (status, _) if status == _HTTP_OK:
-                return None
-            case (status, _):
+            case _Answer(status=status) if status != _HTTP_OK:
                 return StoreFailure(reason=f"status {status}")
+        return None
 
     async def create(
         self, kind: str, name: str, body: Any
@@ -198,11 +252,11 @@
         match result:
             case StoreFailure():
                 return result
-            case (status, _) if status in (_HTTP_OK, _HTTP_CREATED):
+            case _Answer(status=status) if status in _HTTP_WRITTEN:
                 return StoredObject(name=name, body=data and data["Spec"])
-            case (status, _) if status == _HTTP_CONFLICT:
+            case _Answer(status=status) if status == _HTTP_CONFLICT:
                 return Conflict()
-            case (status, _):
+            case _Answer(status=status):
                 return StoreFailure(
                     reason=f"status {status}",
                     is_missing=status == _HTTP_NOT_FOUND,
@@ -210,7 +264,7 @@
 
     async def _call(
         self, method: str, path: str, *, data: Any = None, wait_s: float = 0
-    ) -> tuple[int, dict[str, Any]] | StoreFailure:
+    ) -> _Answer | StoreFailure:
         self.call_count += 1
         host, _, port = self.settings.address.rpartition(":")
         body = b"" if data is None else json.dumps(data).encode()
@@ -231,13 +285,44 @@
                     body=body,
                 )
                 head = await exchange.read_head()
+                generation = self._check_generation(head)
                 response_body = await exchange.read_all()
-            return head.status_code, _decode_body(response_body)
+            return _Answer(
+                status=head.status_code,
+                body=_decode_body(response_body),
+                generation=generation,
+            )
+        except _OutdatedAnswerError:
+            return StoreFailure(reason=_OUTDATED)
         except TimeoutError:
             return StoreFailure(reason="the call timed out")
         except (ConnectError, ExchangeError, ValueError) as error:
             return StoreFailure(reason=repr(error))
 
+    def _check_generation(self, head: h11.Response) -> int:
+        """Returns the generation of the store that an answer comes from.
+
+        Raises:
+            _OutdatedAnswerError: The store has come back from a copy since.
+        """
+        generation = _decode_generation(head) or self.generation
+        if generation < self.generation:
+            raise _OutdatedAnswerError
+        self.observe_generation(generation, "store")
+        return generation
+
+
+class _OutdatedAnswerError(Exception):
+    """An answer is of an older generation of the store."""
+
+
+def _decode_generation(head: h11.Response) -> int:
+    """Returns the generation in the head of an answer, 0 if it has none."""
+    value = dict(head.headers).get(STORE_GENERATION_HEADER.encode(), b"")
+    if not value.isdigit() or len(value) > MAX_GENERATION_DIGITS:
+        return 0
+    return int(value)
+
 
 def _decode_body(body: bytes) -> dict[str, Any]:
     """Decodes the body of an answer.
--- a/src/auburnswitch/routing/availability/endpoint_availability.py
+++ b/src/auburnswitch/routing/availability/endpoint_availability.py
@@ -28,10 +28,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from auburnswitch.configuration.installation import (
-        Installation,
-        TrackedEndpoint,
-    )
+    from auburnswitch.configuration.installation import Installation
+    from auburnswitch.configuration.tracked_endpoint import TrackedEndpoint
     from auburnswitch.observe.statistics import EntryStatistics
     from auburnswitch.platform.endpoint_notices import EndpointNotice
     from auburnswitch.platform.process_statements import ProcessStatement
--- a/src/auburnswitch/routing/selection/endpoint_selector.py
+++ b/src/auburnswitch/routing/selection/endpoint_selector.py
@@ -27,10 +27,8 @@
     import random
     from collections.abc import Callable, Iterable
 
-    from auburnswitch.configuration.installation import (
-        Installation,
-        TrackedEndpoint,
-    )
+    from auburnswitch.configuration.installation import Installation
+    from auburnswitch.configuration.tracked_endpoint import TrackedEndpoint
     from auburnswitch.members.cells import Cells
     from auburnswitch.routing.availability.endpoint_availability import (
         EndpointAvailability,
--- a/src/auburnswitch/routing/selection/engine_candidate.py
+++ b/src/auburnswitch/routing/selection/engine_candidate.py
@@ -10,7 +10,7 @@
 from auburnswitch.routing.selection import engine_latency
 
 if TYPE_CHECKING:
-    from auburnswitch.configuration.installation import TrackedEndpoint
+    from auburnswitch.configuration.tracked_endpoint import TrackedEndpoint
     from auburnswitch.routing.selection.fleet_load import (
         EndpointLoad,
         EndpointWork,
--- a/src/auburnswitch/routing/selection/load_observer.py
+++ b/src/auburnswitch/routing/selection/load_observer.py
@@ -18,10 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from auburnswitch.configuration.installation import (
-        Installation,
-        TrackedEndpoint,
-    )
+    from auburnswitch.configuration.installation import Installation
+    from auburnswitch.configuration.tracked_endpoint import TrackedEndpoint
     from auburnswitch.platform.endpoint_client import PlatformEndpointClient
     from auburnswitch.routing.availability.endpoint_availability import (
         EndpointAvailability,
--- a/src/auburnswitch/routing/selection/memory_reservations.py
+++ b/src/auburnswitch/routing/selection/memory_reservations.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from auburnswitch.configuration.installation import TrackedEndpoint
+    from auburnswitch.configuration.tracked_endpoint import TrackedEndpoint
     from auburnswitch.platform.endpoint_client import PlatformEndpointClient
     from auburnswitch.routing.availability.endpoint_availability import (
         EndpointAvailability,
--- a/src/auburnswitch/routing/selection/placement.py
+++ b/src/auburnswitch/routing/selection/placement.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
-    from auburnswitch.configuration.installation import TrackedEndpoint
+    from auburnswitch.configuration.tracked_endpoint import TrackedEndpoint
     from auburnswitch.schema.gossip import WorkItem
     from auburnswitch.schema.installation import EndpointEntry
 
--- a/src/auburnswitch/routing/selection/prefill_planner.py
+++ b/src/auburnswitch/routing/selection/prefill_planner.py
@@ -31,7 +31,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from auburnswitch.configuration.installation import TrackedEndpoint
+    from auburnswitch.configuration.tracked_endpoint import TrackedEndpoint
     from auburnswitch.routing.selection.fleet_load import EndpointLoad
     from auburnswitch.schema.installation import EngineModel
 
--- a/src/auburnswitch/schema/events.py
+++ b/src/auburnswitch/schema/events.py
@@ -51,6 +51,9 @@
     STATE_CHANGED = 502
     STORE_UNAVAILABLE = 600
     STORE_RECOVERED = 601
+    STORE_RESTORED = 602
+    DIRECTORY_RESTORED = 603
+    SHARED_KEY_CHANGED = 604
     INVARIANT_VIOLATED = 900
     ENTRY_STARTED = 110
     ENTRY_STOPPING = 111
@@ -215,6 +218,18 @@
     EventId.STORE_RECOVERED: Description(
         text="The platform's store responds again.", options={"level": "info"}
     ),
+    EventId.STORE_RESTORED: Description(
+        text="The platform's store came back from an older copy; what was read before is read again.",
+        options={"level": "warning"},
+    ),
+    EventId.DIRECTORY_RESTORED: Description(
+        text="Records of daemons or the shared key, lost with the store's last seconds, were written again.",
+        options={"level": "warning"},
+    ),
+    EventId.SHARED_KEY_CHANGED: Description(
+        text="The daemons agreed on another shared key.",
+        options={"level": "warning"},
+    ),
     EventId.INVARIANT_VIOLATED: Description(
         text="An invariant does not hold.", options={"level": "error"}
     ),
--- a/src/auburnswitch/schema/gossip.py
+++ b/src/auburnswitch/schema/gossip.py
@@ -210,6 +210,7 @@
 
     __slots__ = (
         "changed",
+        "generation",
         "removed",
         "revision",
         "since_revision",
@@ -219,6 +220,7 @@
     revision: int
     changed: list[EndpointEntry]
     removed: list[str]
+    generation: int
 
     def __init__(
         self,
@@ -227,23 +229,27 @@
         revision: int = 0,
         changed: list[EndpointEntry] | None = None,
         removed: list[str] | None = None,
+        generation: int = 0,
     ) -> None:
         self.since_revision = since_revision
         self.revision = revision
         self.changed = [] if changed is None else changed
         self.removed = [] if removed is None else removed
+        self.generation = generation
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "since_revision", False),
         2: (TType.I64, "revision", False),
         3: (TType.LIST, "changed", (TType.STRUCT, EndpointEntry), False),
         4: (TType.LIST, "removed", TType.STRING, False),
+        5: (TType.I64, "generation", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("since_revision", None),
         ("revision", None),
         ("changed", None),
         ("removed", None),
+        ("generation", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -255,6 +261,10 @@
         "removed": Description(
             text="Ids of endpoints whose entries were removed.", options={}
         ),
+        "generation": Description(
+            text="Generation of the store that the revisions belong to; 0 if unknown.",
+            options={},
+        ),
     }
 
 
@@ -518,6 +528,7 @@
     __slots__ = (
         "cell",
         "changes",
+        "closed_zones_generation",
         "closed_zones_revision",
         "complete",
         "config_changes",
@@ -525,6 +536,7 @@
         "crash_strikes",
         "crash_suspects",
         "ended",
+        "endpoints_generation",
         "endpoints_revision",
         "failed_endpoints",
         "host",
@@ -540,6 +552,7 @@
         "sender",
         "sequence",
         "stopping",
+        "store_generation",
         "store_read_age_ms",
         "zone",
     )
@@ -570,6 +583,9 @@
     crash_suspects: list[CrashSuspect]
     part_refusals: list[PartRefusal]
     part_starts: list[PartStart]
+    store_generation: int
+    endpoints_generation: int
+    closed_zones_generation: int
 
     def __init__(
         self,
@@ -600,6 +616,9 @@
         crash_suspects: list[CrashSuspect] | None = None,
         part_refusals: list[PartRefusal] | None = None,
         part_starts: list[PartStart] | None = None,
+        store_generation: int = 0,
+        endpoints_generation: int = 0,
+        closed_zones_generation: int = 0,
     ) -> None:
         self.sender = sender
         self.incarnation = incarnation
@@ -629,6 +648,9 @@
         self.crash_suspects = [] if crash_suspects is None else crash_suspects
         self.part_refusals = [] if part_refusals is None else part_refusals
         self.part_starts = [] if part_starts is None else part_starts
+        self.store_generation = store_generation
+        self.endpoints_generation = endpoints_generation
+        self.closed_zones_generation = closed_zones_generation
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.STRING, "sender", False),
@@ -657,6 +679,9 @@
         24: (TType.LIST, "crash_suspects", (TType.STRUCT, CrashSuspect), False),
         25: (TType.LIST, "part_refusals", (TType.STRUCT, PartRefusal), False),
         26: (TType.LIST, "part_starts", (TType.STRUCT, PartStart), False),
+        27: (TType.I64, "store_generation", False),
+        28: (TType.I64, "endpoints_generation", False),
+        29: (TType.I64, "closed_zones_generation", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("sender", None),
@@ -685,6 +710,9 @@
         ("crash_suspects", None),
         ("part_refusals", None),
         ("part_starts", None),
+        ("store_generation", None),
+        ("endpoints_generation", None),
+        ("closed_zones_generation", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
@@ -764,6 +792,15 @@
             text="Parts of refusals that the sender knows to be sound.",
             options={},
         ),
+        "store_generation": Description(
+            text="Newest generation of the store known to the sender; 0 if unknown, as for the following.",
+            options={},
+        ),
+        "endpoints_generation": Description(
+            text="Generations that the sender's revisions belong to.",
+            options={},
+        ),
+        "closed_zones_generation": Description(text="", options={}),
     }
 
 
@@ -806,14 +843,18 @@
     """Requests the state that a peer has in a newer version than the sender."""
 
     __slots__ = (
+        "closed_zones_generation",
         "closed_zones_revision",
         "config_version",
+        "endpoints_generation",
         "endpoints_revision",
     )
 
     config_version: int
     endpoints_revision: int
     closed_zones_revision: int
+    endpoints_generation: int
+    closed_zones_generation: int
 
     def __init__(
         self,
@@ -821,26 +862,36 @@
         config_version: int = 0,
         endpoints_revision: int = 0,
         closed_zones_revision: int = 0,
+        endpoints_generation: int = 0,
+        closed_zones_generation: int = 0,
     ) -> None:
         self.config_version = config_version
         self.endpoints_revision = endpoints_revision
         self.closed_zones_revision = closed_zones_revision
+        self.endpoints_generation = endpoints_generation
+        self.closed_zones_generation = closed_zones_generation
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "config_version", False),
         2: (TType.I64, "endpoints_revision", False),
         3: (TType.I64, "closed_zones_revision", False),
+        4: (TType.I64, "endpoints_generation", False),
+        5: (TType.I64, "closed_zones_generation", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("config_version", None),
         ("endpoints_revision", None),
         ("closed_zones_revision", None),
+        ("endpoints_generation", None),
+        ("closed_zones_generation", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
         "config_version": Description(text="", options={}),
         "endpoints_revision": Description(text="", options={}),
         "closed_zones_revision": Description(text="", options={}),
+        "endpoints_generation": Description(text="", options={}),
+        "closed_zones_generation": Description(text="", options={}),
     }
 
 
--- a/src/auburnswitch/schema/installation.py
+++ b/src/auburnswitch/schema/installation.py
@@ -628,30 +628,43 @@
 
     __slots__ = (
         "endpoints",
+        "generation",
         "revision",
     )
 
     revision: int
     endpoints: list[EndpointEntry]
+    generation: int
 
     def __init__(
-        self, *, revision: int = 0, endpoints: list[EndpointEntry] | None = None
+        self,
+        *,
+        revision: int = 0,
+        endpoints: list[EndpointEntry] | None = None,
+        generation: int = 0,
     ) -> None:
         self.revision = revision
         self.endpoints = [] if endpoints is None else endpoints
+        self.generation = generation
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "revision", False),
         2: (TType.LIST, "endpoints", (TType.STRUCT, EndpointEntry), False),
+        3: (TType.I64, "generation", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("revision", None),
         ("endpoints", None),
+        ("generation", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
         "revision": Description(text="", options={}),
         "endpoints": Description(text="", options={}),
+        "generation": Description(
+            text="Generation of the store that the revision belongs to; 0 if unknown.",
+            options={},
+        ),
     }
 
 
@@ -659,31 +672,44 @@
     """Availability zones that receive no new requests, at one revision of the store."""
 
     __slots__ = (
+        "generation",
         "revision",
         "zones",
     )
 
     revision: int
     zones: list[str]
+    generation: int
 
     def __init__(
-        self, *, revision: int = 0, zones: list[str] | None = None
+        self,
+        *,
+        revision: int = 0,
+        zones: list[str] | None = None,
+        generation: int = 0,
     ) -> None:
         self.revision = revision
         self.zones = [] if zones is None else zones
+        self.generation = generation
 
     thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
         1: (TType.I64, "revision", False),
         2: (TType.LIST, "zones", TType.STRING, False),
+        3: (TType.I64, "generation", False),
     }
     default_spec: ClassVar[list[tuple[str, Any]]] = [
         ("revision", None),
         ("zones", None),
+        ("generation", None),
     ]
     enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
     descriptions: ClassVar[dict[str, Description]] = {
         "revision": Description(text="", options={}),
         "zones": Description(text="", options={}),
+        "generation": Description(
+            text="Generation of the store that the revision belongs to; 0 if unknown.",
+            options={},
+        ),
     }
 
 
--- a/src/auburnswitch/soak/fault_injector.py
+++ b/src/auburnswitch/soak/fault_injector.py
@@ -20,6 +20,8 @@
 
 FAULT_INTERVAL_RANGE_S: Final = (0.2, 1.0)
 FAULT_DURATION_RANGE_S: Final = (0.3, 2.5)
+REWRITE_DELAY_RANGE_S: Final = (0.0, 1.0)
+WRITTEN_KINDS: Final = ("config", "servers", "evacuations")
 FAULT_MODES: Final = (
     ProxyMode.DELAY,
     ProxyMode.RESET,
@@ -58,6 +60,7 @@
             self._drain_endpoint,
             self._stop_store,
             self._compact_history,
+            self._restore_store,
             self._revoke_key,
             self._close_zone,
             self._leave_endpoint,
@@ -166,6 +169,17 @@
     async def _compact_history(self) -> None:
         self.fleet.store.compact_history()
 
+    async def _restore_store(self) -> None:
+        """Brings the store back from a copy; its writers write again."""
+        store = self.fleet.store
+        state = store.copy_state()
+        await self._wait_fault_duration()
+        newest = store.copy_state()
+        store.restore(state)
+        await asyncio.sleep(self.rng.uniform(*REWRITE_DELAY_RANGE_S))
+        for kind in WRITTEN_KINDS:
+            store.write_again(kind, state, newest)
+
     async def _revoke_key(self) -> None:
         self.fleet.caller_keys = ["key-1"]
         self.fleet.write_config()
--- a/tests/configuration/test_installation_watcher.py
+++ b/tests/configuration/test_installation_watcher.py
@@ -39,6 +39,8 @@
             call_timeout_s=CALL_TIMEOUT_S,
         )
         self.silent = False
+        self.generation = 0
+        self.generation_listeners = []
         self.lists = self.watches = self.probes = 0
 
     async def list_kind(self, kind):
--- a/tests/routing/selection/test_placement_wait.py
+++ b/tests/routing/selection/test_placement_wait.py
@@ -7,7 +7,7 @@
 import unittest
 
 from auburnswitch.clock import monotonic_s
-from auburnswitch.configuration.installation import TrackedEndpoint
+from auburnswitch.configuration.tracked_endpoint import TrackedEndpoint
 from auburnswitch.members.cells import Cells
 from auburnswitch.observe.statistics import EntryStatistics
 from auburnswitch.platform.requests import decode_request
--- a/tests/routing/selection/test_prefill_planner.py
+++ b/tests/routing/selection/test_prefill_planner.py
@@ -6,7 +6,7 @@
 import random
 import unittest
 
-from auburnswitch.configuration.installation import TrackedEndpoint
+from auburnswitch.configuration.tracked_endpoint import TrackedEndpoint
 from auburnswitch.routing.selection import engine_latency
 from auburnswitch.routing.selection.engine_candidate import PromptRequirements
 from auburnswitch.routing.selection.fleet_load import FleetLoad
