--- a/schema/events.thrift
+++ b/schema/events.thrift
@@ -37,6 +37,8 @@
   STRICT_RIGHTS_RESUMED = 331
   // Another live daemon uses this daemon's instance name. @level error
   INSTANCE_NAME_SHARED = 332
+  // Part of a message to peers could not be encoded and was left out. @level error
+  ITEM_NOT_ENCODED = 334
   // A peer does not read its messages; the connection is dropped. @level warning
   PEER_STALLED = 333
   // The phase of an endpoint changed. @level info
--- a/src/auburnswitch/http_exchange.py
+++ b/src/auburnswitch/http_exchange.py
@@ -260,7 +260,7 @@
             tcp_socket.setblocking(False)
             async with asyncio.timeout(timeout_s):
                 await loop.sock_connect(tcp_socket, (host, port))
-        except OSError as error:  # includes TimeoutError
+        except (OSError, OverflowError) as error:  # includes TimeoutError
             refused = isinstance(error, ConnectionRefusedError)
             raise ConnectError(repr(error), refused=refused) from error
         transport, _ = await loop.create_connection(
--- a/src/auburnswitch/members/entry_directory.py
+++ b/src/auburnswitch/members/entry_directory.py
@@ -25,6 +25,7 @@
 INITIAL_BACKOFF_S: Final = 0.2
 MAX_BACKOFF_S: Final = 1.0
 BACKOFF_FACTOR: Final = 1.6
+MAX_PORT: Final = 65_535
 
 
 @dataclass(slots=True, kw_only=True)
@@ -233,7 +234,10 @@
 
 def _decode_record(stored: StoredObject) -> DaemonRecord | None:
     try:
-        return from_json(DaemonRecord, stored.body)
+        record = from_json(DaemonRecord, stored.body)
+        if not 0 < record.port <= MAX_PORT:
+            raise SchemaError("port", f"must be from 1 to {MAX_PORT}")
+        return record
     except SchemaError as error:
         log_event(
             EventId.DAEMON_RECORD_REJECTED,
--- a/src/auburnswitch/members/gossip.py
+++ b/src/auburnswitch/members/gossip.py
@@ -313,19 +313,29 @@
     ) -> None:
         if not self.key or self._transport is None or not peers:
             return
-        frame = encode_signed(
-            self.key, GossipFrame(messages=messages, relay=relay)
-        )
+        try:
+            frame = self._encode_frame(messages, relay=relay)
+        except SignedFrameError as error:
+            log_event(EventId.ITEM_NOT_ENCODED, reason=str(error))
+            return
+        for peer in peers:
+            address = (peer.record.host, peer.record.port)
+            self._transport.sendto(frame, address)
+
+    def _encode_frame(self, messages: list[Gossip], *, relay: bool) -> bytes:
+        """Returns the messages as a datagram.
+
+        Raises:
+            SignedFrameError: They cannot be encoded.
+        """
+        content = GossipFrame(messages=messages, relay=relay)
+        frame = encode_signed(self.key, content)
         if len(frame) > MAX_DATAGRAM_BYTES:
             for message in messages:
                 # peers fetch the changes instead
                 message.changes = message.config_changes = None
-            frame = encode_signed(
-                self.key, GossipFrame(messages=messages, relay=relay)
-            )
-        for peer in peers:
-            address = (peer.record.host, peer.record.port)
-            self._transport.sendto(frame, address)
+            frame = encode_signed(self.key, content)
+        return frame
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Verifies a peer's frame, applies its messages and relays them."""
--- a/src/auburnswitch/members/signed_frames.py
+++ b/src/auburnswitch/members/signed_frames.py
@@ -15,6 +15,10 @@
 from thriftpy2.thrift import TDecodeException, TException
 from thriftpy2.utils import deserialize, serialize
 
+from auburnswitch.members.message_encoding import (
+    ENCODE_ERRORS,
+    encodable_part,
+)
 from auburnswitch.members.message_validation import validate_message
 
 if TYPE_CHECKING:
@@ -45,8 +49,17 @@
 
 
 def encode_signed(key: bytes, message: Struct) -> bytes:
-    """Encodes and signs a message."""
-    payload = serialize(message, _PROTOCOL)
+    """Encodes and signs a message.
+
+    Items of its lists that cannot be encoded are left out and logged.
+
+    Raises:
+        SignedFrameError: The message cannot be encoded without them either.
+    """
+    try:
+        payload = serialize(message, _PROTOCOL)
+    except ENCODE_ERRORS:
+        payload = _encode_rest(message)
     if len(payload) < COMPRESSION_THRESHOLD_BYTES:
         payload = _UNCOMPRESSED + payload
     else:
@@ -54,6 +67,14 @@
     return _mac(key, payload) + payload
 
 
+def _encode_rest(message: Struct) -> bytes:
+    """Encodes what can be encoded of a message."""
+    rest = encodable_part(message)
+    if rest is None:
+        raise SignedFrameError("message cannot be encoded")
+    return serialize(rest, _PROTOCOL)
+
+
 def decode_signed(key: bytes, frame: bytes, message: StructT) -> StructT:
     """Verifies a frame and decodes it into an empty message.
 
--- a/src/auburnswitch/operators/ticket_file.py
+++ b/src/auburnswitch/operators/ticket_file.py
@@ -26,7 +26,7 @@
     """
     try:
         data = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (ValueError, RecursionError) as error:
         raise SchemaError("", f"not valid TOML: {error}") from error
     head = {name: data.pop(name) for name in _HEAD_FIELDS if name in data}
     changes: list[dict[str, Any]] = []
--- a/src/auburnswitch/platform/config_decoder.py
+++ b/src/auburnswitch/platform/config_decoder.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import ipaddress
+import re
 from typing import Any, Final
 
 from auburnswitch.platform import fields
-from auburnswitch.platform.fields import FieldError
+from auburnswitch.platform.fields import MAX_INT64, FieldError
 from auburnswitch.platform.process_statements import MAX_BOOT_MS
 from auburnswitch.schema.installation import (
     CallerTeam,
@@ -28,6 +29,8 @@
 _STATES: Final = ("ready", "draining")
 _MS_PER_S: Final = 1000.0
 MAX_RELEASE_LENGTH: Final = 200
+MAX_PORT: Final = 65_535
+_PORT: Final = re.compile("[0-9]{1,5}")
 
 
 def decode_config(data: Any) -> InstallationConfig:
@@ -37,7 +40,7 @@
         FieldError: A field is missing or has a wrong type.
     """
     return InstallationConfig(
-        version=fields.integer(data, "Version"),
+        version=fields.integer(data, "Version", maximum=MAX_INT64),
         routes=[_decode_route(item) for item in fields.items(data, "Routes")],
         services=[
             _decode_service(item) for item in fields.items(data, "Services")
@@ -91,7 +94,7 @@
 def _decode_engine(data: dict[str, Any]) -> EngineModel:
     return EngineModel(
         slots=fields.integer(data, "Slots"),
-        memory_tokens=fields.integer(data, "KvTokens"),
+        memory_tokens=fields.integer(data, "KvTokens", maximum=MAX_INT64),
         steps_per_pass=fields.integer(data, "Stride", 1),
         step_ms=fields.number(data, "step_ms"),
         step_per_request_ms=fields.number(data, "per_seq_ms", 0),
@@ -115,10 +118,16 @@
     defaults = IngressLimits()
     return IngressLimits(
         max_header_bytes=fields.integer(
-            data, "MaxHeaderBytes", defaults.max_header_bytes
+            data,
+            "MaxHeaderBytes",
+            defaults.max_header_bytes,
+            maximum=MAX_INT64,
         ),
         max_body_bytes=fields.integer(
-            data, "MaxBodyBytes", defaults.max_body_bytes
+            data,
+            "MaxBodyBytes",
+            defaults.max_body_bytes,
+            maximum=MAX_INT64,
         ),
         header_timeout_s=fields.number(
             data, "HeaderTimeoutMs", defaults.header_timeout_s * _MS_PER_S
@@ -147,7 +156,7 @@
         host=host,
         port=port,
         zone=fields.text(data, "Zone"),
-        slots=fields.integer(data, "Slots"),
+        slots=fields.integer(data, "Slots", minimum=1),
         ready=state == "ready",
         cold_s=fields.number(data, "ColdRemainingMs", 0) / _MS_PER_S,
         boot_ms=_decode_boot_ms(data),
@@ -157,20 +166,23 @@
 
 def _decode_release(data: Any) -> str:
     """Returns the versions of an endpoint's software and models as text."""
-    versions = [str(data.get("Version", ""))]
+    versions = [_version_text(data.get("Version", ""))]
     models = data.get("Models")
     for model in models if isinstance(models, list) else []:
         if isinstance(model, dict):
-            versions.append(f"{model.get('Name')}:{model.get('Version')}")
+            name = _version_text(model.get("Name"))
+            versions.append(f"{name}:{_version_text(model.get('Version'))}")
     release = " ".join(versions)[:MAX_RELEASE_LENGTH]
     return release.encode(errors="replace").decode()
 
 
+def _version_text(value: Any) -> str:
+    """Returns a name or a version as text, empty if it is neither."""
+    return str(value) if isinstance(value, str | int | float) else ""
+
+
 def _decode_boot_ms(data: Any) -> int:
-    boot_ms = fields.integer(data, "born", 0)
-    if not 0 <= boot_ms < MAX_BOOT_MS:
-        raise FieldError("born is not a time")
-    return boot_ms
+    return fields.integer(data, "born", 0, maximum=MAX_BOOT_MS - 1)
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -182,9 +194,11 @@
     host, _, port = address.rpartition(":")
     try:
         ipaddress.ip_address(host)
-        return host, int(port)
     except ValueError as error:
         raise FieldError(f"{address!r} is not of the form IP:PORT") from error
+    if not _PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+        raise FieldError(f"{address!r} has no port from 1 to {MAX_PORT}")
+    return host, int(port)
 
 
 __all__ = ["decode_config", "decode_endpoint", "split_address"]
--- a/src/auburnswitch/platform/fields.py
+++ b/src/auburnswitch/platform/fields.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from typing import Any
+import math
+from typing import Any, Final
+
+MAX_INT32: Final = 2**31 - 1
+MAX_INT64: Final = 2**63 - 1
 
 
 class FieldError(ValueError):
@@ -36,31 +40,53 @@
 
 
 def number(data: Any, name: str, default: float | None = None) -> float:
-    """Returns a number, the default if the field is missing.
+    """Returns a finite number, the default if the field is missing.
 
     Raises:
-        FieldError: The field is not a number, or is missing without a
+        FieldError: The field is not a finite number, or is missing without a
             default.
     """
     value = _field(data, name, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise FieldError(f"{name} must be a number")
     try:
-        return float(value)
+        converted = float(value)
     except OverflowError as error:
         raise FieldError(f"{name} is too large") from error
+    if not math.isfinite(converted):
+        raise FieldError(f"{name} is not finite")
+    return converted
+
+
+def integer(
+    data: Any,
+    name: str,
+    default: int | None = None,
+    *,
+    minimum: int = 0,
+    maximum: int = MAX_INT32,
+) -> int:
+    """Returns an integer, the default if the field is missing.
 
+    The bounds are those of the messages between daemons, which could not be
+    sent otherwise.
 
-def integer(data: Any, name: str, default: int | None = None) -> int:
-    """Returns an integer, the default if the field is missing.
+    Args:
+        data: The decoded object.
+        name: Name of the field.
+        default: Value if the field is missing, which may be out of bounds.
+        minimum: Smallest value.
+        maximum: Largest value.
 
     Raises:
-        FieldError: The field is not a whole number, or is missing without a
-            default.
+        FieldError: The field is not a whole number within the bounds, or is
+            missing without a default.
     """
     value = number(data, name, default)
     if not value.is_integer():
         raise FieldError(f"{name} must be a whole number")
+    if value != default and not minimum <= value <= maximum:
+        raise FieldError(f"{name} must be from {minimum} to {maximum}")
     return int(value)
 
 
@@ -111,4 +137,15 @@
     return value
 
 
-__all__ = ["FieldError", "child", "flag", "integer", "items", "number", "text"]
+__all__ = [
+    "MAX_INT32",
+    "MAX_INT64",
+    "FieldError",
+    "child",
+    "flag",
+    "integer",
+    "is_text",
+    "items",
+    "number",
+    "text",
+]
--- a/src/auburnswitch/platform/load_reports.py
+++ b/src/auburnswitch/platform/load_reports.py
@@ -34,10 +34,14 @@
         data = decode_json(body)
     except JsonError as error:
         raise FieldError("the load report is no JSON") from error
+    requests = fields.integer(data, "Running", 0) + fields.integer(
+        data, "Waiting", 0
+    )
     return EngineLoadReport(
-        requests=fields.integer(data, "Running", 0)
-        + fields.integer(data, "Waiting", 0),
-        memory_tokens=fields.integer(data, "KvUsed", 0),
+        requests=min(requests, fields.MAX_INT32),
+        memory_tokens=fields.integer(
+            data, "KvUsed", 0, maximum=fields.MAX_INT64
+        ),
         slowdown=fields.number(data, "pace", 1.0),
     )
 
--- a/src/auburnswitch/platform/process_statements.py
+++ b/src/auburnswitch/platform/process_statements.py
@@ -66,10 +66,11 @@
 def decode_boot_ms(body: bytes) -> int:
     """Returns when a process says that it started, 0 if it does not."""
     try:
-        boot_ms = fields.integer(decode_json(body), "born", 0)
+        return fields.integer(
+            decode_json(body), "born", 0, maximum=MAX_BOOT_MS - 1
+        )
     except (FieldError, JsonError):
         return 0
-    return boot_ms if 0 < boot_ms < MAX_BOOT_MS else 0
 
 
 __all__ = [
--- a/src/auburnswitch/platform/requests.py
+++ b/src/auburnswitch/platform/requests.py
@@ -42,6 +42,7 @@
     }
 )
 MAX_SHARED_PARTS: Final = 1000  # bounds the work for a request
+MAX_TOKENS: Final = 2**40  # sums fit into messages to peers
 _MS_PER_S: Final = 1000.0
 
 Headers = list[tuple[str, str]]
@@ -174,7 +175,7 @@
 
 def _parse_non_negative(value: str) -> int:
     try:
-        return max(0, int(value.strip() or 0))
+        return min(max(0, int(value.strip() or 0)), MAX_TOKENS)
     except ValueError:
         return 0
 
--- a/src/auburnswitch/schema/base.py
+++ b/src/auburnswitch/schema/base.py
@@ -180,7 +180,7 @@
         case TType.DOUBLE:
             if isinstance(raw, bool) or not isinstance(raw, int | float):
                 raise SchemaError(path, "must be a number")
-            return float(raw)
+            return _read_float(raw, path)
         case _:
             if isinstance(raw, bool) or not isinstance(raw, int):
                 raise SchemaError(path, "must be a whole number")
@@ -190,6 +190,13 @@
     return raw
 
 
+def _read_float(raw: float, path: str) -> float:
+    try:
+        return float(raw)
+    except OverflowError as error:
+        raise SchemaError(path, "is too large") from error
+
+
 class Description:
     """What the schema says about a field or an enum member.
 
--- a/src/auburnswitch/schema/events.py
+++ b/src/auburnswitch/schema/events.py
@@ -34,6 +34,7 @@
     STRICT_RIGHTS_WAITING = 330
     STRICT_RIGHTS_RESUMED = 331
     INSTANCE_NAME_SHARED = 332
+    ITEM_NOT_ENCODED = 334
     PEER_STALLED = 333
     ENDPOINT_PHASE_CHANGED = 400
     ENDPOINT_UNREACHABLE = 401
@@ -155,6 +156,10 @@
         text="Another live daemon uses this daemon's instance name.",
         options={"level": "error"},
     ),
+    EventId.ITEM_NOT_ENCODED: Description(
+        text="Part of a message to peers could not be encoded and was left out.",
+        options={"level": "error"},
+    ),
     EventId.PEER_STALLED: Description(
         text="A peer does not read its messages; the connection is dropped.",
         options={"level": "warning"},
--- a/tests/members/test_signed_frames.py
+++ b/tests/members/test_signed_frames.py
@@ -15,7 +15,8 @@
     decode_signed,
     encode_signed,
 )
-from auburnswitch.schema.gossip import Gossip, WorkItem
+from auburnswitch.observe.logs import LOGGER
+from auburnswitch.schema.gossip import Gossip, GossipFrame, WorkItem
 from tests.members import malformed_messages
 
 KEY = b"k" * 32
@@ -35,6 +36,25 @@
             decode_signed(KEY, encode_signed(KEY, sent), Gossip()), sent
         )
 
+    # One item that couldn't be encoded cost the whole message.
+    def test_item_that_cannot_be_encoded_is_left_out(self):
+        sound = WorkItem(id=3, helpers=["x"])
+        for odd in (
+            WorkItem(id=2**63),
+            WorkItem(id="a"),
+            WorkItem(endpoint=None, helpers=[5]),
+            WorkItem(read_ms="soon"),
+        ):
+            sent = Gossip(sender="a", items=[odd, sound])
+            with self.subTest(odd), self.assertLogs(LOGGER):
+                frame = encode_signed(KEY, GossipFrame(messages=[sent]))
+                received = decode_signed(KEY, frame, GossipFrame())
+                self.assertEqual(received.messages[0].items, [sound])
+
+    def test_message_that_cannot_be_encoded(self):
+        with self.assertRaises(SignedFrameError):
+            encode_signed(KEY, Gossip(port=2**31))
+
     def test_wrong_key(self):
         with self.assertRaises(SignedFrameError):
             decode_signed(
--- a/tests/platform/test_config_decoder.py
+++ b/tests/platform/test_config_decoder.py
@@ -82,6 +82,25 @@
             with self.subTest(value), self.assertRaises(FieldError):
                 decode_endpoint("i-1", {**ENTRY, "born": value})
 
+    # A number that didn't fit into messages between daemons ended them all.
+    def test_numbers_out_of_bounds_are_rejected(self):
+        for value in (0, -1, 2**31, 1e300, float("inf"), float("nan")):
+            with self.subTest(value), self.assertRaises(FieldError):
+                decode_endpoint("i-1", {**ENTRY, "Slots": value})
+        for port in ("65536", "0", "-1", "+80", " 80", "8_0", "", "9" * 5000):
+            with self.subTest(port), self.assertRaises(FieldError):
+                decode_endpoint("i-1", {**ENTRY, "Address": f"10.0.0.1:{port}"})
+        for value in (2**63, -1, 1e300):
+            with self.subTest(value), self.assertRaises(FieldError):
+                decode_config({**make_config(), "Version": value})
+
+    def test_nested_versions_are_no_release(self):
+        nested = []
+        for _ in range(900):
+            nested = [nested]
+        entry = decode_endpoint("i-1", {**ENTRY, "Version": nested})
+        self.assertEqual(entry.release, "")
+
     def test_huge_numbers_are_rejected(self):
         """Guards against an OverflowError, which ended the watch."""
         with self.assertRaises(FieldError):
