--- a/schema/events.thrift
+++ b/schema/events.thrift
@@ -73,6 +73,8 @@
   STORE_UNAVAILABLE = 600
   // The platform's store responds again. @level info
   STORE_RECOVERED = 601
+  // A watch of the store has not returned a change; it was read otherwise. @level warning
+  WATCH_ANSWER_MISSED = 605
   // The platform's store came back from an older copy; what was read before is read again. @level warning
   STORE_RESTORED = 602
   // Records of daemons or the shared key, lost with the store's last seconds, were written again. @level warning
--- a/src/auburnswitch/configuration/installation_watcher.py
+++ b/src/auburnswitch/configuration/installation_watcher.py
@@ -16,6 +16,7 @@
 from auburnswitch.platform.store_client import (
     Listing,
     RevisionExpired,
+    StoredObject,
     StoreFailure,
 )
 from auburnswitch.schema.events import EventId
@@ -24,10 +25,7 @@
 
 if TYPE_CHECKING:
     from auburnswitch.configuration.installation import Installation
-    from auburnswitch.platform.store_client import (
-        PlatformStoreClient,
-        StoredObject,
-    )
+    from auburnswitch.platform.store_client import PlatformStoreClient
     from auburnswitch.schema.entry import BoundSettings
     from auburnswitch.schema.installation import EndpointEntry
 
@@ -51,9 +49,11 @@
 class InstallationWatcher:
     """Keeps the installation up to date with the store.
 
-    A watch may wait long without an answer. Meanwhile probes show that the
-    store is reachable; a probe that fails ends the watches, so that their kinds
-    are listed again.
+    A watch may wait long without an answer, and its answer may be lost. Other
+    channels that work don't show that nothing has changed, so probes ask for
+    the store's newest revision: up to date is a watch whose kind is known not
+    to have changed until then. A probe that fails ends the watches, so that
+    their kinds are listed again.
 
     Attributes:
         read_at: Loop time as of which all kinds are up to date, in seconds;
@@ -65,9 +65,10 @@
 
     __slots__ = (
         "_answered_at",
-        "_probed_at",
         "_read_at",
         "_revisions",
+        "_verified_at",
+        "_verified_revisions",
         "_watch_timeouts",
         "bounds",
         "failed_at",
@@ -90,10 +91,13 @@
         self.reading = reading
         self.failed_at: float | None = None
         self._read_at: dict[str, float] = {}
-        self._probed_at: float | None = None
         self._answered_at = -math.inf  # the latest sign of the store
         self._revisions: dict[str, StoreRevision] = {}
         self._watch_timeouts: dict[str, asyncio.Timeout] = {}
+        # Revisions until which, and times as of which, watches that wait have
+        # missed nothing.
+        self._verified_revisions: dict[str, StoreRevision] = {}
+        self._verified_at: dict[str, float] = {}
         store.generation_listeners.append(self._on_new_generation)
 
     @property
@@ -105,24 +109,90 @@
 
     def _kind_read_at(self, kind: str) -> float:
         read_at = self._read_at[kind]
-        if self._probed_at is None or kind not in self._watch_timeouts:
+        if kind not in self._watch_timeouts:
             return read_at
-        return max(read_at, self._probed_at)
+        return max(read_at, self._verified_at.get(kind, read_at))
 
     async def probe_store(self) -> None:
-        """Checks at intervals that the store answers, until cancelled."""
+        """Checks at intervals that watches miss nothing, until cancelled."""
         while True:
             await self.reading.wait()
             await asyncio.sleep(self.store.settings.probe_interval_s)
-            if not self._watch_timeouts:
-                continue  # the calls in progress show it
-            started_at = monotonic_s()
-            failure = await self.store.probe()
-            if failure is None:
-                self._probed_at = started_at
-                self._answered_at = max(self._answered_at, started_at)
-            else:
+            if self._watch_timeouts:  # else the calls in progress show it
+                await self._probe()
+
+    async def _probe(self) -> None:
+        started_at = monotonic_s()
+        newest = await self.store.probe()
+        if isinstance(newest, StoreFailure):
+            self._end_watches()
+            return
+        if newest.generation != self.store.generation:
+            return  # everything is read again
+        self._answered_at = max(self._answered_at, started_at)
+        for kind in [*self._watch_timeouts]:
+            if await self._verify_watch(kind, newest):
+                self._verified_at[kind] = started_at
+
+    async def _verify_watch(self, kind: str, newest: Listing) -> bool:
+        """Reads the changes that a watch has not returned.
+
+        Args:
+            kind: Kind of the watch.
+            newest: The closed zones as of the newest revision.
+
+        Returns:
+            Whether the kind is known as of that revision.
+        """
+        since = self._revisions.get(kind)
+        if since is None:
+            return False
+        verified = max(since, self._verified_revisions.get(kind, since))
+        if verified >= _revision_of(newest):
+            return True
+        changes = await self._read_missed(kind, since, newest)
+        if self._revisions.get(kind) != since:
+            return False  # the watch has returned meanwhile
+        match changes:
+            case StoreFailure():
                 self._end_watches()
+                return False
+            case RevisionExpired():
+                self._revisions.pop(kind)
+                self._end_watch(kind)
+                return False
+            case Listing(generation=generation):
+                if generation != since.generation:
+                    return False
+        if changes.objects:
+            log_event(
+                EventId.WATCH_ANSWER_MISSED,
+                kind=kind,
+                since=since.revision,
+                revision=changes.revision,
+            )
+            self._adopt_changes(kind, changes)
+            self._revisions[kind] = _revision_of(changes)
+            self._end_watch(kind)  # goes on from there
+        self._verified_revisions[kind] = _revision_of(changes)
+        return True
+
+    async def _read_missed(
+        self, kind: str, since: StoreRevision, newest: Listing
+    ) -> Listing | RevisionExpired | StoreFailure:
+        """Returns the changes of a kind that are newer than a revision."""
+        if kind != protocol.CLOSED_ZONES_KIND:
+            return await self.store.watch(kind, since.revision, wait_s=0)
+        listed = {o.name for o in newest.objects if not o.deleted}
+        known = self.installation.closed_zones
+        return Listing(
+            revision=newest.revision,
+            generation=newest.generation,
+            objects=[
+                StoredObject(name=zone, body=None, deleted=zone not in listed)
+                for zone in sorted(known ^ listed)
+            ],
+        )
 
     def _on_new_generation(self, previous: int, source: str) -> None:
         """Reads everything again, as revisions mean other states now."""
@@ -136,13 +206,18 @@
             )
         self._revisions.clear()
         self._read_at.clear()
-        self._probed_at = None
+        self._verified_revisions.clear()
+        self._verified_at.clear()
         self._end_watches()
 
     def _end_watches(self) -> None:
-        for timeout in self._watch_timeouts.values():
-            if timeout.when() is None:  # not ending already
-                timeout.reschedule(monotonic_s())
+        for kind in self._watch_timeouts:
+            self._end_watch(kind)
+
+    def _end_watch(self, kind: str) -> None:
+        timeout = self._watch_timeouts.get(kind)
+        if timeout is not None and timeout.when() is None:  # not ending already
+            timeout.reschedule(monotonic_s())
 
     async def _watch(
         self, kind: str, revision: StoreRevision
@@ -152,8 +227,6 @@
                 self._watch_timeouts[kind] = timeout
                 return await self.store.watch(kind, revision.revision)
         except TimeoutError:
-            if revision.generation < self.store.generation:
-                return RevisionExpired()
             return StoreFailure(reason="the store does not answer probes")
         finally:
             self._watch_timeouts.pop(kind, None)
@@ -161,14 +234,15 @@
     async def watch_kind(self, kind: str) -> None:
         """Lists a kind, then watches it for changes until cancelled.
 
-        While calls fail, only the first kind is retried, at growing intervals.
+        While calls fail, only the first kind is retried, at growing intervals,
+        unless its watch has not failed.
         """
         retry_interval_s = INITIAL_RETRY_INTERVAL_S
         while True:
             if not self.reading.is_set():
                 self._revisions.pop(kind, None)  # may be too old to resume from
                 await self.reading.wait()
-            elif self.failed_at is not None and kind != WATCHED_KINDS[0]:
+            elif self._leaves_retry_to_another(kind):
                 self._revisions.pop(kind, None)
                 await asyncio.sleep(IDLE_INTERVAL_S)
             elif await self._read(kind):
@@ -178,6 +252,15 @@
                 retry_interval_s *= RETRY_BACKOFF_FACTOR
                 retry_interval_s = min(retry_interval_s, MAX_RETRY_INTERVAL_S)
 
+    def _leaves_retry_to_another(self, kind: str) -> bool:
+        """Returns whether another kind finds out when the store answers."""
+        first = WATCHED_KINDS[0]
+        return (
+            self.failed_at is not None
+            and kind != first
+            and first not in self._watch_timeouts
+        )
+
     async def _read(self, kind: str) -> bool:
         """Makes one call and adopts its result."""
         revision = self._revisions.get(kind)
@@ -185,10 +268,9 @@
             result = await self.store.list_kind(kind)
         else:
             result = await self._watch(kind, revision)
+        if self._revisions.get(kind) != revision or self._is_outdated(result):
+            return True  # what was read meanwhile is newer
         match result:
-            case _ if self._is_outdated(revision, result):
-                self._revisions.pop(kind, None)
-                return True
             case StoreFailure(reason=reason):
                 self._record_failure(kind, reason)
                 self._revisions.pop(kind, None)
@@ -208,18 +290,13 @@
         return True
 
     def _is_outdated(
-        self,
-        since: StoreRevision | None,
-        result: Listing | RevisionExpired | StoreFailure,
+        self, result: Listing | RevisionExpired | StoreFailure
     ) -> bool:
-        """Returns whether the store has come back from a copy meanwhile.
-
-        It may answer a watch of a revision that means another state now.
-        """
-        generation = self.store.generation
-        if since is not None and since.generation != generation:
-            return True
-        return isinstance(result, Listing) and result.generation != generation
+        """Returns whether the store has come back from a copy meanwhile."""
+        return (
+            isinstance(result, Listing)
+            and result.generation != self.store.generation
+        )
 
     def _record_failure(self, kind: str, reason: str) -> None:
         if self.failed_at is None:
--- a/src/auburnswitch/platform/store_client.py
+++ b/src/auburnswitch/platform/store_client.py
@@ -186,14 +186,21 @@
             query = f"?AfterRev={after_name}"  # takes a name, not a revision
 
     async def watch(
-        self, kind: str, revision: int
+        self, kind: str, revision: int, *, wait_s: float | None = None
     ) -> Listing | RevisionExpired | StoreFailure:
         """Waits for changes of a kind after a revision.
 
+        Args:
+            kind: Kind of the objects.
+            revision: Revision of the state that is known.
+            wait_s: Longest wait for a change, in seconds; None for the one in
+                the settings.
+
         Returns:
             The changes, empty if there were none during the wait.
         """
-        wait_s = self.settings.watch_wait_s
+        if wait_s is None:
+            wait_s = self.settings.watch_wait_s
         query = f"?Watch={revision}&WaitMs={int(wait_s * _MS_PER_S)}"
         result = await self._call("GET", f"/{kind}{query}", wait_s=wait_s)
         match result:
@@ -212,18 +219,9 @@
             generation=result.generation,
         )
 
-    async def probe(self) -> StoreFailure | None:
-        """Checks that the store answers, by a list that may be out of date.
-
-        Such a list does not count toward the store's rates.
-        """
-        result = await self._call("GET", f"/{CLOSED_ZONES_KIND}?AllowStale=1")
-        match result:
-            case StoreFailure():
-                return result
-            case _Answer(status=status) if status != _HTTP_OK:
-                return StoreFailure(reason=f"status {status}")
-        return None
+    async def probe(self) -> Listing | StoreFailure:
+        """Returns the closed zones, and thereby the store's newest revision."""
+        return await self.list_kind(CLOSED_ZONES_KIND)
 
     async def create(
         self, kind: str, name: str, body: Any
--- a/src/auburnswitch/schema/events.py
+++ b/src/auburnswitch/schema/events.py
@@ -52,6 +52,7 @@
     STATE_CHANGED = 502
     STORE_UNAVAILABLE = 600
     STORE_RECOVERED = 601
+    WATCH_ANSWER_MISSED = 605
     STORE_RESTORED = 602
     DIRECTORY_RESTORED = 603
     SHARED_KEY_CHANGED = 604
@@ -223,6 +224,10 @@
     EventId.STORE_RECOVERED: Description(
         text="The platform's store responds again.", options={"level": "info"}
     ),
+    EventId.WATCH_ANSWER_MISSED: Description(
+        text="A watch of the store has not returned a change; it was read otherwise.",
+        options={"level": "warning"},
+    ),
     EventId.STORE_RESTORED: Description(
         text="The platform's store came back from an older copy; what was read before is read again.",
         options={"level": "warning"},
--- a/src/auburnswitch/soak/fault_injector.py
+++ b/src/auburnswitch/soak/fault_injector.py
@@ -61,6 +61,7 @@
             self._stop_store,
             self._compact_history,
             self._restore_store,
+            self._lose_watch_answers,
             self._revoke_key,
             self._close_zone,
             self._leave_endpoint,
@@ -180,6 +181,12 @@
         for kind in WRITTEN_KINDS:
             store.write_again(kind, state, newest)
 
+    async def _lose_watch_answers(self) -> None:
+        kind = self.rng.choice(WRITTEN_KINDS)
+        self.fleet.store.lossy_kinds.add(kind)
+        await self._wait_fault_duration()
+        self.fleet.store.lossy_kinds.discard(kind)
+
     async def _revoke_key(self) -> None:
         self.fleet.caller_keys = ["key-1"]
         self.fleet.write_config()
--- a/src/auburnswitch/standins/installation_store.py
+++ b/src/auburnswitch/standins/installation_store.py
@@ -91,6 +91,9 @@
         page_size: Maximum number of objects in one page of a list.
         generation: Number of the store's return from a copy, told in each
             answer; 0 does not tell it.
+        lossy_kinds: Kinds whose watches get no answer any more once there is a
+            change: the answer is lost, and the channel stays open.
+        lost_answers: Number of answers that were lost.
     """
 
     def __init__(self) -> None:
@@ -100,6 +103,9 @@
         self.calls = 0
         self.page_size = 500
         self.generation = 1
+        self.lossy_kinds: set[str] = set()
+        self.lost_answers = 0
+        self._stopped = asyncio.Event()
         self._history: list[_Event] = []
         self._compacted_revision = 0
         self._changed = asyncio.Event()
@@ -145,6 +151,7 @@
     def stop(self) -> None:
         """Refuses all calls and ends the watches."""
         self.unavailable = True
+        self._stopped.set()
         self._notify_watchers()
 
     def copy_state(self) -> StoreCopy:
@@ -275,6 +282,9 @@
                 continue
         if self.unavailable:
             return Response(status_code=_UNAVAILABLE)
+        if events and kind in self.lossy_kinds and wait_s > 0:
+            self.lost_answers += 1
+            await self._stopped.wait()
         changes = [{"Object": e.stored, "Deleted": e.deleted} for e in events]
         return EscapedJSONResponse({"events": changes, "AsOf": self.revision})
 
