--- a/src/auburnswitch/endpoints/client.py
+++ b/src/auburnswitch/endpoints/client.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from auburnswitch.http_client import read_json
 from auburnswitch.json_values import decode_json
 
 if TYPE_CHECKING:
@@ -227,7 +228,7 @@
                 asyncio.timeout(self.settings.connect_timeout_s),
                 self.request(spec, "GET", "/load") as response,
             ):
-                return str((await response.json())["boot_id"])
+                return str((await read_json(response))["boot_id"])
         return ""
 
     async def free_kv_caches(self, spec: Endpoint, attempt: Attempt) -> bool:
@@ -239,7 +240,7 @@
                 asyncio.timeout(self.settings.connect_timeout_s),
                 self.request(spec, "GET", "/v1/kv") as response,
             ):
-                caches = (await response.json())["caches"]
+                caches = (await read_json(response))["caches"]
             attempt_key = (attempt.request_id, attempt.number)
             freed = [
                 await self.delete(spec, f"/v1/kv/{cache['kv_id']}")
--- a/src/auburnswitch/endpoints/engine_reconciler.py
+++ b/src/auburnswitch/endpoints/engine_reconciler.py
@@ -10,6 +10,7 @@
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.endpoints.client import EndpointFailureError
+from auburnswitch.http_client import read_json
 from auburnswitch.observe.logs import log_event
 from auburnswitch.schema.events import EventId
 from auburnswitch.schema.objects import ServiceKind
@@ -170,7 +171,7 @@
             asyncio.timeout(self.client.settings.connect_timeout_s),
             self.client.request(ledger.spec, "GET", "/v1/orders") as response,
         ):
-            return await response.json()
+            return await read_json(response)
 
     async def _send(
         self, ledger: EndpointLedger, state: ReconcileState, order: Order
@@ -211,7 +212,7 @@
                 json=order.to_json(number),
             ) as response,
         ):
-            body = await response.json()
+            body = await read_json(response)
             status = response.status
         if status == 409:
             state.last_seen_number = int(body["fencing_number"])
--- a/src/auburnswitch/endpoints/engine_work.py
+++ b/src/auburnswitch/endpoints/engine_work.py
@@ -8,6 +8,7 @@
 from urllib.parse import quote
 
 from auburnswitch.endpoints.client import EndpointClient, EndpointFailureError
+from auburnswitch.http_client import read_json
 
 if TYPE_CHECKING:
     from auburnswitch.schema.objects import Endpoint
@@ -72,7 +73,7 @@
             raise EndpointFailureError(
                 f"HTTP status {response.status}", sent=True, lost=False
             )
-        return await response.json()
+        return await read_json(response)
 
 
 def _is_running(item: dict[str, Any]) -> bool:
--- a/src/auburnswitch/endpoints/load_monitor.py
+++ b/src/auburnswitch/endpoints/load_monitor.py
@@ -10,6 +10,7 @@
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.endpoints.load_report import parse_load_report
+from auburnswitch.http_client import read_json
 from auburnswitch.observe.logs import log_event
 from auburnswitch.schema.events import EventId
 
@@ -103,7 +104,7 @@
                 asyncio.timeout(self.settings.endpoints.connect_timeout_s),
                 self.session.get(url) as response,
             ):
-                report = parse_load_report(await response.json())
+                report = parse_load_report(await read_json(response))
         except (
             aiohttp.ClientError,
             OSError,
--- a/src/auburnswitch/http_client.py
+++ b/src/auburnswitch/http_client.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 import contextlib
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, Final
 
 import aiohttp
 
+from auburnswitch.json_values import JsonError, decode_json
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
     from aiohttp import ClientHandlerType, ClientRequest, ClientResponse
 
 
+MAX_JSON_BYTES: Final = 16 * 2**20
+
+
 class ConnectionLostError(aiohttp.ClientConnectionError):
     """The connection broke when the server may have received the request."""
 
@@ -39,6 +44,28 @@
         yield session
 
 
+async def read_json(
+    response: ClientResponse, *, max_bytes: int = MAX_JSON_BYTES
+) -> Any:
+    """Reads the body of a response and decodes it; None if it is empty.
+
+    Args:
+        response: The response.
+        max_bytes: Largest size of the body, in bytes.
+
+    Raises:
+        JsonError: The body is no JSON, or too large.
+        aiohttp.ClientError: The body was broken off.
+    """
+    body = bytearray()
+    async for part in response.content.iter_any():
+        body += part
+        if len(body) > max_bytes:
+            response.close()
+            raise JsonError(f"the response is larger than {max_bytes} bytes")
+    return decode_json(bytes(body)) if body else None
+
+
 async def send_at_most_once(
     request: ClientRequest, handler: ClientHandlerType
 ) -> ClientResponse:
@@ -62,5 +89,6 @@
 __all__ = [
     "ConnectionLostError",
     "open_client_session",
+    "read_json",
     "send_at_most_once",
 ]
--- a/src/auburnswitch/members/state_exchange.py
+++ b/src/auburnswitch/members/state_exchange.py
@@ -32,6 +32,7 @@
 MIN_FETCH_DELAY_S: Final = 0.03
 MAX_FETCH_DELAY_PER_PEER_S: Final = 0.004
 MAX_FRAME_BYTES: Final = 16 * 1024 * 1024
+MAX_FETCH_BYTES: Final = 4096  # anybody may send one
 _LENGTH: Final = struct.Struct(">I")
 _EXCHANGE_ERRORS: Final = (
     TimeoutError,
@@ -173,7 +174,7 @@
                 closed_zones_generation=state.closed_zones_revision.generation,
             )
             _write_frame(writer, self.get_key(), fetch)
-            frame = await _read_frame(reader)
+            frame = await _read_frame(reader, MAX_FRAME_BYTES)
             return decode_signed(self.get_key(), frame, StateUpdate())
         finally:
             writer.close()
@@ -191,7 +192,7 @@
     ) -> None:
         try:
             async with asyncio.timeout(EXCHANGE_TIMEOUT_S):
-                frame = await _read_frame(reader)
+                frame = await _read_frame(reader, MAX_FETCH_BYTES)
                 fetch = decode_signed(self.get_key(), frame, StateFetch())
                 _write_frame(writer, self.get_key(), self._build_update(fetch))
                 await writer.drain()
@@ -227,9 +228,9 @@
     writer.write(_LENGTH.pack(len(frame)) + frame)
 
 
-async def _read_frame(reader: asyncio.StreamReader) -> bytes:
+async def _read_frame(reader: asyncio.StreamReader, max_bytes: int) -> bytes:
     (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
-    if length > MAX_FRAME_BYTES:
+    if length > max_bytes:
         raise SignedFrameError(f"{length} bytes exceed the frame size limit")
     return await reader.readexactly(length)
 
--- a/src/auburnswitch/object_store/client.py
+++ b/src/auburnswitch/object_store/client.py
@@ -12,7 +12,7 @@
 import aiohttp
 from expression import Error, Ok, Result
 
-from auburnswitch.http_client import send_at_most_once
+from auburnswitch.http_client import read_json, send_at_most_once
 from auburnswitch.object_store.call_limiter import (
     CallLimiter,
     CallPriority,
@@ -42,6 +42,7 @@
     from auburnswitch.schema.settings import PlatformSettings
 
 WATCH_GRACE_S: Final = 1.0
+MAX_LISTING_BYTES: Final = 64 * 2**20
 CLAIM_WRITE_SHARE: Final = 0.6  # of the fleet's writes
 
 
@@ -358,7 +359,7 @@
                     method, url, middlewares=middlewares, **options
                 ) as response,
             ):
-                body = await response.json()
+                body = await read_json(response, max_bytes=MAX_LISTING_BYTES)
         except (aiohttp.ClientConnectorError, ConnectionRefusedError) as error:
             return StoreUnavailable(reason=str(error))
         except (
--- a/src/auburnswitch/routing/group_runner.py
+++ b/src/auburnswitch/routing/group_runner.py
@@ -9,6 +9,7 @@
 
 from auburnswitch.clock import monotonic_s
 from auburnswitch.endpoints.client import Attempt, EndpointFailureError
+from auburnswitch.http_client import read_json
 from auburnswitch.routing.answer_stream import (
     PREFILL_TIMEOUT_FACTOR,
     AnswerEnd,
@@ -155,7 +156,7 @@
                     lost=False,
                     status=response.status,
                 )
-            return str((await response.json())["kv_id"])
+            return str((await read_json(response))["kv_id"])
 
     def _make_stream(
         self,
