--- a/schema/gossip.thrift
+++ b/schema/gossip.thrift
@@ -97,6 +97,16 @@
   8: i64 stored_at_ms = 0
 }
 
+// A request that crashes endpoints and is refused, as kept in the store.
+struct RequestRefusal {
+  // Fingerprint of the request.
+  1: string request = ""
+  // The crashes, each by its endpoint and the start of its process.
+  2: list<string> crashes = []
+  // Time of day at which it was written. @unit milliseconds since the epoch
+  3: i64 stored_at_ms = 0
+}
+
 // A prompt part in an answer that has got past its beginning.
 struct PartStart {
   // Fingerprint of the part.
--- a/src/auburnswitch/entry/crash_protection.py
+++ b/src/auburnswitch/entry/crash_protection.py
@@ -51,7 +51,11 @@
         store=store,
         tasks=tasks,
         adopt=lambda refusal: part_watch.adopt(refusal, "the store"),
+        adopt_request=lambda refusal, age_s: requests.adopt(
+            refusal.request, refusal.crashes, age_s
+        ),
     )
+    requests = CrashRegistry(on_change=refusal_store.update_request)
     part_watch = PartWatch(
         statistics=statistics,
         bounds=settings.bounds,
@@ -68,7 +72,7 @@
         tasks=tasks,
     )
     guard = CrashGuard(
-        requests=CrashRegistry(),
+        requests=requests,
         parts=part_watch,
         checker=checker,
         tasks=tasks,
--- a/src/auburnswitch/entry/entry_daemon.py
+++ b/src/auburnswitch/entry/entry_daemon.py
@@ -346,7 +346,10 @@
     def _on_new_generation(self, previous: int, source: str) -> None:
         self.gossip.peers.store_generation = self.store.generation
         if previous and self.reader_election.is_reader:
-            self.refusal_store.restore(self.part_watch.refusals.refusals)
+            self.refusal_store.restore(
+                self.part_watch.refusals.refusals,
+                self.crash_registry.refused(),
+            )
 
     def _live_cell_instances(self) -> list[str]:
         return [
--- a/src/auburnswitch/routing/crashes/crash_registry.py
+++ b/src/auburnswitch/routing/crashes/crash_registry.py
@@ -11,7 +11,7 @@
 from auburnswitch.schema.events import EventId
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from auburnswitch.platform.requests import CallerRequest
 
@@ -30,11 +30,26 @@
     A crash is identified by the request's fingerprint and the endpoint, so that
     reports of the same crash from several daemons count once. A request that
     crashes endpoints never succeeds, so a success clears it.
-    """
 
-    __slots__ = ("_cleared_at", "_crashes", "_recorded_at")
+    Attributes:
+        on_change: Called with a fingerprint and its crashes when a request that
+            crashed an endpoint of this daemon is refused from now on, and
+            without crashes when it no longer is.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = (
+        "_cleared_at",
+        "_crashes",
+        "_observed",
+        "_recorded_at",
+        "on_change",
+    )
+
+    def __init__(
+        self, *, on_change: Callable[[str, list[str]], None] | None = None
+    ) -> None:
+        self.on_change = on_change
+        self._observed: set[str] = set()
         self._crashes: OrderedDict[str, dict[str, float]] = OrderedDict()
         self._recorded_at: dict[str, float] = {}
         self._cleared_at: dict[str, float] = {}
@@ -43,6 +58,7 @@
         """Records a crash that this daemon has observed."""
         # Peers that heard of a clearance later would lose this crash.
         self._cleared_at.pop(fingerprint, None)
+        self._observed.add(fingerprint)
         if self._add(fingerprint, endpoint):
             crash_id = f"{fingerprint}{_SEPARATOR}{endpoint}"
             self._recorded_at[crash_id] = monotonic_s()
@@ -57,6 +73,8 @@
         """Clears a request that an endpoint has run to its end."""
         if fingerprint in self._crashes:
             self._clear(fingerprint)
+            if self.on_change is not None:
+                self.on_change(fingerprint, [])
             self._cleared_at[fingerprint] = monotonic_s()
 
     def merge_peer_announcements(self, announcements: Iterable[str]) -> None:
@@ -81,6 +99,27 @@
         clearances = [f"{name}{_SEPARATOR}" for name in self._cleared_at]
         return [*self._recorded_at, *clearances][:MAX_CRASHES_PER_DATAGRAM]
 
+    def adopt(
+        self, fingerprint: str, crashes: Iterable[str], age_s: float
+    ) -> None:
+        """Adopts a refused request that was read from the store.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            crashes: Its crashes.
+            age_s: Time since the last of them, in seconds.
+        """
+        for crash in crashes:
+            self._add(fingerprint, crash, age_s=max(0.0, age_s))
+
+    def refused(self) -> dict[str, list[str]]:
+        """Returns the crashes of the refused requests by fingerprint."""
+        return {
+            fingerprint: [*crashes]
+            for fingerprint, crashes in self._crashes.items()
+            if self.is_refused(fingerprint)
+        }
+
     def count(self, fingerprint: str) -> int:
         """Returns how many endpoints crashed while running a request."""
         cutoff_at = monotonic_s() - RETENTION_S
@@ -96,18 +135,25 @@
         return self.count(fingerprint) >= CRASHES_TO_REFUSE
 
     def _clear(self, fingerprint: str) -> None:
+        self._observed.discard(fingerprint)
         for endpoint in self._crashes.pop(fingerprint, {}):
             crash_id = f"{fingerprint}{_SEPARATOR}{endpoint}"
             self._recorded_at.pop(crash_id, None)
 
-    def _add(self, fingerprint: str, endpoint: str) -> bool:
+    def _add(
+        self, fingerprint: str, endpoint: str, *, age_s: float = 0.0
+    ) -> bool:
         crashes = self._crashes.setdefault(fingerprint, {})
         if endpoint in crashes:
             return False
-        crashes[endpoint] = monotonic_s()
+        crashes[endpoint] = monotonic_s() - age_s
         self._crashes.move_to_end(fingerprint)
         if len(self._crashes) > MAX_FINGERPRINTS:
-            self._crashes.popitem(last=False)
+            oldest, _ = self._crashes.popitem(last=False)
+            self._observed.discard(oldest)
+        is_observed = fingerprint in self._observed
+        if self.on_change and is_observed and self.is_refused(fingerprint):
+            self.on_change(fingerprint, [*crashes])
         return True
 
 
--- a/src/auburnswitch/schema/gossip.py
+++ b/src/auburnswitch/schema/gossip.py
@@ -490,6 +490,54 @@
     }
 
 
+class RequestRefusal(Struct):
+    """A request that crashes endpoints and is refused, as kept in the store."""
+
+    __slots__ = (
+        "crashes",
+        "request",
+        "stored_at_ms",
+    )
+
+    request: str
+    crashes: list[str]
+    stored_at_ms: int
+
+    def __init__(
+        self,
+        *,
+        request: str = "",
+        crashes: list[str] | None = None,
+        stored_at_ms: int = 0,
+    ) -> None:
+        self.request = request
+        self.crashes = [] if crashes is None else crashes
+        self.stored_at_ms = stored_at_ms
+
+    thrift_spec: ClassVar[dict[int, tuple[Any, ...]]] = {
+        1: (TType.STRING, "request", False),
+        2: (TType.LIST, "crashes", TType.STRING, False),
+        3: (TType.I64, "stored_at_ms", False),
+    }
+    default_spec: ClassVar[list[tuple[str, Any]]] = [
+        ("request", None),
+        ("crashes", None),
+        ("stored_at_ms", None),
+    ]
+    enum_fields: ClassVar[dict[str, type[enum.IntEnum]]] = {}
+    descriptions: ClassVar[dict[str, Description]] = {
+        "request": Description(text="Fingerprint of the request.", options={}),
+        "crashes": Description(
+            text="The crashes, each by its endpoint and the start of its process.",
+            options={},
+        ),
+        "stored_at_ms": Description(
+            text="Time of day at which it was written.",
+            options={"unit": "milliseconds since the epoch"},
+        ),
+    }
+
+
 class PartStart(Struct):
     """A prompt part in an answer that has got past its beginning."""
 
@@ -1006,6 +1054,7 @@
     "GossipFrame",
     "PartRefusal",
     "PartStart",
+    "RequestRefusal",
     "StateFetch",
     "StateUpdate",
     "WorkItem",
--- a/tests/entry/test_refusal_store.py
+++ b/tests/entry/test_refusal_store.py
@@ -13,9 +13,11 @@
     wait_until,
 )
 from auburnswitch.platform.protocol import REFUSALS_KIND
+from auburnswitch.routing.crashes.crash_registry import CRASHES_TO_REFUSE
 from auburnswitch.routing.crashes.part_refusal import Refusal
 
 PARTS = frozenset({"bad"})
+REQUEST = "0123456789abcdef"
 
 
 def make_refusal(parts=PARTS):
@@ -123,6 +125,38 @@
                 await wait_until(lambda: PARTS in groups(later))
                 self.assertEqual(groups(later), [PARTS])
 
+    # BUDGET: each daemon that had been restarted passed a request that crashes
+    # endpoints on to some more of them.
+    async def test_refused_request_is_refused_after_a_restart(self):
+        async with self.open() as (fleet, daemon):
+            for number in range(CRASHES_TO_REFUSE):
+                daemon.crash_registry.record_crash(REQUEST, f"e-{number}@1")
+            await wait_until(lambda: self.stored(fleet))
+            async with self.open_later(fleet) as later:
+                await wait_until(
+                    lambda: later.crash_registry.is_refused(REQUEST)
+                )
+                later.crash_registry.record_success(REQUEST)
+                await wait_until(lambda: not self.stored(fleet))
+
+    # A third crash that a peer has observed counts for one that observed one.
+    async def test_request_that_crashes_at_several_daemons_is_stored(self):
+        async with self.open() as (fleet, daemon):
+            daemon.crash_registry.record_crash(REQUEST, "e-0@1")
+            daemon.crash_registry.merge_peer_announcements(
+                [f"{REQUEST}/e-1@1", f"{REQUEST}/e-2@1"]
+            )
+            await wait_until(lambda: self.stored(fleet))
+
+    async def test_refusal_of_a_request_ends(self):
+        async with self.open() as (fleet, _):
+            expired = {"request": REQUEST, "crashes": ["a", "b", "c"]}
+            fleet.store.put(REFUSALS_KIND, f"request-{REQUEST}", expired)
+            fleet.store.put(REFUSALS_KIND, "request-odd", {"crashes": 5})
+            async with self.open_later(fleet) as later:
+                await wait_until(lambda: len(self.stored(fleet)) == 1)
+                self.assertFalse(later.crash_registry.is_refused(REQUEST))
+
 
 if __name__ == "__main__":
     unittest.main()
