--- a/src/auburnswitch/soak/fault_injector.py
+++ b/src/auburnswitch/soak/fault_injector.py
@@ -21,7 +21,6 @@
 FAULT_INTERVAL_RANGE_S: Final = (0.2, 1.0)
 FAULT_DURATION_RANGE_S: Final = (0.3, 2.5)
 REWRITE_DELAY_RANGE_S: Final = (0.0, 1.0)
-WRITTEN_KINDS: Final = ("config", "servers", "evacuations")
 FAULT_MODES: Final = (
     ProxyMode.DELAY,
     ProxyMode.RESET,
@@ -178,11 +177,11 @@
         newest = store.copy_state()
         store.restore(state)
         await asyncio.sleep(self.rng.uniform(*REWRITE_DELAY_RANGE_S))
-        for kind in WRITTEN_KINDS:
+        for kind in installation_objects.WRITTEN_KINDS:
             store.write_again(kind, state, newest)
 
     async def _lose_watch_answers(self) -> None:
-        kind = self.rng.choice(WRITTEN_KINDS)
+        kind = self.rng.choice(installation_objects.WRITTEN_KINDS)
         self.fleet.store.lossy_kinds.add(kind)
         await self._wait_fault_duration()
         self.fleet.store.lossy_kinds.discard(kind)
--- a/src/auburnswitch/standins/installation_objects.py
+++ b/src/auburnswitch/standins/installation_objects.py
@@ -9,6 +9,7 @@
 
 HOST: Final = "entry.example"
 SLOTS: Final = 4
+WRITTEN_KINDS: Final = ("config", "servers", "evacuations")  # by others
 ENGINE: Final = {
     "Slots": SLOTS,
     "KvTokens": 50_000,
@@ -102,6 +103,7 @@
 
 __all__ = [
     "HOST",
+    "WRITTEN_KINDS",
     "close_zone",
     "make_config",
     "make_route",
