--- a/src/auburnswitch/routing/selection/send_rate_limiter.py
+++ b/src/auburnswitch/routing/selection/send_rate_limiter.py
@@ -53,27 +53,28 @@
             + self.bounds.cold_extra
         )
         daemon_count = self.count_daemons() + UNSEEN_DAEMON_ALLOWANCE
-        local_sends = _count_recent(self._local_sends[endpoint])
-        fleet_sends = _count_recent(self._fleet_sends[endpoint])
+        local_sends = len(_discard_old(self._local_sends[endpoint]))
+        fleet_sends = len(_discard_old(self._fleet_sends[endpoint]))
         return local_sends + 1 <= max(
             1, int(fleet_rate_per_s / daemon_count)
         ) and (fleet_sends + 1 <= fleet_rate_per_s * FLEET_RATE_FRACTION)
 
     def record_send(self, endpoint: str) -> None:
         """Records a request that this daemon sends."""
-        self._local_sends[endpoint].append(monotonic_s())
+        _discard_old(self._local_sends[endpoint]).append(monotonic_s())
         self.record_fleet_send(endpoint)
 
     def record_fleet_send(self, endpoint: str) -> None:
         """Records a request that any daemon of the fleet sends."""
-        self._fleet_sends[endpoint].append(monotonic_s())
+        _discard_old(self._fleet_sends[endpoint]).append(monotonic_s())
 
 
-def _count_recent(times: deque[float]) -> int:
+def _discard_old(times: deque[float]) -> deque[float]:
+    """Returns the times without those before the window."""
     window_start = monotonic_s() - WINDOW_S
     while times and times[0] < window_start:
         times.popleft()
-    return len(times)
+    return times
 
 
 __all__ = ["SendRateLimiter"]
