--- a/src/auburnswitch/observe/nonblocking_logs.py
+++ b/src/auburnswitch/observe/nonblocking_logs.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import logging
 import os
 import select
@@ -75,9 +74,14 @@
 
     def _write(self, line: bytes) -> None:
         self._buffer += line
-        with contextlib.suppress(BlockingIOError):  # retried with the next line
+        try:
             written = os.write(self.descriptor, self._buffer)
             self._buffer = self._buffer[written:]
+        except BlockingIOError:
+            return  # retried with the next line
+        except OSError:  # the reader has gone: nowhere to report it
+            self.dropped_lines += self._buffer.count(b"\n")
+            self._buffer = b""
 
 
 def configure_nonblocking_logs(
--- a/tests/observe/test_nonblocking_logs.py
+++ b/tests/observe/test_nonblocking_logs.py
@@ -39,6 +39,18 @@
         self.assertLess(time.monotonic() - started_at, 2.0)
         self.assertGreater(handler.dropped_lines, 0)
 
+    # Each log line raised in the code that logs once the reader had gone away.
+    def test_reader_that_has_gone_away(self):
+        logger, handler = self.make_logger(1_000)
+        reader, handler.descriptor = os.pipe()
+        self.addCleanup(os.close, handler.descriptor)
+        os.set_blocking(handler.descriptor, False)
+        os.close(reader)
+        for _ in range(5):
+            logger.info("x" * 200)
+        self.assertGreater(handler.dropped_lines, 0)
+        handler.close()
+
     def test_reports_number_of_dropped_lines(self):
         logger, handler = self.make_logger(3)
         for number in range(10):
