--- a/src/auburnswitch/members/gossip_peer.py
+++ b/src/auburnswitch/members/gossip_peer.py
@@ -78,13 +78,15 @@
     def is_newer(self, message: Gossip) -> bool:
         """Returns whether a message is newer than those received so far.
 
-        A newer incarnation takes precedence over the sequence number. Direct
-        messages may overtake relayed ones, so sequence numbers are compared
-        separately for each.
+        A newer incarnation takes precedence over the sequence number. One that
+        seems older is newer as well if the peer has fallen silent: its time of
+        day has jumped back before it started again. Direct messages may
+        overtake relayed ones, so sequence numbers are compared separately for
+        each.
         """
         last_incarnation = self.last_message.incarnation
         if message.incarnation != last_incarnation:
-            return message.incarnation > last_incarnation
+            return message.incarnation > last_incarnation or not self.is_live
         return message.sequence > self.last_sequences.get(message.relayed, 0)
 
     def record_message(self, message: Gossip, interval_s: float) -> None:
