--- a/src/auburnswitch/configuration/store_revision.py
+++ b/src/auburnswitch/configuration/store_revision.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import Final
+from typing import Final, NamedTuple
 
 
-@dataclass(slots=True, kw_only=True, frozen=True, order=True)
-class StoreRevision:
+class StoreRevision(NamedTuple):
     """A revision of the store, compared by generation first.
 
     A store that comes back from an older copy begins a new generation, in which
--- a/src/auburnswitch/configuration/tracked_endpoint.py
+++ b/src/auburnswitch/configuration/tracked_endpoint.py
@@ -46,11 +46,13 @@
     @property
     def accepts_requests(self) -> bool:
         """Whether the entry lets new requests be sent to the endpoint now."""
+        if not self.entry.ready:
+            return False
+        if not self.withheld_until and self.removal_due_at is None:
+            return True  # asked for each endpoint and request
         now = monotonic_s()
-        return (
-            self.entry.ready
-            and now >= self.withheld_until
-            and (self.removal_due_at is None or now < self.removal_due_at)
+        return now >= self.withheld_until and (
+            self.removal_due_at is None or now < self.removal_due_at
         )
 
 
