--- a/src/auburnswitch/members/directory_keeper.py
+++ b/src/auburnswitch/members/directory_keeper.py
@@ -23,7 +23,7 @@
 
 MIN_CHECK_INTERVAL_S: Final = 0.5
 MAX_CHECK_INTERVAL_S: Final = 1.0
-KEY_CHECK_INTERVALS: Final = 5  # between two checks of the key
+WAIT_INTERVALS: Final = 5  # after a failure, and between checks of the key
 
 
 class DirectoryKeeper:
@@ -38,7 +38,7 @@
 
     __slots__ = (
         "_generation",
-        "_intervals_to_key_check",
+        "_intervals_to_wait",
         "_rejected_count",
         "_verified",
         "directory",
@@ -63,7 +63,7 @@
         # Records written again in this generation, None if none can be lost.
         self._verified: set[str] | None = None
         self._rejected_count = 0
-        self._intervals_to_key_check = 0
+        self._intervals_to_wait = 0
 
     async def run(self) -> None:
         """Checks at intervals until cancelled."""
@@ -82,14 +82,18 @@
             self._generation = (
                 self.directory.registered_generation or generation
             )
-        self._intervals_to_key_check = max(0, self._intervals_to_key_check - 1)
         records = self._find_unverified(generation)
-        if not records and not self._should_check_key():
+        has_rejected = self.gossip.rejected_count > self._rejected_count
+        if self._intervals_to_wait:
+            self._intervals_to_wait -= 1
+            return
+        if not records and not has_rejected:
             return
         self._rejected_count = self.gossip.rejected_count
-        self._intervals_to_key_check = KEY_CHECK_INTERVALS
         found = await self.directory.restore(records)
         self.gossip.key = self.directory.shared_key.key
+        if isinstance(found, str) or has_rejected:
+            self._intervals_to_wait = WAIT_INTERVALS
         if isinstance(found, str):
             log_event(EventId.DIRECTORY_FAILED, reason=found)
             return
@@ -110,12 +114,5 @@
         records = [self.gossip.local_record, *(peer.record for peer in peers)]
         return [r for r in records if r.instance not in self._verified]
 
-    def _should_check_key(self) -> bool:
-        """Returns whether peers seem to use another key."""
-        return (
-            self.gossip.rejected_count > self._rejected_count
-            and self._intervals_to_key_check == 0
-        )
-
 
 __all__ = ["DirectoryKeeper"]
--- a/src/auburnswitch/routing/crashes/crash_registry.py
+++ b/src/auburnswitch/routing/crashes/crash_registry.py
@@ -72,8 +72,9 @@
     def record_success(self, fingerprint: str) -> None:
         """Clears a request that an endpoint has run to its end."""
         if fingerprint in self._crashes:
+            was_refused = self.is_refused(fingerprint)
             self._clear(fingerprint)
-            if self.on_change is not None:
+            if was_refused and self.on_change is not None:
                 self.on_change(fingerprint, [])
             self._cleared_at[fingerprint] = monotonic_s()
 
--- a/tests/routing/crashes/test_crash_registry.py
+++ b/tests/routing/crashes/test_crash_registry.py
@@ -59,6 +59,20 @@
         local.merge_peer_announcements(peer.recent_announcements())
         self.assertEqual(local.count("request"), 0)
 
+    # Each success after a crash would have cost a call of the store.
+    @in_virtual_loop
+    def test_only_refusals_are_told_to_be_kept(self):
+        told = []
+        registry = CrashRegistry(on_change=lambda *args: told.append(args))
+        registry.record_crash("request", "engine-0")
+        registry.record_success("request")
+        self.assertEqual(told, [])
+        for number in range(3):
+            registry.record_crash("request", f"engine-{number}")
+        registry.record_success("request")
+        crashes = [f"engine-{number}" for number in range(3)]
+        self.assertEqual(told, [("request", crashes), ("request", [])])
+
     @in_virtual_loop
     def test_crash_after_a_success_counts_at_all_daemons(self):
         local, peer = CrashRegistry(), CrashRegistry()
