--- a/schema/entry.thrift
+++ b/schema/entry.thrift
@@ -36,7 +36,7 @@
   4: i32 readers = 3
   // Age of the peers' newest read above which a daemon reads the store itself. @unit seconds @min 0.1 @max 60
   5: double peer_read_max_age_s = 1.5
-  // Interval of the calls that check, while a watch waits, that the store still answers. @unit seconds @min 0.1 @max 30
+  // Interval of the calls that check, while a watch waits, that the store answers and that the watch has missed nothing. @unit seconds @min 0.1 @max 30
   6: double probe_interval_s = 2
 }
 
--- a/src/auburnswitch/schema/entry.py
+++ b/src/auburnswitch/schema/entry.py
@@ -203,7 +203,7 @@
             options={"unit": "seconds", "min": "0.1", "max": "60"},
         ),
         "probe_interval_s": Description(
-            text="Interval of the calls that check, while a watch waits, that the store still answers.",
+            text="Interval of the calls that check, while a watch waits, that the store answers and that the watch has missed nothing.",
             options={"unit": "seconds", "min": "0.1", "max": "30"},
         ),
     }
